--- /dev/null
+++ b/src/control/acceptor.h
@@ -0,0 +1,81 @@
+// Takes jobs and cancels from callers: stores them in the log in batches, then answers.
+//
+// Not thread-safe: the event loop's thread only.
+#pragma once
+
+#include "control/gateways.h"
+#include "control/job_book.h"
+#include "control/log_follower.h"
+#include "platform/worker.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cardamompaddle {
+
+enum class AcceptOutcome {
+    Accepted, // stored
+    Refused, // surely not stored: it never runs
+    Unknown, // may be stored, now or later
+    NotFound, // of a cancel: no such job
+};
+
+class Acceptor
+{
+public:
+    using Done = std::function<void(AcceptOutcome, const std::string &reason)>;
+
+    // All arguments must outlive the acceptor. `topic`: where jobs are kept.
+    Acceptor(boost::asio::io_context &io, const Clock &clock, KeyedLog &log, const JobBook &book,
+             LogFollower &follower, std::string topic);
+    ~Acceptor();
+    Acceptor(const Acceptor &) = delete;
+    Acceptor &operator=(const Acceptor &) = delete;
+
+    // Stores the job; a job of the same id that is known already is Accepted as it is. `done` runs
+    // by `deadline`.
+    void submit(work::Submission job, Instant deadline, Done done);
+    void cancel(const std::string &id, Instant deadline, Done done);
+    // Looks a job up; one that is not known here may have been accepted elsewhere a moment ago.
+    // `entry` null: there is none. `current` false: the log does not answer, so nothing is certain.
+    using FindDone = std::function<void(const JobEntry *entry, bool current)>;
+    void find(const std::string &id, FindDone done);
+    // Requests that have no answer yet.
+    size_t pending() const { return m_queue.size() + m_inFlight; }
+
+private:
+    struct Entry
+    {
+        KeyedRecord record;
+        std::string id;
+        Instant deadline;
+        Done done;
+        bool maybeStored = false; // an earlier try had no answer
+    };
+    using Batch = std::shared_ptr<std::vector<Entry>>;
+
+    void enqueue(Entry entry);
+    void flush();
+    void send(const Batch &batch);
+    void onAppend(const Batch &batch, const AppendAnswer &answer);
+    void finish(std::vector<Entry> &entries, AcceptOutcome outcome, const std::string &reason);
+    void later(Duration wait, std::function<void()> action);
+
+    boost::asio::io_context &m_io;
+    const Clock &m_clock;
+    KeyedLog &m_log;
+    const JobBook &m_book;
+    LogFollower &m_follower;
+    std::string m_topic;
+    boost::asio::steady_timer m_flushTimer;
+    bool m_flushArmed = false;
+    std::vector<Entry> m_queue;
+    size_t m_inFlight = 0;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace cardamompaddle
--- /dev/null
+++ b/src/control/gateways.h
@@ -0,0 +1,151 @@
+// What an entry instance asks of the platform, as interfaces that the adapter implements and tests
+// fake.
+//
+// All calls return at once. Callbacks run once, later, on the thread of the event loop, never
+// inside the call. A call without an answer within its timeout ends with OutcomeUnknown.
+#pragma once
+
+#include "base/result.h"
+#include "base/time.h"
+#include "dispatch/worker_runs.h"
+#include "work/gen/work_types.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cardamompaddle {
+
+// A record of a topic that keeps the newest record of each key.
+struct KeyedRecord
+{
+    std::string key;
+    std::string value;
+    bool removed = false; // the key has gone; `value` is empty
+    int64_t offset = 0;
+};
+
+struct LogSlice
+{
+    int64_t end = 0; // offset that the next append will get
+    std::vector<KeyedRecord> records;
+};
+
+struct NewestPage
+{
+    int64_t end = 0;
+    bool more = false; // go on after the last key
+    std::vector<KeyedRecord> records;
+};
+
+struct AppendRequest
+{
+    std::string topic;
+    std::vector<KeyedRecord> records; // offsets are ignored
+    std::optional<int64_t> expectedEnd; // append only if the topic ends there
+    // Appends of one writer with one epoch are stored once and in order of their sequence; those
+    // with a lower epoch than the highest seen are refused.
+    struct Writer
+    {
+        std::string name;
+        int64_t epoch = 0;
+        int64_t sequence = 0;
+    };
+    std::optional<Writer> writer;
+};
+
+enum class AppendOutcome {
+    Stored,
+    NotStored, // surely not; may be tried again
+    EndMoved, // surely not: `expectedEnd` was not met
+    Fenced, // surely not: a higher epoch was seen, or the sequence does not follow
+    Unknown,
+};
+
+struct AppendAnswer
+{
+    AppendOutcome outcome = AppendOutcome::Unknown;
+    std::string reason; // for people
+};
+
+// The platform's log, reduced to topics of keyed records with one partition.
+class KeyedLog
+{
+public:
+    using AppendDone = std::function<void(AppendAnswer)>;
+    using ReadDone = std::function<void(Result<LogSlice>)>;
+    using NewestDone = std::function<void(Result<NewestPage>)>;
+
+    virtual ~KeyedLog() = default;
+    virtual void append(AppendRequest request, Duration timeout, AppendDone done) = 0;
+    // Records from offset `from` on; waits up to `wait` for the first. Errors: NotFound if records
+    // from there on have expired, Unavailable, OutcomeUnknown.
+    virtual void read(const std::string &topic, int64_t from, Duration wait, Duration timeout,
+                      ReadDone done) = 0;
+    // The newest record of each key after key `after`. Errors: as read().
+    virtual void newest(const std::string &topic, const std::string &after, Duration timeout,
+                        NewestDone done) = 0;
+};
+
+// Bounds everything that is sent to a worker.
+struct WorkerAuthority
+{
+    int64_t epoch = 0; // fencing token: a worker refuses what comes with less than it has seen
+    int64_t leaseUntilMs = 0; // on the worker's clock; 0: the lease is not extended
+    std::string life; // incarnation that is meant; empty: any
+};
+
+struct LookAnswer
+{
+    RunReport report;
+    int64_t workerClockMs = 0;
+};
+
+// Errors of all calls: PermissionDenied if a higher epoch was seen there, Conflict if another life
+// of the worker answered, Unavailable if the call surely was not carried out, OutcomeUnknown.
+class WorkerGateway
+{
+public:
+    using LookDone = std::function<void(Result<LookAnswer>)>;
+    using StartDone = std::function<void(Result<StartAnswer>)>;
+    using Done = std::function<void(Result<void>)>;
+
+    virtual ~WorkerGateway() = default;
+    // Lists what runs and what has ended after position `acknowledged`; ends up to there are
+    // forgotten by the worker. Waits up to `wait` for an end. `askedAt` is passed on.
+    virtual void look(const WorkerEntry &worker, const WorkerAuthority &authority,
+                      int64_t acknowledged, Duration wait, Duration timeout, Instant askedAt,
+                      LookDone done) = 0;
+    virtual void start(const WorkerEntry &worker, const WorkerAuthority &authority,
+                       const StartOrder &order, Duration timeout, StartDone done) = 0;
+    virtual void stop(const WorkerEntry &worker, const WorkerAuthority &authority,
+                      const StopOrder &order, Duration timeout, Done done) = 0;
+    virtual void pace(const WorkerEntry &worker, const WorkerAuthority &authority,
+                      const PaceOrder &order, Duration timeout, Done done) = 0;
+};
+
+// The service that approves workers for a step.
+class PolicyGateway
+{
+public:
+    using Done = std::function<void(Result<std::vector<work::Approval>>)>;
+
+    virtual ~PolicyGateway() = default;
+    virtual void approve(const std::string &step, const std::vector<WorkerId> &workers,
+                         Duration timeout, Done done) = 0;
+};
+
+// Calls to another entry instance.
+class PeerGateway
+{
+public:
+    using Done = std::function<void(Result<work::ApprovalAnswer>)>;
+
+    virtual ~PeerGateway() = default;
+    virtual void approve(const std::string &address, const work::ApprovalRequest &request,
+                         Duration timeout, Done done) = 0;
+};
+
+} // namespace cardamompaddle
--- /dev/null
+++ b/src/control/instance.cc
@@ -0,0 +1,307 @@
+#include "control/instance.h"
+
+#include "logging/event_log.h"
+#include "work/codec.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <utility>
+
+namespace cardamompaddle {
+
+namespace {
+
+constexpr Duration TickInterval{100};
+// Between reads of the work topic: the scheduler starts what it reads, others only answer from it.
+constexpr Duration SchedulerGap{20};
+constexpr Duration FollowerGap{200};
+// A scheduler stores something twice a second; after this silence its tenure is claimed.
+constexpr Duration SilenceToClaim{1'600};
+constexpr int64_t ClaimJitterMs = 400;
+constexpr int64_t FirstClaimJitterMs = 120;
+// After an outage of the log the scheduler gets this long to show itself first.
+constexpr Duration GraceAfterOutage{1'200};
+constexpr Duration ClaimTimeout{900};
+constexpr Duration AnnounceTimeout{900};
+// Without an answer of the log for so long an instance says neither that a job does not exist nor
+// that it is ready.
+constexpr Duration CurrentFor{2'600};
+constexpr Duration ReadyFor{3'500};
+constexpr Duration ReleaseTime{1'500};
+
+} // namespace
+
+Instance::Instance(const ContextFactory &context, InstanceOptions options)
+    : m_context(context(m_book)), m_options(std::move(options)),
+      m_tickTimer(m_context.scheduler.io), m_random(std::random_device{}())
+{
+    SchedulerContext &scheduler = m_context.scheduler;
+    LogFollower::Callbacks work;
+    work.record = [this](const KeyedRecord &record) { onWorkRecord(record); };
+    work.loaded = [this](const std::set<std::string> &) {
+        m_activityAt = m_context.scheduler.clock.now();
+        announce();
+    };
+    work.availability = [](bool lost, const std::string &reason) {
+        logWarn(lost ? "log_lost" : "log_back", "reason=\"" + reason + "\"");
+    };
+    m_work = std::make_unique<LogFollower>(
+        scheduler.io, scheduler.clock, scheduler.log,
+        LogFollowerOptions{scheduler.workTopic, Duration{2'000}, FollowerGap}, std::move(work));
+    LogFollower::Callbacks operators;
+    operators.record = [this](const KeyedRecord &record) { onOperatorRecord(record); };
+    operators.loaded = [this](const std::set<std::string> &keys) { onOperatorsLoaded(keys); };
+    operators.availability = [](bool lost, const std::string &reason) {
+        logWarn(lost ? "configuration_lost" : "configuration_back", "reason=\"" + reason + "\"");
+    };
+    m_operators = std::make_unique<LogFollower>(
+        scheduler.io, scheduler.clock, scheduler.log,
+        LogFollowerOptions{m_context.operatorTopic, Duration{2'000}, Duration::zero()},
+        std::move(operators));
+    m_acceptor = std::make_unique<Acceptor>(scheduler.io, scheduler.clock, scheduler.log, m_book,
+                                            *m_work, scheduler.workTopic);
+}
+
+Instance::~Instance()
+{
+    *m_alive = false;
+}
+
+void Instance::start()
+{
+    m_patience = Duration(static_cast<int64_t>(m_random() % FirstClaimJitterMs));
+    m_operators->start();
+    m_work->start();
+    tick();
+}
+
+bool Instance::current() const
+{
+    return m_work->loaded()
+           && m_context.scheduler.clock.now() - m_work->currentAsOf() <= CurrentFor;
+}
+
+bool Instance::ready() const
+{
+    const Instant now = m_context.scheduler.clock.now();
+    return !m_stopping && m_catalog && m_work->loaded() && now - m_work->currentAsOf() <= ReadyFor
+           && now - m_operators->currentAsOf() <= ReadyFor;
+}
+
+void Instance::onWorkRecord(const KeyedRecord &record)
+{
+    std::string id;
+    const auto change = m_book.apply(record, id);
+    if (!change) {
+        logWarn("work_record_ignored",
+                "key=" + record.key + " reason=\"" + change.error().reason + "\"");
+        return;
+    }
+    const Instant now = m_context.scheduler.clock.now();
+    if (*change == JobBook::Change::Tenure) {
+        const work::Tenure &tenure = m_book.tenure();
+        const auto jitter = static_cast<int64_t>(m_random() % ClaimJitterMs);
+        m_patience = tenure.released ? Duration(jitter / 4) : SilenceToClaim + Duration(jitter);
+    }
+    if (*change == JobBook::Change::Tenure || *change == JobBook::Change::Progressed)
+        m_activityAt = now;
+    if (m_scheduler)
+        m_scheduler->bookChanged(*change, id);
+}
+
+void Instance::onOperatorRecord(const KeyedRecord &record)
+{
+    if (record.removed) {
+        if (m_zonesOut.erase(record.key) > 0)
+            applyZones();
+        return;
+    }
+    const auto decoded = m_context.decodeOperatorRecord(record);
+    if (!decoded) {
+        logWarn("operator_record_ignored",
+                "key=" + record.key + " reason=\"" + decoded.error().reason + "\"");
+        return;
+    }
+    if (decoded->catalog && (!m_catalog || decoded->catalog->version > m_catalog->version)) {
+        m_catalog = decoded->catalog;
+        logInfo("configuration_applied", "version=" + std::to_string(m_catalog->version)
+                                             + " offset=" + std::to_string(record.offset));
+        if (m_scheduler)
+            m_scheduler->setCatalog(m_catalog);
+    }
+    if (!decoded->zoneOut.empty()) {
+        m_zonesOut[record.key] = decoded->zoneOut;
+        applyZones();
+    }
+}
+
+void Instance::onOperatorsLoaded(const std::set<std::string> &keys)
+{
+    if (std::erase_if(m_zonesOut, [&keys](const auto &it) { return !keys.contains(it.first); }) > 0)
+        applyZones();
+}
+
+void Instance::applyZones()
+{
+    std::set<std::string> zones;
+    std::string names;
+    for (const auto &[key, zone] : m_zonesOut) {
+        zones.insert(zone);
+        names += (names.empty() ? "" : ",") + zone;
+    }
+    logInfo("zones_out", "zones=" + names);
+    if (m_scheduler)
+        m_scheduler->setZonesOut(zones);
+}
+
+// Tells the others where this instance can be reached. Stored again if the record is missing.
+void Instance::announce()
+{
+    const auto known = m_book.members().find(m_options.name);
+    const bool announced =
+        known != m_book.members().end() && known->second.address == m_options.peerAddress;
+    if (announced || m_announcing || m_stopping)
+        return;
+    m_announcing = true;
+    work::Member member;
+    member.name = m_options.name;
+    member.address = m_options.peerAddress;
+    AppendRequest request;
+    request.topic = m_context.scheduler.workTopic;
+    request.records.push_back({work_key::member(m_options.name), encodeRecord(member), false, 0});
+    m_context.scheduler.log.append(
+        std::move(request), AnnounceTimeout, [this, alive = m_alive](const AppendAnswer &answer) {
+            if (!*alive)
+                return;
+            m_announcing = false;
+            if (answer.outcome != AppendOutcome::Stored)
+                logWarn("announce_failed", "reason=\"" + answer.reason + "\"");
+        });
+}
+
+void Instance::tick()
+{
+    judgeTenure();
+    m_tickTimer.expires_after(TickInterval);
+    m_tickTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+        if (!ec && *alive)
+            tick();
+    });
+}
+
+void Instance::judgeTenure()
+{
+    if (m_scheduler) {
+        const work::Tenure &known = m_book.tenure();
+        if (known.holder != m_options.name || known.address != m_options.peerAddress)
+            deposed("another holder stands in the log");
+        return;
+    }
+    const Instant now = m_context.scheduler.clock.now();
+    if (m_claiming || m_stopping || !m_catalog || !m_work->loaded()
+        || now - m_activityAt < m_patience || m_work->availableSince() == Instant::max())
+        return;
+    const bool neverHeld = m_book.tenure().epoch == 0;
+    if (!neverHeld && !m_book.tenure().released
+        && now - m_work->availableSince() < GraceAfterOutage)
+        return;
+    // Silence counts only as of now: records may be waiting to be read.
+    m_claiming = true;
+    const Instant judgedAt = m_activityAt;
+    m_work->refresh([this, alive = m_alive, judgedAt](bool current) {
+        if (!*alive)
+            return;
+        if (!current || m_activityAt != judgedAt || m_stopping) {
+            m_claiming = false;
+            return;
+        }
+        claim();
+    });
+}
+
+void Instance::claim()
+{
+    work::Tenure tenure;
+    tenure.holder = m_options.name;
+    tenure.address = m_options.peerAddress;
+    tenure.epoch = m_book.tenure().epoch + 1;
+    AppendRequest request;
+    request.topic = m_context.scheduler.workTopic;
+    request.records.push_back({work_key::Tenure, encodeRecord(tenure), false, 0});
+    // Only one claimant can append at the end that both have read up to.
+    request.expectedEnd = m_work->next();
+    request.writer = {"scheduler", tenure.epoch, 0};
+    m_context.scheduler.log.append(std::move(request), ClaimTimeout,
+                                   [this, alive = m_alive, tenure](const AppendAnswer &answer) {
+                                       if (*alive)
+                                           onClaimed(tenure, answer);
+                                   });
+}
+
+void Instance::onClaimed(work::Tenure tenure, const AppendAnswer &answer)
+{
+    logInfo("tenure_claim", "epoch=" + std::to_string(tenure.epoch)
+                                + " outcome=" + std::to_string(static_cast<int>(answer.outcome))
+                                + " reason=\"" + answer.reason + "\"");
+    m_claiming = false;
+    if (answer.outcome != AppendOutcome::Stored)
+        return;
+    // The record is read back before the scheduler begins, so that the book names this holder.
+    m_claiming = true;
+    m_work->refresh([this, alive = m_alive, tenure](bool current) {
+        if (!*alive)
+            return;
+        m_claiming = false;
+        if (!current || m_book.tenure().epoch != tenure.epoch || m_stopping)
+            return;
+        SchedulerOptions options;
+        options.tenure = tenure;
+        options.maxLease = m_options.maxLease;
+        options.remoteFactor = m_options.remoteFactor;
+        options.keepFinal = m_options.keepFinal;
+        m_work->setGap(SchedulerGap);
+        m_scheduler =
+            std::make_unique<Scheduler>(m_context.scheduler, options, 1,
+                                        [this](const std::string &reason) { deposed(reason); });
+        m_scheduler->setCatalog(m_catalog);
+        applyZones();
+        m_scheduler->start();
+    });
+}
+
+void Instance::deposed(const std::string &reason)
+{
+    logWarn("tenure_lost", "reason=\"" + reason + "\"");
+    m_scheduler.reset();
+    m_work->setGap(FollowerGap);
+    m_activityAt = m_context.scheduler.clock.now();
+}
+
+void Instance::approve(const work::ApprovalRequest &request,
+                       std::function<void(work::ApprovalAnswer)> done)
+{
+    m_context.scheduler.policy.approve(
+        request.step, request.workers, Duration(request.timeoutMs),
+        [done = std::move(done)](Result<std::vector<work::Approval>> result) {
+            work::ApprovalAnswer answer;
+            answer.ok = result.ok();
+            if (result)
+                answer.approved = std::move(*result);
+            else
+                answer.error = result.error().reason;
+            done(std::move(answer));
+        });
+}
+
+void Instance::stop(std::function<void()> done)
+{
+    m_stopping = true;
+    if (!m_scheduler)
+        return done();
+    m_scheduler->release(ReleaseTime, [this, done = std::move(done)] {
+        m_scheduler.reset();
+        done();
+    });
+}
+
+} // namespace cardamompaddle
--- /dev/null
+++ b/src/control/instance.h
@@ -0,0 +1,103 @@
+// One entry instance: answers callers from the log, takes jobs into it, and holds the scheduler's
+// tenure when it falls to this instance.
+//
+// Any number of instances may be lost and others come at new addresses: the log orders and fences.
+// A claim of the tenure is a record with the next epoch that is stored only if the claimant knew
+// every record before it. Not thread-safe: the event loop's thread only.
+#pragma once
+
+#include "control/acceptor.h"
+#include "control/scheduler.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace cardamompaddle {
+
+// What a record of the operators says.
+struct OperatorRecord
+{
+    std::shared_ptr<const Catalog> catalog; // null: it is no configuration
+    std::string zoneOut; // empty: it names no zone
+};
+
+struct InstanceContext
+{
+    SchedulerContext scheduler; // its `book` is the instance's own
+    std::string operatorTopic;
+    // Errors: InvalidArgument for a record of another form.
+    std::function<Result<OperatorRecord>(const KeyedRecord &)> decodeOperatorRecord;
+};
+
+struct InstanceOptions
+{
+    std::string name; // unique among the instances
+    std::string peerAddress; // IP:PORT on which peers reach this instance
+    Duration maxLease{10'000};
+    double remoteFactor = 1;
+    Duration keepFinal{120'000};
+};
+
+class Instance
+{
+public:
+    // Builds the context for a book that the instance owns.
+    using ContextFactory = std::function<InstanceContext(const JobBook &)>;
+
+    Instance(const ContextFactory &context, InstanceOptions options);
+    ~Instance();
+    Instance(const Instance &) = delete;
+    Instance &operator=(const Instance &) = delete;
+
+    void start();
+    // Whether new connections are welcome: configured, and the log has answered of late.
+    bool ready() const;
+    // Null until the first configuration has been read.
+    const Catalog *catalog() const { return m_catalog.get(); }
+    const JobBook &book() const { return m_book; }
+    Acceptor &acceptor() { return *m_acceptor; }
+    // Whether what is known of jobs is recent enough to say that one does not exist.
+    bool current() const;
+    // Consults the policy service for the scheduler.
+    void approve(const work::ApprovalRequest &request,
+                 std::function<void(work::ApprovalAnswer)> done);
+    // Refuses new connections, gives the tenure up, and calls `done` when nothing is left to do.
+    void stop(std::function<void()> done);
+    bool schedules() const { return m_scheduler != nullptr; }
+
+private:
+    void onWorkRecord(const KeyedRecord &record);
+    void onOperatorRecord(const KeyedRecord &record);
+    void onOperatorsLoaded(const std::set<std::string> &keys);
+    void applyZones();
+    void announce();
+    void judgeTenure();
+    void claim();
+    void onClaimed(work::Tenure tenure, const AppendAnswer &answer);
+    void deposed(const std::string &reason);
+    void tick();
+
+    JobBook m_book;
+    InstanceContext m_context;
+    InstanceOptions m_options;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    std::unique_ptr<LogFollower> m_work;
+    std::unique_ptr<LogFollower> m_operators;
+    std::unique_ptr<Acceptor> m_acceptor;
+    std::unique_ptr<Scheduler> m_scheduler;
+    std::shared_ptr<const Catalog> m_catalog;
+    std::map<std::string, std::string> m_zonesOut; // zone by key
+    boost::asio::steady_timer m_tickTimer;
+    std::mt19937_64 m_random;
+    Instant m_activityAt; // the scheduler's last sign of life
+    Duration m_patience{0}; // silence after which this instance claims the tenure
+    bool m_claiming = false;
+    bool m_announcing = false;
+    bool m_stopping = false;
+};
+
+} // namespace cardamompaddle
--- /dev/null
+++ b/src/control/job_book.cc
@@ -0,0 +1,162 @@
+#include "control/job_book.h"
+
+#include "work/codec.h"
+
+namespace cardamompaddle {
+
+namespace work_key {
+
+std::string job(const std::string &id)
+{
+    return "job/" + id;
+}
+
+std::string cancel(const std::string &id)
+{
+    return "cancel/" + id;
+}
+
+std::string progress(const std::string &id)
+{
+    return "progress/" + id;
+}
+
+std::string member(const std::string &name)
+{
+    return "member/" + name;
+}
+
+std::string usedWorker(const std::string &id)
+{
+    return "worker/" + id;
+}
+
+} // namespace work_key
+
+namespace {
+
+// Stores a decoded record in a map, or drops its key.
+template <typename T>
+Result<void> applyTo(std::map<std::string, T> &map, const std::string &id,
+                     const KeyedRecord &record)
+{
+    if (record.removed) {
+        map.erase(id);
+        return {};
+    }
+    auto value = decodeRecord<T>(record.value);
+    if (!value)
+        return value.error();
+    map[id] = std::move(*value);
+    return {};
+}
+
+bool countsAsWaiting(const JobEntry &entry)
+{
+    return entry.submission && entry.submission->repetitions == 0
+           && entry.state() == work::JobState::Queued;
+}
+
+} // namespace
+
+work::JobState::type JobEntry::state() const
+{
+    const auto stored = progress ? progress->state : work::JobState::Queued;
+    // A cancel that comes after the job's end changes nothing.
+    return cancelled && stored < work::JobState::Completed ? work::JobState::Cancelled : stored;
+}
+
+Result<JobBook::Change> JobBook::apply(const KeyedRecord &record, std::string &id)
+{
+    if (record.key == work_key::Tenure) {
+        auto tenure = decodeRecord<work::Tenure>(record.value);
+        if (!tenure)
+            return tenure.error();
+        m_tenure = std::move(*tenure);
+        return Change::Tenure;
+    }
+    const size_t slash = record.key.find('/');
+    if (slash == std::string::npos)
+        return Error{ErrorCode::InvalidArgument, "unknown key " + record.key};
+    const std::string kind = record.key.substr(0, slash);
+    id = record.key.substr(slash + 1);
+    if (kind == "member") {
+        const auto applied = applyTo(m_members, id, record);
+        return applied ? Result<Change>(Change::Member) : applied.error();
+    }
+    if (kind == "worker") {
+        const auto applied = applyTo(m_usedWorkers, id, record);
+        return applied ? Result<Change>(Change::UsedWorker) : applied.error();
+    }
+    return applyJob(record, kind, id);
+}
+
+Result<JobBook::Change> JobBook::applyJob(const KeyedRecord &record, const std::string &kind,
+                                          const std::string &id)
+{
+    if (record.removed) {
+        // A scheduler drops the records of a final job together, the submission last.
+        const auto it = m_entries.find(id);
+        if (kind == "job" && it != m_entries.end()) {
+            countWaiting(it->second, -1);
+            m_entries.erase(it);
+        }
+        return Change::None;
+    }
+    JobEntry &entry = m_entries[id];
+    countWaiting(entry, -1);
+    Result<Change> change = Error{ErrorCode::InvalidArgument, "unknown key " + record.key};
+    if (kind == "cancel") {
+        entry.cancelled = true;
+        change = Change::Cancelled;
+    } else if (kind == "progress") {
+        auto progress = decodeRecord<work::Progress>(record.value);
+        if (progress)
+            entry.progress = std::make_unique<work::Progress>(std::move(*progress));
+        change = progress ? Result<Change>(Change::Progressed) : progress.error();
+    } else if (kind == "job" && entry.submission) {
+        change = Change::None; // the same id again: the first counts
+    } else if (kind == "job") {
+        auto submission = decodeRecord<work::Submission>(record.value);
+        if (submission) {
+            entry.submission = std::make_shared<work::Submission>(std::move(*submission));
+            entry.offset = record.offset;
+        }
+        change = submission ? Result<Change>(Change::Submitted) : submission.error();
+    }
+    countWaiting(entry, 1);
+    return change;
+}
+
+void JobBook::countWaiting(const JobEntry &entry, int64_t sign)
+{
+    if (countsAsWaiting(entry))
+        m_waiting[entry.submission->route] += sign;
+}
+
+const JobEntry *JobBook::find(const std::string &id) const
+{
+    const auto it = m_entries.find(id);
+    return it == m_entries.end() || !it->second.submission ? nullptr : &it->second;
+}
+
+int64_t JobBook::waiting(const std::string &route) const
+{
+    const auto it = m_waiting.find(route);
+    return it == m_waiting.end() ? 0 : it->second;
+}
+
+std::vector<std::string> JobBook::finalBefore(int64_t unixMs, size_t most) const
+{
+    std::vector<std::string> out;
+    for (const auto &[id, entry] : m_entries) {
+        if (out.size() >= most)
+            break;
+        if (entry.submission && entry.state() >= work::JobState::Completed
+            && entry.submission->acceptedAtMs < unixMs)
+            out.push_back(id);
+    }
+    return out;
+}
+
+} // namespace cardamompaddle
--- /dev/null
+++ b/src/control/peer_http.h
@@ -0,0 +1,29 @@
+// Calls between entry instances: Thrift structs as the bodies of HTTP requests.
+#pragma once
+
+#include "control/gateways.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+#include <functional>
+
+namespace cardamompaddle {
+
+class PeerHttpClient : public PeerGateway
+{
+public:
+    // `http` must outlive the client.
+    explicit PeerHttpClient(HttpClient &http) : m_http(http) { }
+    void approve(const std::string &address, const work::ApprovalRequest &request, Duration timeout,
+                 Done done) override;
+
+private:
+    HttpClient &m_http;
+};
+
+// The handler of a peer's calls; anything else is answered 404.
+using ApproveHandler =
+    std::function<void(const work::ApprovalRequest &, std::function<void(work::ApprovalAnswer)>)>;
+HttpHandler makePeerHandler(ApproveHandler approve);
+
+} // namespace cardamompaddle
--- /dev/null
+++ b/src/control/scheduler.cc
@@ -0,0 +1,413 @@
+#include "control/scheduler.h"
+
+#include "logging/event_log.h"
+#include "work/codec.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamompaddle {
+
+namespace {
+
+constexpr Duration PassDelay{4}; // events within it share a decision
+constexpr Duration FlushDelay{50}; // changes of progress within it share an append
+constexpr Duration AppendTimeout{900};
+constexpr Duration AppendRetry{120};
+constexpr Duration TickInterval{250};
+constexpr Duration HeartbeatInterval{500}; // without other appends
+constexpr Duration RegistryGap{300};
+constexpr size_t MaxRecordsPerBatch = 400;
+constexpr size_t MaxRemovalsPerBatch = 60;
+constexpr const char *WriterName = "scheduler";
+
+} // namespace
+
+Scheduler::Scheduler(SchedulerContext context, SchedulerOptions options, int64_t nextSequence,
+                     std::function<void(const std::string &)> deposed)
+    : m_context(std::move(context)), m_options(std::move(options)), m_deposed(std::move(deposed)),
+      m_dispatcher({m_options.tenure.epoch, m_options.remoteFactor},
+                   [](const DispatchEvent &event) {
+                       logInfo(event.what,
+                               (event.job.empty() ? "" : "job=" + event.job + " ") + event.detail);
+                   }),
+      m_passTimer(m_context.io), m_eventTimer(m_context.io), m_flushTimer(m_context.io),
+      m_tickTimer(m_context.io), m_sequence(nextSequence), m_releaseTimer(m_context.io)
+{
+    m_storedAt = m_context.clock.now();
+    WorkerLinks::Callbacks links;
+    links.report = [this](const WorkerId &id, const RunReport &report) { onReport(id, report); };
+    links.startAnswered = [this](const StartOrder &order, StartAnswer answer) {
+        m_dispatcher.startAnswered(order, answer, m_context.clock.now());
+        if (answer != StartAnswer::Started)
+            schedulePass();
+    };
+    links.stopConfirmed = [this](const StopOrder &order) {
+        m_dispatcher.stopAnswered(order, m_context.clock.now());
+    };
+    links.reachable = [this](const WorkerId &id, bool reachable) {
+        reachable ? (void)m_answering.insert(id) : (void)m_answering.erase(id);
+        updateUsable(id);
+    };
+    links.lost = [this](const WorkerId &id) {
+        m_dispatcher.workerLost(id, m_context.clock.now());
+        judgeAllKnown();
+        schedulePass();
+    };
+    links.fenced = [this] { depose("a worker has seen a higher epoch"); };
+    links.busy = [this](const WorkerId &id) { return m_dispatcher.isBusy(id); };
+    links.storedEnds = [this](const WorkerId &id) {
+        const auto it = m_storedEnds.find(id);
+        return it == m_storedEnds.end() ? 0 : it->second;
+    };
+    m_links = std::make_unique<WorkerLinks>(
+        m_context.io, m_context.clock, m_context.workers,
+        WorkerLinksOptions{m_options.tenure.epoch, m_options.maxLease}, std::move(links));
+    m_approvals = std::make_unique<Approvals>(m_context.clock, m_context.policy, m_context.peers,
+                                              m_dispatcher, m_options.tenure.holder,
+                                              [this] { schedulePass(); });
+    LogFollower::Callbacks registry;
+    registry.record = [this](const KeyedRecord &record) { onWorkerRecord(record); };
+    registry.loaded = [this](const std::set<std::string> &ids) { onRegistryLoaded(ids); };
+    registry.availability = [](bool lost, const std::string &reason) {
+        logWarn(lost ? "registry_lost" : "registry_back", "reason=\"" + reason + "\"");
+    };
+    m_registry = std::make_unique<LogFollower>(
+        m_context.io, m_context.clock, m_context.log,
+        LogFollowerOptions{m_context.registryTopic, Duration{2'000}, RegistryGap},
+        std::move(registry));
+}
+
+Scheduler::~Scheduler()
+{
+    *m_alive = false;
+}
+
+void Scheduler::start()
+{
+    const Instant now = m_context.clock.now();
+    for (const auto &[id, used] : m_context.book.usedWorkers()) {
+        m_adoptable.insert(id);
+        m_usedStored.insert(id);
+        WorkerEntry entry;
+        entry.id = id;
+        entry.address = used.address;
+        m_links->setEntry(entry, false);
+    }
+    std::vector<const JobEntry *> open;
+    for (const auto &[id, entry] : m_context.book.entries()) {
+        if (entry.submission && entry.state() < work::JobState::Completed)
+            open.push_back(&entry);
+    }
+    std::sort(open.begin(), open.end(),
+              [](const JobEntry *a, const JobEntry *b) { return a->offset < b->offset; });
+    for (const JobEntry *entry : open)
+        m_dispatcher.addJob(entry->submission, entry->progress.get(), !m_adoptable.empty(), now);
+    logInfo("scheduling_began", "epoch=" + std::to_string(m_options.tenure.epoch)
+                                    + " open_jobs=" + std::to_string(open.size())
+                                    + " used_workers=" + std::to_string(m_adoptable.size()));
+    m_registry->start();
+    tick();
+}
+
+void Scheduler::setCatalog(std::shared_ptr<const Catalog> catalog)
+{
+    m_dispatcher.setCatalog(std::move(catalog));
+    schedulePass();
+}
+
+void Scheduler::setZonesOut(std::set<std::string> zones)
+{
+    m_dispatcher.setZonesOut(std::move(zones));
+    schedulePass();
+}
+
+void Scheduler::bookChanged(JobBook::Change change, const std::string &id)
+{
+    const JobEntry *entry = m_context.book.find(id);
+    const Instant now = m_context.clock.now();
+    if (entry == nullptr)
+        return;
+    if (change == JobBook::Change::Submitted && entry->state() < work::JobState::Completed) {
+        m_dispatcher.addJob(entry->submission, entry->progress.get(), false, now);
+        schedulePass();
+    } else if (change == JobBook::Change::Cancelled) {
+        m_dispatcher.cancelJob(id, now);
+        schedulePass();
+        scheduleFlush(FlushDelay);
+    }
+}
+
+void Scheduler::onWorkerRecord(const KeyedRecord &record)
+{
+    const Instant now = m_context.clock.now();
+    if (record.removed) {
+        m_dispatcher.removeWorker(record.key, now);
+        m_links->unlist(record.key);
+        schedulePass();
+        return;
+    }
+    const auto entry = m_context.decodeWorker(record);
+    if (!entry) {
+        // An entry of another writer names no worker to use and changes nothing.
+        logWarn("registry_entry_ignored",
+                "key=" + record.key + " reason=\"" + entry.error().reason + "\"");
+        return;
+    }
+    m_dispatcher.setWorker(*entry, now);
+    m_links->setEntry(*entry, true);
+    if (!m_usedStored.contains(entry->id) && m_usedToStore.insert(entry->id).second)
+        scheduleFlush(Duration::zero());
+    schedulePass();
+}
+
+void Scheduler::onRegistryLoaded(const std::set<std::string> &ids)
+{
+    const Instant now = m_context.clock.now();
+    for (const auto &[id, used] : m_context.book.usedWorkers()) {
+        if (!ids.contains(id)) {
+            m_dispatcher.removeWorker(id, now);
+            m_links->unlist(id);
+        }
+    }
+    m_registryLoaded = true;
+    judgeAllKnown();
+}
+
+void Scheduler::onReport(const WorkerId &id, const RunReport &report)
+{
+    m_dispatcher.workerReported(id, report, m_context.clock.now());
+    if (!m_allKnown)
+        judgeAllKnown();
+    schedulePass();
+    if (!report.ended.empty())
+        scheduleFlush(FlushDelay);
+}
+
+void Scheduler::updateUsable(const WorkerId &id)
+{
+    m_dispatcher.setReachable(id, m_answering.contains(id) && m_usedStored.contains(id));
+}
+
+void Scheduler::judgeAllKnown()
+{
+    std::erase_if(m_adoptable, [this](const WorkerId &id) { return m_links->settled(id); });
+    if (m_allKnown || !m_registryLoaded || !m_adoptable.empty())
+        return;
+    m_allKnown = true;
+    m_dispatcher.allWorkersKnown();
+    logInfo("workers_known", "count=" + std::to_string(m_links->size()));
+    schedulePass();
+}
+
+void Scheduler::schedulePass()
+{
+    if (m_passArmed || m_released)
+        return;
+    m_passArmed = true;
+    m_passTimer.expires_after(PassDelay);
+    m_passTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+        if (!ec && *alive)
+            pass();
+    });
+}
+
+void Scheduler::pass()
+{
+    m_passArmed = false;
+    if (m_released)
+        return;
+    const int64_t unixMs = m_context.unixClock();
+    const Orders orders = m_dispatcher.decide(m_context.clock.now(), unixMs);
+    for (const StopOrder &stop : orders.stops)
+        m_links->stop(stop);
+    for (const PaceOrder &pace : orders.paces)
+        m_links->pace(pace);
+    for (const StartOrder &start : orders.starts)
+        m_links->start(start);
+    m_approvals->ask(m_context.book.members(), unixMs);
+    if (m_dispatcher.hasProgress())
+        scheduleFlush(FlushDelay);
+    armEvent();
+}
+
+void Scheduler::armEvent()
+{
+    const Instant now = m_context.clock.now();
+    const auto next = m_dispatcher.nextEvent(now, m_context.unixClock());
+    if (!next)
+        return;
+    m_eventTimer.expires_after(*next - now);
+    m_eventTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+        if (!ec && *alive)
+            schedulePass();
+    });
+}
+
+void Scheduler::scheduleFlush(Duration wait)
+{
+    if (m_batch) {
+        m_moreToStore = true;
+        return;
+    }
+    if (m_flushArmed)
+        return;
+    m_flushArmed = true;
+    m_flushTimer.expires_after(wait);
+    m_flushTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+        if (ec || !*alive)
+            return;
+        m_flushArmed = false;
+        if (!m_batch)
+            flush();
+    });
+}
+
+void Scheduler::flush()
+{
+    AppendRequest request;
+    request.topic = m_context.workTopic;
+    m_moreToStore = false;
+    m_batchEnds.clear();
+    for (const auto &[id, used] : m_context.book.usedWorkers())
+        m_batchEnds[id] = m_dispatcher.endPosition(id);
+    for (const WorkerId &id : m_usedStored)
+        m_batchEnds[id] = m_dispatcher.endPosition(id);
+    for (const work::Progress &progress : m_dispatcher.takeProgress())
+        request.records.push_back(
+            {work_key::progress(progress.id), encodeRecord(progress), false, 0});
+    addHousekeeping(request.records);
+    const Instant now = m_context.clock.now();
+    if (request.records.empty() && now - m_storedAt < HeartbeatInterval && !m_released) {
+        // Nothing to store: the ends concern no task any more.
+        std::swap(m_storedEnds, m_batchEnds);
+        m_links->endsStored();
+        return;
+    }
+    if (request.records.empty() || m_released) {
+        work::Tenure tenure = m_options.tenure;
+        tenure.released = m_released != nullptr;
+        request.records.push_back({work_key::Tenure, encodeRecord(tenure), false, 0});
+        m_releaseStored = tenure.released;
+    }
+    request.writer = {WriterName, m_options.tenure.epoch, m_sequence};
+    m_batch = std::move(request);
+    sendBatch();
+}
+
+void Scheduler::addHousekeeping(std::vector<KeyedRecord> &records)
+{
+    for (const WorkerId &id : m_unusedToStore) {
+        records.push_back({work_key::usedWorker(id), "", true, 0});
+        m_usedStored.erase(id);
+    }
+    m_unusedToStore.clear();
+    m_batchUsed = std::exchange(m_usedToStore, {});
+    for (const WorkerId &id : m_batchUsed) {
+        work::UsedWorker used;
+        used.id = id;
+        used.address = m_links->address(id);
+        records.push_back({work_key::usedWorker(id), encodeRecord(used), false, 0});
+    }
+    const int64_t before = m_context.unixClock() - m_options.keepFinal.count();
+    for (const std::string &id : m_context.book.finalBefore(before, MaxRemovalsPerBatch)) {
+        if (records.size() >= MaxRecordsPerBatch)
+            break;
+        for (const std::string &key :
+             {work_key::progress(id), work_key::cancel(id), work_key::job(id)})
+            records.push_back({key, "", true, 0});
+    }
+}
+
+void Scheduler::sendBatch()
+{
+    m_context.log.append(*m_batch, AppendTimeout,
+                         [this, alive = m_alive](const AppendAnswer &answer) {
+                             if (*alive)
+                                 onStored(answer);
+                         });
+}
+
+void Scheduler::onStored(const AppendAnswer &answer)
+{
+    if (answer.outcome == AppendOutcome::Fenced)
+        return depose("the log refuses this epoch: " + answer.reason);
+    if (answer.outcome != AppendOutcome::Stored) {
+        // The same append again: the log stores a sequence number once.
+        logWarn("store_failed", "records=" + std::to_string(m_batch->records.size()) + " reason=\""
+                                    + answer.reason + "\"");
+        m_flushTimer.expires_after(AppendRetry);
+        m_flushTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+            if (!ec && *alive && m_batch)
+                sendBatch();
+        });
+        return;
+    }
+    ++m_sequence;
+    m_batch.reset();
+    m_storedAt = m_context.clock.now();
+    std::swap(m_storedEnds, m_batchEnds);
+    for (const WorkerId &id : m_batchUsed) {
+        m_usedStored.insert(id);
+        updateUsable(id);
+    }
+    if (!m_batchUsed.empty())
+        schedulePass();
+    m_batchUsed.clear();
+    m_links->endsStored();
+    if (m_released && m_releaseStored)
+        return finishRelease();
+    if (m_moreToStore || m_dispatcher.hasProgress() || m_released)
+        scheduleFlush(m_released ? Duration::zero() : FlushDelay);
+}
+
+void Scheduler::tick()
+{
+    const Instant now = m_context.clock.now();
+    m_links->tick();
+    if (!m_allKnown)
+        judgeAllKnown();
+    for (const WorkerId &id : m_usedStored) {
+        if (!m_links->knows(id))
+            m_unusedToStore.insert(id);
+    }
+    if (now - m_storedAt >= HeartbeatInterval - TickInterval / 2 || !m_unusedToStore.empty())
+        scheduleFlush(Duration::zero());
+    schedulePass();
+    m_tickTimer.expires_after(TickInterval);
+    m_tickTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+        if (!ec && *alive)
+            tick();
+    });
+}
+
+void Scheduler::release(Duration most, std::function<void()> done)
+{
+    m_released = std::move(done);
+    logInfo("tenure_releasing", "epoch=" + std::to_string(m_options.tenure.epoch));
+    scheduleFlush(Duration::zero());
+    m_releaseTimer.expires_after(most);
+    m_releaseTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+        if (!ec && *alive)
+            finishRelease();
+    });
+}
+
+void Scheduler::finishRelease()
+{
+    m_releaseTimer.cancel();
+    boost::asio::post(m_context.io, std::exchange(m_released, [] {}));
+}
+
+void Scheduler::depose(const std::string &reason)
+{
+    boost::asio::post(m_context.io, [alive = m_alive, deposed = m_deposed, reason] {
+        if (*alive)
+            deposed(reason);
+    });
+}
+
+} // namespace cardamompaddle
--- /dev/null
+++ b/src/control/scheduler.h
@@ -0,0 +1,131 @@
+// One tenure of the fleet's scheduler: joins the dispatcher with the log, the workers and the
+// policy service.
+//
+// The holder of the tenure makes every placement. Its epoch fences the workers and its own records,
+// so that a former holder can neither start tasks nor store progress. Not thread-safe: the event
+// loop's thread only.
+#pragma once
+
+#include "control/approvals.h"
+#include "control/gateways.h"
+#include "control/job_book.h"
+#include "control/log_follower.h"
+#include "control/worker_links.h"
+#include "dispatch/dispatcher.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cardamompaddle {
+
+// Unix time in milliseconds; replaced in tests.
+using UnixClock = std::function<int64_t()>;
+
+struct SchedulerContext
+{
+    boost::asio::io_context &io;
+    const Clock &clock;
+    UnixClock unixClock;
+    KeyedLog &log;
+    WorkerGateway &workers;
+    PolicyGateway &policy;
+    PeerGateway &peers;
+    const JobBook &book;
+    std::string workTopic;
+    std::string registryTopic;
+    // Reads an entry of the registry. Errors: InvalidArgument for one that names no worker to use.
+    std::function<Result<WorkerEntry>(const KeyedRecord &)> decodeWorker;
+};
+
+struct SchedulerOptions
+{
+    work::Tenure tenure;
+    Duration maxLease{10'000};
+    double remoteFactor = 1;
+    Duration keepFinal{120'000}; // how long the state of a final job can be asked for
+};
+
+class Scheduler
+{
+public:
+    // `deposed` is called when another holder has taken over; the owner destroys the scheduler
+    // later, not inside the call. `nextSequence`: of the records under this epoch.
+    Scheduler(SchedulerContext context, SchedulerOptions options, int64_t nextSequence,
+              std::function<void(const std::string &reason)> deposed);
+    ~Scheduler();
+    Scheduler(const Scheduler &) = delete;
+    Scheduler &operator=(const Scheduler &) = delete;
+
+    void start();
+    void setCatalog(std::shared_ptr<const Catalog> catalog);
+    void setZonesOut(std::set<std::string> zones);
+    // A record of the work topic changed the book.
+    void bookChanged(JobBook::Change change, const std::string &id);
+    // Stores what is left and gives the tenure up; `done` is called at the latest after `most`.
+    void release(Duration most, std::function<void()> done);
+    Instant storedAt() const { return m_storedAt; }
+
+private:
+    void onWorkerRecord(const KeyedRecord &record);
+    void onRegistryLoaded(const std::set<std::string> &ids);
+    void onReport(const WorkerId &id, const RunReport &report);
+    void updateUsable(const WorkerId &id);
+    void judgeAllKnown();
+    void schedulePass();
+    void pass();
+    void armEvent();
+    void scheduleFlush(Duration wait);
+    void flush();
+    void sendBatch();
+    void onStored(const AppendAnswer &answer);
+    void addHousekeeping(std::vector<KeyedRecord> &records);
+    void tick();
+    void finishRelease();
+    void depose(const std::string &reason);
+
+    SchedulerContext m_context;
+    SchedulerOptions m_options;
+    std::function<void(const std::string &)> m_deposed;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    Dispatcher m_dispatcher;
+    std::unique_ptr<WorkerLinks> m_links;
+    std::unique_ptr<Approvals> m_approvals;
+    std::unique_ptr<LogFollower> m_registry;
+
+    std::set<WorkerId> m_adoptable; // workers that an earlier scheduler used; not settled yet
+    bool m_registryLoaded = false;
+    bool m_allKnown = false;
+    std::set<WorkerId> m_usedStored; // workers whose use is stored: they may get starts
+    std::set<WorkerId> m_usedToStore;
+    std::set<WorkerId> m_unusedToStore;
+    std::set<WorkerId> m_answering;
+    std::map<WorkerId, int64_t> m_storedEnds;
+
+    boost::asio::steady_timer m_passTimer;
+    bool m_passArmed = false;
+    boost::asio::steady_timer m_eventTimer;
+    boost::asio::steady_timer m_flushTimer;
+    bool m_flushArmed = false;
+    boost::asio::steady_timer m_tickTimer;
+
+    // The one append in flight.
+    int64_t m_sequence;
+    std::optional<AppendRequest> m_batch;
+    std::map<WorkerId, int64_t> m_batchEnds; // end positions that the batch makes durable
+    std::set<WorkerId> m_batchUsed;
+    bool m_moreToStore = false;
+    Instant m_storedAt; // the last append that was stored
+
+    std::function<void()> m_released;
+    bool m_releaseStored = false;
+    boost::asio::steady_timer m_releaseTimer;
+};
+
+} // namespace cardamompaddle
--- /dev/null
+++ b/src/control/worker_links.cc
@@ -0,0 +1,317 @@
+#include "control/worker_links.h"
+
+#include "logging/event_log.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamompaddle {
+
+namespace {
+
+// How long a look waits for an end.
+constexpr Duration BusyWait{900};
+constexpr Duration IdleWait{1'900};
+// Beside the time that the worker holds a look.
+constexpr Duration LookTimeout{800};
+constexpr Duration LookRetry{250};
+// Between an answer with ends and the next look, so that several ends share one.
+constexpr Duration LookGap{30};
+// While ends cannot be stored, looks only extend the lease.
+constexpr Duration UnstoredLookInterval{700};
+constexpr Duration OrderTimeout{900};
+constexpr int MaxCallsPerWorker = 6;
+// Leases are asked for this long, or as long as the worker grants. Long enough for a change of
+// schedulers, short enough to restart the tasks of a worker that went silent.
+constexpr Duration WantedLease{6'000};
+// A worker's clock may be slow by this much.
+constexpr int SlowClockPercent = 3;
+// A scheduler that was replaced may extend leases until it learns of it.
+constexpr Duration FormerSchedulerSlack{1'500};
+constexpr Duration LapseMargin{300};
+
+Duration lapseTime(Duration lease)
+{
+    return lease + lease * SlowClockPercent / 100 + LapseMargin;
+}
+
+} // namespace
+
+WorkerLinks::WorkerLinks(boost::asio::io_context &io, const Clock &clock, WorkerGateway &gateway,
+                         WorkerLinksOptions options, Callbacks callbacks)
+    : m_io(io), m_clock(clock), m_gateway(gateway), m_options(options),
+      m_callbacks(std::move(callbacks))
+{ }
+
+WorkerLinks::~WorkerLinks()
+{
+    *m_alive = false;
+}
+
+WorkerLinks::Link *WorkerLinks::find(const WorkerId &id)
+{
+    const auto it = m_links.find(id);
+    return it == m_links.end() ? nullptr : &it->second;
+}
+
+void WorkerLinks::setEntry(const WorkerEntry &entry, bool listed)
+{
+    const auto [it, added] = m_links.try_emplace(entry.id);
+    Link &link = it->second;
+    if (listed || added)
+        link.entry = entry;
+    link.listed = link.listed || listed;
+    if (!added)
+        return;
+    link.timer = std::make_shared<boost::asio::steady_timer>(m_io);
+    link.leaseLapsed =
+        m_clock.now() + FormerSchedulerSlack + lapseTime(std::min(WantedLease, m_options.maxLease));
+    look(entry.id);
+}
+
+void WorkerLinks::unlist(const WorkerId &id)
+{
+    if (Link *link = find(id))
+        link->listed = false;
+}
+
+bool WorkerLinks::settled(const WorkerId &id) const
+{
+    const auto it = m_links.find(id);
+    return it == m_links.end() || it->second.reported || it->second.lost;
+}
+
+WorkerAuthority WorkerLinks::authority(Link &link, bool extendLease)
+{
+    WorkerAuthority out;
+    out.epoch = m_options.epoch;
+    if (link.reported)
+        out.life = link.entry.id;
+    if (!extendLease || link.clockAt == Instant::min())
+        return out;
+    const Instant now = m_clock.now();
+    const Duration lease = std::min(WantedLease, m_options.maxLease);
+    out.leaseUntilMs = link.clockMs + (now - link.clockAt).count() + lease.count();
+    link.leaseLapsed = std::max(link.leaseLapsed, now + lapseTime(lease));
+    link.lost = false;
+    return out;
+}
+
+void WorkerLinks::lookAfter(const WorkerId &id, Duration wait)
+{
+    Link *link = find(id);
+    link->timer->expires_after(wait);
+    link->timer->async_wait([this, alive = m_alive, id](const boost::system::error_code &ec) {
+        if (!ec && *alive)
+            look(id);
+    });
+}
+
+void WorkerLinks::look(const WorkerId &id)
+{
+    Link *link = find(id);
+    if (link == nullptr || link->looking)
+        return;
+    const Instant now = m_clock.now();
+    const bool busy = m_callbacks.busy(id);
+    Duration wait = busy ? BusyWait : IdleWait;
+    // The first look learns what runs; a look beside unstored ends would be answered at once.
+    if (!link->reported || !link->reachable || link->awaitsAck)
+        wait = Duration::zero();
+    link->looking = true;
+    m_gateway.look(link->entry, authority(*link, true), m_callbacks.storedEnds(id), wait,
+                   wait + LookTimeout, now,
+                   [this, alive = m_alive, id, now](Result<LookAnswer> answer) {
+                       if (*alive)
+                           onLook(id, now, std::move(answer));
+                   });
+}
+
+void WorkerLinks::onLook(const WorkerId &id, Instant askedAt, Result<LookAnswer> answer)
+{
+    Link *link = find(id);
+    if (link == nullptr)
+        return;
+    link->looking = false;
+    if (!answer) {
+        setReachable(*link, false, answer.error().reason);
+        judgeError(id, answer.error());
+        if (*m_alive && find(id) != nullptr)
+            lookAfter(id, LookRetry);
+        return;
+    }
+    const Instant now = m_clock.now();
+    link->answeredAt = now;
+    link->clockMs = answer->workerClockMs;
+    link->clockAt = now;
+    const bool first = !link->reported;
+    link->reported = true;
+    link->lost = false;
+    const bool ends = !answer->report.ended.empty();
+    m_callbacks.report(id, answer->report);
+    if (!*m_alive)
+        return;
+    link = find(id);
+    if (link == nullptr)
+        return;
+    setReachable(*link, true, "answered");
+    // The first look could not extend the lease: the worker's clock was not known.
+    if (first)
+        return look(id);
+    if (ends && !link->awaitsAck)
+        link->awaitsAckSince = now;
+    link->awaitsAck = ends;
+    lookAfter(id, ends ? UnstoredLookInterval : Duration::zero());
+}
+
+void WorkerLinks::endsStored()
+{
+    for (auto &[id, link] : m_links) {
+        if (!link.awaitsAck || link.looking)
+            continue;
+        link.awaitsAck = false;
+        lookAfter(id, LookGap);
+    }
+}
+
+void WorkerLinks::setReachable(Link &link, bool reachable, const std::string &why)
+{
+    if (link.reachable == reachable)
+        return;
+    link.reachable = reachable;
+    logInfo(reachable ? "worker_reachable" : "worker_unreachable",
+            "worker=" + link.entry.id + " reason=\"" + why + "\"");
+    m_callbacks.reachable(link.entry.id, reachable);
+}
+
+void WorkerLinks::judgeError(const WorkerId &id, const Error &error)
+{
+    if (error.code == ErrorCode::PermissionDenied)
+        m_callbacks.fenced();
+    (void)id;
+}
+
+void WorkerLinks::enqueue(const WorkerId &id, std::function<void()> call)
+{
+    Link *link = find(id);
+    link->queue.push_back(std::move(call));
+    if (link->inFlight < MaxCallsPerWorker) {
+        ++link->inFlight;
+        const auto next = std::move(link->queue.front());
+        link->queue.pop_front();
+        next();
+    }
+}
+
+void WorkerLinks::callEnded(const WorkerId &id)
+{
+    Link *link = find(id);
+    if (link == nullptr)
+        return;
+    if (link->queue.empty()) {
+        --link->inFlight;
+        return;
+    }
+    const auto next = std::move(link->queue.front());
+    link->queue.pop_front();
+    next();
+}
+
+void WorkerLinks::start(const StartOrder &order)
+{
+    if (!knows(order.worker))
+        return m_callbacks.startAnswered(order, StartAnswer::NotRun);
+    enqueue(order.worker, [this, order] {
+        Link &link = *find(order.worker);
+        m_gateway.start(link.entry, authority(link, true), order, OrderTimeout,
+                        [this, alive = m_alive, order](Result<StartAnswer> answer) {
+                            if (!*alive)
+                                return;
+                            callEnded(order.worker);
+                            StartAnswer outcome = StartAnswer::Unknown;
+                            if (answer)
+                                outcome = *answer;
+                            else if (answer.error().code != ErrorCode::OutcomeUnknown)
+                                outcome = StartAnswer::NotRun;
+                            if (!answer)
+                                logWarn("start_failed",
+                                        "task=" + order.task.toString() + " worker=" + order.worker
+                                            + " reason=\"" + answer.error().reason + "\"");
+                            m_callbacks.startAnswered(order, outcome);
+                            if (!answer && *alive)
+                                judgeError(order.worker, answer.error());
+                        });
+    });
+}
+
+void WorkerLinks::stop(const StopOrder &order)
+{
+    if (!knows(order.worker))
+        return;
+    enqueue(order.worker, [this, order] {
+        Link &link = *find(order.worker);
+        m_gateway.stop(link.entry, authority(link, false), order, OrderTimeout,
+                       [this, alive = m_alive, order](Result<void> answer) {
+                           if (!*alive)
+                               return;
+                           callEnded(order.worker);
+                           if (answer)
+                               return m_callbacks.stopConfirmed(order);
+                           // The dispatcher repeats a stop that is not confirmed.
+                           logWarn("stop_failed", "task=" + order.task.toString()
+                                                      + " worker=" + order.worker + " reason=\""
+                                                      + answer.error().reason + "\"");
+                           judgeError(order.worker, answer.error());
+                       });
+    });
+}
+
+void WorkerLinks::pace(const PaceOrder &order)
+{
+    if (!knows(order.worker))
+        return;
+    enqueue(order.worker, [this, order] {
+        Link &link = *find(order.worker);
+        m_gateway.pace(link.entry, authority(link, false), order, OrderTimeout,
+                       [this, alive = m_alive, order](Result<void> answer) {
+                           if (!*alive)
+                               return;
+                           callEnded(order.worker);
+                           if (answer)
+                               return;
+                           logWarn("pace_failed", "task=" + order.task.toString()
+                                                      + " worker=" + order.worker + " reason=\""
+                                                      + answer.error().reason + "\"");
+                           judgeError(order.worker, answer.error());
+                       });
+    });
+}
+
+void WorkerLinks::tick()
+{
+    const Instant now = m_clock.now();
+    std::vector<WorkerId> lapsed;
+    std::vector<WorkerId> gone;
+    for (auto &[id, link] : m_links) {
+        const bool silent = !link.reachable;
+        if (silent && !link.lost && now > link.leaseLapsed)
+            lapsed.push_back(id);
+        const bool empty = !m_callbacks.busy(id);
+        if (!link.listed && ((link.reported && empty && link.reachable) || link.lost))
+            gone.push_back(id);
+    }
+    for (const WorkerId &id : lapsed) {
+        m_links.at(id).lost = true;
+        logInfo("worker_lost", "worker=" + id + " reason=\"leases have lapsed\"");
+        m_callbacks.lost(id);
+    }
+    for (const WorkerId &id : gone) {
+        // Calls in flight end at a link that is gone; their answers no longer matter.
+        if (Link &link = m_links.at(id); !link.looking && link.inFlight == 0)
+            m_links.erase(id);
+    }
+}
+
+} // namespace cardamompaddle
--- /dev/null
+++ b/src/dispatch/dispatcher.cc
@@ -0,0 +1,134 @@
+#include "dispatch/dispatcher.h"
+
+#include "dispatch/internal/impl.h"
+
+#include <utility>
+
+namespace cardamompaddle {
+
+Dispatcher::Dispatcher(DispatchOptions options, EventSink events)
+    : m_impl(std::make_unique<Impl>(options, std::move(events)))
+{ }
+
+Dispatcher::~Dispatcher() = default;
+
+void Dispatcher::setCatalog(std::shared_ptr<const Catalog> catalog)
+{
+    m_impl->m_catalog = std::move(catalog);
+}
+
+void Dispatcher::setZonesOut(std::set<std::string> zones)
+{
+    m_impl->m_zonesOut = std::move(zones);
+}
+
+void Dispatcher::addJob(std::shared_ptr<const work::Submission> job, const work::Progress *progress,
+                        bool mayRunAlready, Instant now)
+{
+    m_impl->addJob(std::move(job), progress, mayRunAlready, now);
+}
+
+void Dispatcher::cancelJob(const std::string &id, Instant now)
+{
+    m_impl->cancelJob(id, now);
+}
+
+bool Dispatcher::knowsJob(const std::string &id) const
+{
+    return m_impl->m_jobs.contains(id);
+}
+
+void Dispatcher::allWorkersKnown()
+{
+    m_impl->m_allKnown = true;
+}
+
+void Dispatcher::setWorker(const WorkerEntry &entry, Instant now)
+{
+    m_impl->setWorker(entry, now);
+}
+
+void Dispatcher::removeWorker(const WorkerId &id, Instant now)
+{
+    m_impl->removeWorker(id, now);
+}
+
+void Dispatcher::setReachable(const WorkerId &id, bool reachable)
+{
+    const auto it = m_impl->m_workers.find(id);
+    if (it != m_impl->m_workers.end())
+        it->second->reachable = reachable;
+}
+
+void Dispatcher::workerLost(const WorkerId &id, Instant now)
+{
+    m_impl->workerLost(id, now);
+}
+
+void Dispatcher::workerReported(const WorkerId &id, const RunReport &report, Instant now)
+{
+    m_impl->workerReported(id, report, now);
+}
+
+void Dispatcher::startAnswered(const StartOrder &order, StartAnswer answer, Instant now)
+{
+    m_impl->startAnswered(order, answer, now);
+}
+
+void Dispatcher::stopAnswered(const StopOrder &order, Instant now)
+{
+    m_impl->stopAnswered(order, now);
+}
+
+int64_t Dispatcher::endPosition(const WorkerId &id) const
+{
+    const auto it = m_impl->m_workers.find(id);
+    return it == m_impl->m_workers.end() ? 0 : it->second->endPosition;
+}
+
+bool Dispatcher::isBusy(const WorkerId &id) const
+{
+    const auto it = m_impl->m_workers.find(id);
+    return it != m_impl->m_workers.end() && !it->second->attempts.empty();
+}
+
+std::optional<ApprovalNeed> Dispatcher::nextApprovalNeed(Instant now, int64_t unixMs,
+                                                         Duration longest)
+{
+    return m_impl->nextApprovalNeed(now, unixMs, longest);
+}
+
+void Dispatcher::approvalAsked(const StepRef &step)
+{
+    if (dispatch::Step *found = m_impl->findStep(step))
+        found->asking = true;
+}
+
+void Dispatcher::approvalAnswered(const ApprovalNeed &need,
+                                  const std::vector<work::Approval> *answer, Instant at,
+                                  Instant now)
+{
+    m_impl->approvalAnswered(need, answer, at, now);
+}
+
+Orders Dispatcher::decide(Instant now, int64_t unixMs)
+{
+    return m_impl->decide(now, unixMs);
+}
+
+std::optional<Instant> Dispatcher::nextEvent(Instant now, int64_t unixMs) const
+{
+    return m_impl->nextEvent(now, unixMs);
+}
+
+std::vector<work::Progress> Dispatcher::takeProgress()
+{
+    return m_impl->takeProgress();
+}
+
+bool Dispatcher::hasProgress() const
+{
+    return !m_impl->m_dirty.empty();
+}
+
+} // namespace cardamompaddle
--- /dev/null
+++ b/src/dispatch/dispatcher_jobs.cc
@@ -0,0 +1,209 @@
+// Jobs: their steps, what their tasks' ends mean for them, and their stored progress.
+
+#include "dispatch/internal/impl.h"
+
+#include <algorithm>
+
+namespace cardamompaddle {
+
+using namespace dispatch;
+
+namespace {
+
+// Before the next run of a task that failed; doubles with each further failure.
+constexpr Duration RetryDelay{50};
+constexpr int MaxRetryDoublings = 4;
+
+} // namespace
+
+Step *Job::step(int32_t occurrence, int32_t number) const
+{
+    const auto width = static_cast<int32_t>(spec->steps.size());
+    if (occurrence < 0 || occurrence >= occurrences() || number < 0 || number >= width)
+        return nullptr;
+    return steps[static_cast<size_t>(occurrence * width + number)].get();
+}
+
+Dispatcher::Impl::Impl(DispatchOptions options, EventSink events)
+    : m_options(options), m_events(std::move(events))
+{ }
+
+void Dispatcher::Impl::event(std::string_view what, const std::string &job,
+                             std::string detail) const
+{
+    if (m_events)
+        m_events({what, job, std::move(detail)});
+}
+
+void Dispatcher::Impl::addJob(std::shared_ptr<const work::Submission> spec,
+                              const work::Progress *progress, bool mayRunAlready, Instant now)
+{
+    if (m_jobs.contains(spec->id))
+        return;
+    auto owned = std::make_unique<Job>();
+    Job &job = *owned;
+    job.spec = std::move(spec);
+    job.sequence = m_nextSequence++;
+    job.mayRunAlready = mayRunAlready;
+    job.team = &m_teams[job.spec->team];
+    job.acceptedAtMs = job.spec->acceptedAtMs;
+    for (int32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
+        for (size_t number = 0; number < job.spec->steps.size(); ++number) {
+            auto step = std::make_unique<Step>();
+            step->job = &job;
+            step->spec = &job.spec->steps[number];
+            step->occurrence = occurrence;
+            step->number = static_cast<int32_t>(number);
+            step->tasks.resize(static_cast<size_t>(step->spec->tasks));
+            step->waiting = step->spec->tasks;
+            step->need = {step->spec->usesIdleCpu ? 0 : step->spec->cpuMilli, step->spec->memoryMb,
+                          step->spec->accelerators, 0, 0};
+            job.steps.push_back(std::move(step));
+        }
+    }
+    if (progress != nullptr)
+        restoreProgress(job, *progress);
+    m_jobs.emplace(job.spec->id, std::move(owned));
+    event("job_queued", job.spec->id,
+          "steps=" + std::to_string(job.spec->steps.size())
+              + " restored=" + (progress != nullptr ? "true" : "false"));
+    checkCompleted(job, now);
+}
+
+void Dispatcher::Impl::restoreProgress(Job &job, const work::Progress &progress)
+{
+    job.state = progress.state;
+    for (const work::StepProgress &stored : progress.steps) {
+        Step *step = job.step(stored.occurrence, stored.step);
+        if (step == nullptr)
+            continue;
+        const auto valid = [step](int32_t index) {
+            return index >= 0 && index < static_cast<int32_t>(step->tasks.size());
+        };
+        for (const int32_t index : stored.succeeded) {
+            Task *task = valid(index) ? &step->tasks[static_cast<size_t>(index)] : nullptr;
+            if (task == nullptr || task->state != TaskState::Waiting)
+                continue;
+            task->state = TaskState::Succeeded;
+            --step->waiting;
+            ++step->succeeded;
+        }
+        for (const auto &[index, failures] : stored.failures) {
+            if (!valid(index))
+                continue;
+            step->tasks[static_cast<size_t>(index)].failures = failures;
+            step->gangFailures = std::max(step->gangFailures, failures);
+        }
+    }
+}
+
+void Dispatcher::Impl::markDirty(Job &job)
+{
+    job.dirty = true;
+    m_dirty.insert(&job);
+}
+
+void Dispatcher::Impl::cancelJob(const std::string &id, Instant now)
+{
+    const auto it = m_jobs.find(id);
+    if (it == m_jobs.end() || it->second->isFinal())
+        return;
+    finishJob(*it->second, work::JobState::Cancelled, now, "cancelled by its caller");
+}
+
+void Dispatcher::Impl::finishJob(Job &job, work::JobState::type state, Instant now,
+                                 const std::string &why)
+{
+    job.state = state;
+    markDirty(job);
+    event("job_final", job.spec->id,
+          "state=" + std::to_string(static_cast<int>(state)) + " reason=\"" + why + "\"");
+    for (const auto &step : job.steps) {
+        for (Task &task : step->tasks) {
+            if (task.attempt)
+                requestStop(*task.attempt, now);
+        }
+    }
+}
+
+void Dispatcher::Impl::checkCompleted(Job &job, Instant now)
+{
+    if (job.isFinal())
+        return;
+    const bool all = std::all_of(job.steps.begin(), job.steps.end(),
+                                 [](const auto &step) { return step->done(); });
+    if (all)
+        finishJob(job, work::JobState::Completed, now, "all tasks have succeeded");
+}
+
+void Dispatcher::Impl::taskSucceeded(Step &step, int32_t index, Instant now)
+{
+    const auto succeed = [&step](Task &task) {
+        if (task.state == TaskState::Succeeded)
+            return;
+        if (task.state == TaskState::Waiting)
+            --step.waiting;
+        task.state = TaskState::Succeeded;
+        ++step.succeeded;
+    };
+    succeed(step.tasks[static_cast<size_t>(index)]);
+    // The success of one member of a gang stands for all.
+    if (step.spec->gang)
+        std::for_each(step.tasks.begin(), step.tasks.end(), succeed);
+    markDirty(*step.job);
+    checkCompleted(*step.job, now);
+}
+
+void Dispatcher::Impl::taskFailed(Step &step, int32_t index, const WorkerId &where, Instant now)
+{
+    Task &task = step.tasks[static_cast<size_t>(index)];
+    const int32_t failures = step.spec->gang ? ++step.gangFailures : ++task.failures;
+    task.failures = failures;
+    task.failedOn = where;
+    task.notBefore = now + RetryDelay * (1 << std::min(failures - 1, MaxRetryDoublings));
+    markDirty(*step.job);
+    const WorkRoute *route = routeOf(*step.job);
+    if (route != nullptr && !step.spec->longRunning && failures >= route->maxAttempts
+        && !step.job->isFinal())
+        finishJob(*step.job, work::JobState::Failed, now,
+                  "task " + std::to_string(index) + " of step " + std::to_string(step.number)
+                      + " failed " + std::to_string(failures) + " times");
+}
+
+std::vector<work::Progress> Dispatcher::Impl::takeProgress()
+{
+    std::vector<work::Progress> out;
+    for (Job *job : std::exchange(m_dirty, {})) {
+        job->dirty = false;
+        work::Progress progress;
+        progress.id = job->spec->id;
+        progress.state = job->state;
+        for (const auto &step : job->steps) {
+            work::StepProgress stored;
+            stored.occurrence = step->occurrence;
+            stored.step = step->number;
+            for (size_t i = 0; i < step->tasks.size(); ++i) {
+                const Task &task = step->tasks[i];
+                const auto index = static_cast<int32_t>(i);
+                if (task.state == TaskState::Succeeded)
+                    stored.succeeded.push_back(index);
+                if (task.failures > 0)
+                    stored.failures[index] = task.failures;
+            }
+            // The state of a final job says all that anyone asks of it.
+            if (!job->isFinal() && (!stored.succeeded.empty() || !stored.failures.empty()))
+                progress.steps.push_back(std::move(stored));
+        }
+        out.push_back(std::move(progress));
+        forgetIfDone(*job);
+    }
+    return out;
+}
+
+void Dispatcher::Impl::forgetIfDone(Job &job)
+{
+    if (job.isFinal() && job.active == 0 && !job.dirty)
+        m_jobs.erase(std::string(job.spec->id));
+}
+
+} // namespace cardamompaddle
--- /dev/null
+++ b/src/dispatch/internal/impl.h
@@ -0,0 +1,111 @@
+// The dispatcher's state and steps; dispatcher.h has the contracts.
+#pragma once
+
+#include "dispatch/internal/state.h"
+
+#include <optional>
+#include <utility>
+
+namespace cardamompaddle {
+
+class Dispatcher::Impl
+{
+public:
+    Impl(DispatchOptions options, EventSink events);
+
+    // dispatcher_jobs.cc
+    void addJob(std::shared_ptr<const work::Submission> spec, const work::Progress *progress,
+                bool mayRunAlready, Instant now);
+    void cancelJob(const std::string &id, Instant now);
+    std::vector<work::Progress> takeProgress();
+
+    // dispatcher_workers.cc
+    void setWorker(const WorkerEntry &entry, Instant now);
+    void removeWorker(const WorkerId &id, Instant now);
+    void workerLost(const WorkerId &id, Instant now);
+    void workerReported(const WorkerId &id, const RunReport &report, Instant now);
+    void startAnswered(const StartOrder &order, StartAnswer answer, Instant now);
+    void stopAnswered(const StopOrder &order, Instant now);
+
+    // dispatcher_place.cc
+    Orders decide(Instant now, int64_t unixMs);
+    std::optional<Instant> nextEvent(Instant now, int64_t unixMs) const;
+
+    // dispatcher_approvals.cc
+    std::optional<ApprovalNeed> nextApprovalNeed(Instant now, int64_t unixMs, Duration longest);
+    void approvalAnswered(const ApprovalNeed &need, const std::vector<work::Approval> *answer,
+                          Instant at, Instant now);
+    dispatch::Step *findStep(const StepRef &ref);
+
+    DispatchOptions m_options;
+    EventSink m_events;
+    std::shared_ptr<const Catalog> m_catalog = std::make_shared<Catalog>();
+    std::set<std::string> m_zonesOut;
+    std::map<std::string, std::unique_ptr<dispatch::Job>> m_jobs;
+    std::map<WorkerId, std::unique_ptr<dispatch::Worker>> m_workers;
+    std::set<dispatch::Job *> m_dirty;
+    bool m_allKnown = false;
+
+private:
+    using Step = dispatch::Step;
+    using Job = dispatch::Job;
+    using Task = dispatch::Task;
+    using Worker = dispatch::Worker;
+    using Attempt = dispatch::Attempt;
+
+    // dispatcher_jobs.cc
+    void markDirty(Job &job);
+    void finishJob(Job &job, work::JobState::type state, Instant now, const std::string &why);
+    void checkCompleted(Job &job, Instant now);
+    void forgetIfDone(Job &job);
+    void taskSucceeded(Step &step, int32_t index, Instant now);
+    void taskFailed(Step &step, int32_t index, const WorkerId &where, Instant now);
+    void restoreProgress(Job &job, const work::Progress &progress);
+    void event(std::string_view what, const std::string &job, std::string detail) const;
+
+    // dispatcher_workers.cc
+    Attempt &attach(Step &step, int32_t index, int64_t run, Worker &worker, Instant now);
+    void detach(Attempt &attempt); // destroys the attempt
+    void requeue(Attempt &attempt, Instant now); // its run has ended without success
+    void requestStop(Attempt &attempt, Instant now);
+    void endRun(Attempt &attempt, RunOutcome outcome, const std::string &checkpoint, Instant now);
+    void takeEnd(Worker &worker, const EndedRun &end, Instant now);
+    void takeRunning(Worker &worker, const RunningRun &run, Instant askedAt, Instant now);
+    void dropMissing(Worker &worker, const std::set<Attempt *> &seen, Instant askedAt, Instant now);
+    void loseAttempts(Worker &worker, Instant now, std::string_view why);
+    void judgeWorker(Worker &worker, RunOutcome outcome, const std::string &job, Instant now);
+    void avoid(Worker &worker, Instant now, std::string_view why);
+    void watchProgress(Worker &worker, Instant now);
+    void paceIdleCpuTasks(Worker &worker, Instant now);
+    void releaseDraining(Worker &worker, Instant now);
+    std::string carriedCheckpoint(const Step &step, int32_t index) const;
+
+    // dispatcher_place.cc
+    const WorkRoute *routeOf(const Job &job) const;
+    bool ready(const Step &step, int64_t unixMs) const;
+    bool dueSoon(const Step &step, Instant now, Duration lead) const;
+    bool mayStartNow(const Step &step) const;
+    std::vector<Step *> orderedSteps(Instant now, int64_t unixMs, bool alsoSoon, Duration lead);
+    bool eligible(const Worker &worker, const Step &step, const WorkRoute &route,
+                  Instant now) const;
+    bool hasRoom(const Worker &worker, const Step &step) const;
+    bool withinLimit(const Job &job, const Resources &more) const;
+    Worker *choose(const Step &step, const WorkRoute &route, const Task &task, Instant now,
+                   const std::string *rack);
+    void placeIndependent(Step &step, const WorkRoute &route, Instant now, Orders &out);
+    void placeGang(Step &step, const WorkRoute &route, Instant now, Orders &out);
+    bool reserveGang(Step &step, const WorkRoute &route, Instant now, const std::string *rack,
+                     std::vector<Worker *> &places);
+    void start(Step &step, int32_t index, int64_t run, Worker &worker, Instant now, Orders &out);
+    int64_t nextRun(const Step &step) const;
+    void repeatStops(Instant now, Orders &out);
+
+    std::map<std::string, dispatch::TeamUse> m_teams;
+    Resources m_total; // capacity of all listed workers
+    uint64_t m_nextSequence = 0;
+    std::vector<StopOrder> m_unwanted; // runs of no known job, to be stopped
+    std::vector<PaceOrder> m_paces;
+    std::set<Attempt *> m_toStop;
+};
+
+} // namespace cardamompaddle
--- /dev/null
+++ b/src/dispatch/internal/state.h
@@ -0,0 +1,132 @@
+// The records that the parts of the dispatcher share.
+#pragma once
+
+#include "dispatch/dispatcher.h"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cardamompaddle::dispatch {
+
+struct Job;
+struct Step;
+struct Worker;
+
+enum class AttemptPhase : uint8_t {
+    Ordered, // the start has no answer yet
+    Uncertain, // the start's answer was lost; a stop is being sent
+    Running,
+    Stopping, // a stop was ordered
+};
+
+// One run of a task.
+struct Attempt
+{
+    Step *step = nullptr;
+    Worker *worker = nullptr;
+    int32_t index = 0;
+    int64_t run = 0;
+    AttemptPhase phase = AttemptPhase::Ordered;
+    bool listed = false; // a report has shown it
+    Instant orderedAt;
+    Instant confirmedAt = Instant::max(); // start or stop answered: must be listed from then on
+    Instant stopSentAt = Instant::min();
+    int32_t percent = 0;
+    int64_t gauge = 0;
+    int32_t pace = 100;
+    Instant progressAt; // when `percent` last rose
+};
+
+enum class TaskState : uint8_t { Waiting, Active, Succeeded };
+
+struct Task
+{
+    TaskState state = TaskState::Waiting;
+    int32_t failures = 0;
+    int64_t lastRun = 0; // highest number that was ordered or seen
+    Instant notBefore; // no start before, after a failure
+    std::string checkpoint;
+    WorkerId failedOn; // last worker on which it failed; avoided if another fits
+    std::unique_ptr<Attempt> attempt; // while Active
+};
+
+struct KnownApproval
+{
+    std::string ticket;
+    Instant expires;
+};
+
+// One step of one occurrence.
+struct Step
+{
+    Job *job = nullptr;
+    const work::StepSpec *spec = nullptr;
+    int32_t occurrence = 0;
+    int32_t number = 0;
+    std::vector<Task> tasks;
+    int32_t waiting = 0;
+    int32_t active = 0;
+    int32_t succeeded = 0;
+    int32_t gangFailures = 0;
+    bool gangBroken = false; // members still run that are to end before the next start
+    Resources need; // of one task
+    std::map<WorkerId, int32_t> perWorker; // active tasks, for maxPerWorker
+    // Approvals.
+    std::map<WorkerId, KnownApproval> approvals;
+    std::set<WorkerId> disapproved;
+    bool asking = false;
+    Instant askAfter; // no further call before
+
+    bool done() const { return succeeded == static_cast<int32_t>(tasks.size()); }
+};
+
+struct TeamUse
+{
+    Resources used;
+};
+
+struct Job
+{
+    std::shared_ptr<const work::Submission> spec;
+    uint64_t sequence = 0;
+    work::JobState::type state = work::JobState::Queued;
+    bool mayRunAlready = false;
+    bool dirty = false;
+    TeamUse *team = nullptr;
+    std::vector<std::unique_ptr<Step>> steps; // by occurrence, then number
+    int32_t active = 0;
+    int64_t acceptedAtMs = 0;
+
+    bool isFinal() const { return state >= work::JobState::Completed; }
+    Step *step(int32_t occurrence, int32_t number) const;
+    int32_t occurrences() const { return std::max(1, spec->repetitions); }
+};
+
+struct Worker
+{
+    WorkerEntry entry;
+    bool listed = false; // in the registry
+    bool reported = false; // its runs are known
+    bool reachable = false;
+    Resources used;
+    int64_t lifeStartedAtMs = 0; // of the last report
+    int64_t endPosition = 0;
+    std::set<Attempt *> attempts;
+    int32_t servingTasks = 0; // with a latency target
+    int32_t idleCpuTasks = 0; // that use idle processors
+    // Health.
+    int32_t failuresInRow = 0;
+    std::set<std::string> failedJobs; // jobs of these failures
+    int32_t avoidances = 0;
+    Instant avoidUntil = Instant::min();
+    double slowness = 1; // run time against the estimate, smoothed; 1: as the others
+    Instant pacedAt = Instant::min();
+};
+
+} // namespace cardamompaddle::dispatch
--- /dev/null
+++ b/src/logging/bounded_appender.cc
@@ -0,0 +1,76 @@
+#include "logging/bounded_appender.h"
+
+#include <log4cplus/spi/loggingevent.h>
+
+#include <chrono>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace cardamompaddle {
+
+namespace {
+
+constexpr Duration RefillInterval{1'000};
+
+} // namespace
+
+BoundedAppender::BoundedAppender(BoundedAppenderOptions options)
+    : m_options(std::move(options)), m_budget(m_options.maxBytesPerSecond)
+{
+    const int flags = ::fcntl(m_options.descriptor, F_GETFL);
+    if (flags >= 0)
+        ::fcntl(m_options.descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
+BoundedAppender::~BoundedAppender()
+{
+    destructorImpl();
+}
+
+void BoundedAppender::append(const log4cplus::spi::InternalLoggingEvent &event)
+{
+    const auto unixMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+                            event.getTimestamp().time_since_epoch())
+                            .count();
+    const auto &level = log4cplus::getLogLevelManager().toString(event.getLogLevel());
+    std::string line = "t=" + std::to_string(unixMs) + " level=" + level
+                       + " instance=" + m_options.instance + " " + event.getMessage() + "\n";
+    if (line.size() > m_budget
+        || m_buffer.size() - m_written + line.size() > m_options.maxBufferedBytes) {
+        ++m_dropped;
+        ++m_droppedTotal;
+        return;
+    }
+    m_budget -= line.size();
+    m_buffer += line;
+}
+
+void BoundedAppender::flush(Instant now)
+{
+    if (now - m_refilledAt >= RefillInterval) {
+        m_refilledAt = now;
+        m_budget = m_options.maxBytesPerSecond;
+        if (m_dropped > 0)
+            m_buffer += "level=WARN instance=" + m_options.instance
+                        + " event=log_dropped lines=" + std::to_string(m_dropped) + "\n";
+        m_dropped = 0;
+    }
+    while (m_written < m_buffer.size()) {
+        const auto count =
+            ::write(m_options.descriptor, m_buffer.data() + m_written, m_buffer.size() - m_written);
+        if (count <= 0)
+            break; // full or closed: the next flush tries again, and the buffer is bounded
+        m_written += static_cast<size_t>(count);
+    }
+    if (m_written == m_buffer.size()) {
+        m_buffer.clear();
+        m_written = 0;
+    }
+}
+
+void BoundedAppender::close()
+{
+    closed = true;
+}
+
+} // namespace cardamompaddle
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -23,8 +23,11 @@
 class HttpServer::Impl
 {
 public:
-    Impl(HttpServerOptions options, HttpHandler handler)
-        : m_threadCount(std::max(1, options.threads)), m_acceptor(asio::make_strand(m_io)),
+    // `shared`: the context that the caller runs on one thread; null: own threads.
+    Impl(asio::io_context *shared, HttpServerOptions options, HttpHandler handler)
+        : m_threadCount(shared != nullptr ? 0 : std::max(1, options.threads)),
+          m_ownIo(shared != nullptr ? nullptr : std::make_unique<asio::io_context>()),
+          m_io(shared != nullptr ? *shared : *m_ownIo), m_acceptor(asio::make_strand(m_io)),
           m_retry(m_acceptor.get_executor())
     {
         m_shared->options = std::move(options);
@@ -51,7 +54,8 @@
 
     int m_threadCount;
     std::shared_ptr<HttpServerShared> m_shared = std::make_shared<HttpServerShared>();
-    asio::io_context m_io;
+    std::unique_ptr<asio::io_context> m_ownIo;
+    asio::io_context &m_io;
     tcp::acceptor m_acceptor;
     asio::steady_timer m_retry;
     uint16_t m_port = 0;
@@ -128,6 +132,11 @@
     const std::lock_guard lock(m_stopMutex);
     if (m_stopped)
         return;
+    if (m_threadCount == 0) {
+        if (m_acceptor.is_open())
+            closeListener();
+        return;
+    }
     std::promise<void> closed;
     asio::post(m_acceptor.get_executor(), [this, &closed] {
         if (m_acceptor.is_open())
@@ -143,7 +152,8 @@
     if (m_stopped)
         return;
     m_stopped = true;
-    m_io.stop();
+    if (m_ownIo)
+        m_io.stop();
     for (std::thread &thread : m_threads)
         thread.join();
     {
@@ -165,7 +175,17 @@
 Result<std::unique_ptr<HttpServer>> HttpServer::create(HttpServerOptions options,
                                                        HttpHandler handler)
 {
-    auto impl = std::make_unique<Impl>(std::move(options), std::move(handler));
+    return start(std::make_unique<Impl>(nullptr, std::move(options), std::move(handler)));
+}
+
+Result<std::unique_ptr<HttpServer>>
+HttpServer::create(asio::io_context &io, HttpServerOptions options, HttpHandler handler)
+{
+    return start(std::make_unique<Impl>(&io, std::move(options), std::move(handler)));
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::start(std::unique_ptr<Impl> impl)
+{
     if (const auto bound = impl->listen(); !bound)
         return bound.error();
     impl->run();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -1,4 +1,4 @@
-// An HTTP/1.1 server on its own traffic threads.
+// An HTTP/1.1 server on its own traffic threads, or on the caller's event loop.
 //
 // Malformed, slow and oversized requests never reach the handler; they are answered with a typed
 // error (errorResponse) of status 400, 408 or 413 and executed "no".
@@ -14,6 +14,10 @@
 #include <memory>
 #include <string>
 
+namespace boost::asio {
+class io_context;
+}
+
 namespace cardamompaddle {
 
 struct HttpServerOptions
@@ -42,6 +46,10 @@
     // it cannot be bound.
     static Result<std::unique_ptr<HttpServer>> create(HttpServerOptions options,
                                                       HttpHandler handler);
+    // As above without threads: handlers run on the one thread that runs `io`, which must outlive
+    // the server. Every call of this class is made on that thread.
+    static Result<std::unique_ptr<HttpServer>>
+    create(boost::asio::io_context &io, HttpServerOptions options, HttpHandler handler);
     // Calls stop().
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
@@ -63,6 +71,7 @@
 
 private:
     class Impl;
+    static Result<std::unique_ptr<HttpServer>> start(std::unique_ptr<Impl> impl);
     explicit HttpServer(std::unique_ptr<Impl> impl);
     std::unique_ptr<Impl> m_impl;
 };
--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "base/time.h"
 
 #include <functional>
 #include <map>
@@ -53,6 +54,8 @@
     int status = 200;
     std::string body;
     std::string contentType = "application/json";
+    // Sent as Retry-After, rounded up to whole seconds, if not zero.
+    Duration retryAfter{0};
 };
 
 // The JSON body of every error: {"error": NAME, "message": ..., "executed": "no"|"unknown"}.
--- a/src/net/internal/http_session.cc
+++ b/src/net/internal/http_session.cc
@@ -286,6 +286,10 @@
     m_response.version(11);
     m_response.result(static_cast<unsigned>(response.status));
     m_response.set(http::field::content_type, response.contentType);
+    if (response.retryAfter > Duration::zero()) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(response.retryAfter).count();
+        m_response.set(http::field::retry_after, std::to_string(seconds));
+    }
     m_response.keep_alive(m_keepAlive);
     m_response.body() = std::move(response.body);
     m_response.prepare_payload();
--- /dev/null
+++ b/src/work/codec.cc
@@ -0,0 +1,52 @@
+#include "work/codec.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <memory>
+
+namespace cardamompaddle {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+template <typename T>
+std::string encodeRecord(const T &value)
+{
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    value.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+template <typename T>
+Result<T> decodeRecord(std::string_view bytes)
+{
+    // The buffer only observes the bytes; Thrift's interface takes them as mutable.
+    auto *data = reinterpret_cast<uint8_t *>(const_cast<char *>(bytes.data()));
+    const auto buffer = std::make_shared<TMemoryBuffer>(data, static_cast<uint32_t>(bytes.size()));
+    // Limits keep a malformed length from allocating more than the bytes can hold.
+    const auto limit = static_cast<int32_t>(bytes.size());
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer, limit, limit);
+    T value;
+    try {
+        value.read(&protocol);
+    } catch (const std::exception &error) {
+        return Error{ErrorCode::InvalidArgument, std::string("malformed record: ") + error.what()};
+    }
+    return value;
+}
+
+#define CP_RECORD(Type) \
+    template std::string encodeRecord(const work::Type &); \
+    template Result<work::Type> decodeRecord(std::string_view);
+CP_RECORD(Submission)
+CP_RECORD(Progress)
+CP_RECORD(Tenure)
+CP_RECORD(Member)
+CP_RECORD(ApprovalRequest)
+CP_RECORD(ApprovalAnswer)
+CP_RECORD(UsedWorker)
+#undef CP_RECORD
+
+} // namespace cardamompaddle
