Recognize a claim by the record read back; take up workers before they report

Cause: claimants with the same epoch and sequence all got the first one's answer, so several instances scheduled at once; and reports of workers were dropped until the registry was loaded.

--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -246,13 +246,14 @@
     m_claiming = false;
     if (answer.outcome != AppendOutcome::Stored)
         return;
-    // The record is read back before the scheduler begins, so that the book names this holder.
+    // The log answers an equal epoch and sequence of another claimant with the first one's answer.
+    // Only the record that is read back tells who holds the tenure.
     m_claiming = true;
     m_work->refresh([this, alive = m_alive, tenure](bool current) {
         if (!*alive)
             return;
         m_claiming = false;
-        if (!current || m_book.tenure().epoch != tenure.epoch || m_stopping)
+        if (!current || m_book.tenure() != tenure || m_stopping)
             return;
         SchedulerOptions options;
         options.tenure = tenure;
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -92,10 +92,6 @@
     for (const auto &[id, used] : m_context.book.usedWorkers()) {
         m_adoptable.insert(id);
         m_usedStored.insert(id);
-        WorkerEntry entry;
-        entry.id = id;
-        entry.address = used.address;
-        m_links->setEntry(entry, false);
     }
     std::vector<const JobEntry *> open;
     for (const auto &[id, entry] : m_context.book.entries()) {
@@ -169,7 +165,12 @@
     const Instant now = m_context.clock.now();
     for (const auto &[id, used] : m_context.book.usedWorkers()) {
         if (!ids.contains(id)) {
+            m_dispatcher.adoptWorker(id);
             m_dispatcher.removeWorker(id, now);
+            WorkerEntry entry;
+            entry.id = id;
+            entry.address = used.address;
+            m_links->setEntry(entry, false);
             m_links->unlist(id);
         }
     }
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -48,6 +48,15 @@
     m_impl->setWorker(entry, now);
 }
 
+void Dispatcher::adoptWorker(const WorkerId &id)
+{
+    auto &slot = m_impl->m_workers[id];
+    if (slot)
+        return;
+    slot = std::make_unique<dispatch::Worker>();
+    slot->entry.id = id;
+}
+
 void Dispatcher::removeWorker(const WorkerId &id, Instant now)
 {
     m_impl->removeWorker(id, now);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -68,8 +68,11 @@
     // Every run that an earlier scheduler started has been reported, or its lease has lapsed.
     void allWorkersKnown();
 
-    // The registry's entry of a worker. A worker gets starts after its first report.
+    // The registry's entry of a worker. A worker gets starts once it has reported and is reachable.
     void setWorker(const WorkerEntry &entry, Instant now);
+    // A worker that an earlier scheduler used and that the registry does not list. It gets no
+    // starts; its runs are taken over.
+    void adoptWorker(const WorkerId &id);
     // The entry has gone. Its runs count until workerLost() or a report tells more.
     void removeWorker(const WorkerId &id, Instant now);
     // Whether calls to the worker are answered at present; nothing starts while they are not.
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -128,7 +128,7 @@
 {
     const work::StepSpec &spec = *step.spec;
     if (!worker.listed || !worker.reported || !worker.reachable || worker.entry.draining
-        || worker.avoidUntil > now || worker.entry.pool != route.pool
+        || worker.unwantedRuns || worker.avoidUntil > now || worker.entry.pool != route.pool
         || m_zonesOut.contains(worker.entry.availabilityZone))
         return false;
     if (!spec.requiredLabel.empty() && !worker.entry.labels.contains(spec.requiredLabel))
--- a/src/dispatch/dispatcher_workers.cc
+++ b/src/dispatch/dispatcher_workers.cc
@@ -266,7 +266,7 @@
               "worker=" + id + " zone=" + worker.entry.availabilityZone
                   + " runs=" + std::to_string(report.running.size()));
     worker.reported = true;
-    worker.reachable = true;
+    worker.unwantedRuns = false;
     for (const EndedRun &end : report.ended) {
         if (end.position > worker.endPosition)
             takeEnd(worker, end, now);
@@ -343,6 +343,8 @@
         // number. A run that was ordered after the worker was asked cannot be meant.
         if (known == nullptr || known->orderedAt < askedAt)
             m_unwanted.push_back({worker.entry.id, run.task, run.run});
+        // It takes up room that is not counted here until it has ended.
+        worker.unwantedRuns = true;
         return;
     }
     Attempt &adopted = attach(*step, run.task.index, run.run, worker, now);
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -114,6 +114,7 @@
     bool listed = false; // in the registry
     bool reported = false; // its runs are known
     bool reachable = false;
+    bool unwantedRuns = false; // runs that no task wants have not ended yet
     Resources used;
     int64_t lifeStartedAtMs = 0; // of the last report
     int64_t endPosition = 0;
