Count each failed run once by its number; wait for the registry before judging workers

Cause: ends that are not acknowledged are reported to the next scheduler too, which counted them again; and links that did not exist yet passed for settled, so tasks started before their former workers had reported.

--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -22,6 +22,8 @@
 // After an outage of the log the scheduler gets this long to show itself first.
 constexpr Duration GraceAfterOutage{1'200};
 constexpr Duration ClaimTimeout{900};
+constexpr Duration ReadBackRetry{100};
+constexpr int64_t FirstSequenceAfterClaim = 1;
 constexpr Duration AnnounceTimeout{900};
 // Without an answer of the log for so long an instance says neither that a job does not exist nor
 // that it is ready.
@@ -33,7 +35,8 @@
 
 Instance::Instance(const ContextFactory &context, InstanceOptions options)
     : m_context(context(m_book)), m_options(std::move(options)),
-      m_tickTimer(m_context.scheduler.io), m_random(std::random_device{}())
+      m_tickTimer(m_context.scheduler.io),
+      m_claimTimer(m_context.scheduler.io), m_random(std::random_device{}())
 {
     SchedulerContext &scheduler = m_context.scheduler;
     LogFollower::Callbacks work;
@@ -103,7 +106,9 @@
         const auto jitter = static_cast<int64_t>(m_random() % ClaimJitterMs);
         m_patience = tenure.released ? Duration(jitter / 4) : SilenceToClaim + Duration(jitter);
     }
-    if (*change == JobBook::Change::Tenure || *change == JobBook::Change::Progressed)
+    // Only a scheduler stores these.
+    if (*change == JobBook::Change::Tenure || *change == JobBook::Change::Progressed
+        || *change == JobBook::Change::UsedWorker)
         m_activityAt = now;
     if (m_scheduler)
         m_scheduler->bookChanged(*change, id);
@@ -238,7 +243,7 @@
                                    });
 }
 
-void Instance::onClaimed(work::Tenure tenure, const AppendAnswer &answer)
+void Instance::onClaimed(const work::Tenure &tenure, const AppendAnswer &answer)
 {
     logInfo("tenure_claim", "epoch=" + std::to_string(tenure.epoch)
                                 + " outcome=" + std::to_string(static_cast<int>(answer.outcome))
@@ -246,30 +251,48 @@
     m_claiming = false;
     if (answer.outcome != AppendOutcome::Stored)
         return;
-    // The log answers an equal epoch and sequence of another claimant with the first one's answer.
-    // Only the record that is read back tells who holds the tenure.
     m_claiming = true;
+    readClaimBack(tenure);
+}
+
+// The log answers an equal epoch and sequence of another claimant with the first one's answer. Only
+// the record that is read back tells who holds the tenure.
+void Instance::readClaimBack(const work::Tenure &tenure)
+{
     m_work->refresh([this, alive = m_alive, tenure](bool current) {
         if (!*alive)
             return;
+        if (!current && !m_stopping) {
+            m_claimTimer.expires_after(ReadBackRetry);
+            m_claimTimer.async_wait([this, alive, tenure](const boost::system::error_code &ec) {
+                if (!ec && *alive)
+                    readClaimBack(tenure);
+            });
+            return;
+        }
         m_claiming = false;
-        if (!current || m_book.tenure() != tenure || m_stopping)
+        if (m_book.tenure() != tenure || m_stopping)
             return;
-        SchedulerOptions options;
-        options.tenure = tenure;
-        options.maxLease = m_options.maxLease;
-        options.remoteFactor = m_options.remoteFactor;
-        options.keepFinal = m_options.keepFinal;
-        m_work->setGap(SchedulerGap);
-        m_scheduler =
-            std::make_unique<Scheduler>(m_context.scheduler, options, 1,
-                                        [this](const std::string &reason) { deposed(reason); });
-        m_scheduler->setCatalog(m_catalog);
-        applyZones();
-        m_scheduler->start();
+        beginScheduling(tenure);
     });
 }
 
+void Instance::beginScheduling(const work::Tenure &tenure)
+{
+    SchedulerOptions options;
+    options.tenure = tenure;
+    options.maxLease = m_options.maxLease;
+    options.remoteFactor = m_options.remoteFactor;
+    options.keepFinal = m_options.keepFinal;
+    m_work->setGap(SchedulerGap);
+    m_scheduler =
+        std::make_unique<Scheduler>(m_context.scheduler, options, FirstSequenceAfterClaim,
+                                    [this](const std::string &reason) { deposed(reason); });
+    m_scheduler->setCatalog(m_catalog);
+    applyZones();
+    m_scheduler->start();
+}
+
 void Instance::deposed(const std::string &reason)
 {
     logWarn("tenure_lost", "reason=\"" + reason + "\"");
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -77,7 +77,9 @@
     void announce();
     void judgeTenure();
     void claim();
-    void onClaimed(work::Tenure tenure, const AppendAnswer &answer);
+    void onClaimed(const work::Tenure &tenure, const AppendAnswer &answer);
+    void readClaimBack(const work::Tenure &tenure);
+    void beginScheduling(const work::Tenure &tenure);
     void deposed(const std::string &reason);
     void tick();
 
@@ -92,6 +94,7 @@
     std::shared_ptr<const Catalog> m_catalog;
     std::map<std::string, std::string> m_zonesOut; // zone by key
     boost::asio::steady_timer m_tickTimer;
+    boost::asio::steady_timer m_claimTimer;
     std::mt19937_64 m_random;
     Instant m_activityAt; // the scheduler's last sign of life
     Duration m_patience{0}; // silence after which this instance claims the tenure
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -18,7 +18,7 @@
 constexpr Duration AppendTimeout{900};
 constexpr Duration AppendRetry{120};
 constexpr Duration TickInterval{250};
-constexpr Duration HeartbeatInterval{500}; // without other appends
+constexpr Duration HeartbeatInterval{400}; // without other appends
 constexpr Duration RegistryGap{300};
 constexpr size_t MaxRecordsPerBatch = 400;
 constexpr size_t MaxRemovalsPerBatch = 60;
@@ -181,6 +181,11 @@
 void Scheduler::onReport(const WorkerId &id, const RunReport &report)
 {
     m_dispatcher.workerReported(id, report, m_context.clock.now());
+    // A worker that has started anew counts its ends from the beginning.
+    for (auto *ends : {&m_storedEnds, &m_batchEnds}) {
+        if (const auto it = ends->find(id); it != ends->end())
+            it->second = std::min(it->second, m_dispatcher.endPosition(id));
+    }
     if (!m_allKnown)
         judgeAllKnown();
     schedulePass();
@@ -195,8 +200,11 @@
 
 void Scheduler::judgeAllKnown()
 {
+    // Before the registry is loaded there are no links that could tell.
+    if (m_allKnown || !m_registryLoaded)
+        return;
     std::erase_if(m_adoptable, [this](const WorkerId &id) { return m_links->settled(id); });
-    if (m_allKnown || !m_registryLoaded || !m_adoptable.empty())
+    if (!m_adoptable.empty())
         return;
     m_allKnown = true;
     m_dispatcher.allWorkersKnown();
@@ -372,10 +380,10 @@
     if (!m_allKnown)
         judgeAllKnown();
     for (const WorkerId &id : m_usedStored) {
-        if (!m_links->knows(id))
+        if (m_registryLoaded && !m_links->knows(id))
             m_unusedToStore.insert(id);
     }
-    if (now - m_storedAt >= HeartbeatInterval - TickInterval / 2 || !m_unusedToStore.empty())
+    if (now - m_storedAt >= HeartbeatInterval || !m_unusedToStore.empty())
         scheduleFlush(Duration::zero());
     schedulePass();
     m_tickTimer.expires_after(TickInterval);
--- a/src/dispatch/dispatcher_jobs.cc
+++ b/src/dispatch/dispatcher_jobs.cc
@@ -88,11 +88,13 @@
             --step->waiting;
             ++step->succeeded;
         }
-        for (const auto &[index, failures] : stored.failures) {
+        for (const auto &[index, runs] : stored.failedRuns) {
             if (!valid(index))
                 continue;
-            step->tasks[static_cast<size_t>(index)].failures = failures;
-            step->gangFailures = std::max(step->gangFailures, failures);
+            Task &task = step->tasks[static_cast<size_t>(index)];
+            task.failedRuns.insert(runs.begin(), runs.end());
+            if (!runs.empty())
+                task.lastRun = *task.failedRuns.rbegin();
         }
     }
 }
@@ -154,11 +156,16 @@
     checkCompleted(*step.job, now);
 }
 
-void Dispatcher::Impl::taskFailed(Step &step, int32_t index, const WorkerId &where, Instant now)
+void Dispatcher::Impl::taskFailed(Step &step, int32_t index, int64_t run, const WorkerId &where,
+                                  Instant now)
 {
     Task &task = step.tasks[static_cast<size_t>(index)];
-    const int32_t failures = step.spec->gang ? ++step.gangFailures : ++task.failures;
-    task.failures = failures;
+    // Ends that are not acknowledged yet are reported again, also to the next scheduler. The
+    // members of a gang fail together.
+    std::set<int64_t> &counted = step.tasks[step.spec->gang ? 0 : static_cast<size_t>(index)].failedRuns;
+    if (!counted.insert(run).second)
+        return;
+    const auto failures = static_cast<int32_t>(counted.size());
     task.failedOn = where;
     task.notBefore = now + RetryDelay * (1 << std::min(failures - 1, MaxRetryDoublings));
     markDirty(*step.job);
@@ -187,11 +194,11 @@
                 const auto index = static_cast<int32_t>(i);
                 if (task.state == TaskState::Succeeded)
                     stored.succeeded.push_back(index);
-                if (task.failures > 0)
-                    stored.failures[index] = task.failures;
+                if (!task.failedRuns.empty() && !step->spec->longRunning)
+                    stored.failedRuns[index].assign(task.failedRuns.begin(), task.failedRuns.end());
             }
             // The state of a final job says all that anyone asks of it.
-            if (!job->isFinal() && (!stored.succeeded.empty() || !stored.failures.empty()))
+            if (!job->isFinal() && (!stored.succeeded.empty() || !stored.failedRuns.empty()))
                 progress.steps.push_back(std::move(stored));
         }
         out.push_back(std::move(progress));
--- a/src/dispatch/dispatcher_workers.cc
+++ b/src/dispatch/dispatcher_workers.cc
@@ -203,6 +203,7 @@
     const std::string job = step.job->spec->id;
     judgeWorker(worker, outcome, job, now);
     const WorkerId where = worker.entry.id;
+    const int64_t run = attempt.run;
     event("run_ended", job,
           "task=" + TaskRef{{job, step.occurrence, step.number}, index}.toString()
               + " run=" + std::to_string(attempt.run) + " worker=" + where
@@ -217,7 +218,7 @@
     }
     requeue(attempt, now);
     if (outcome == RunOutcome::Failed && !wasFinal)
-        taskFailed(step, index, where, now);
+        taskFailed(step, index, run, where, now);
 }
 
 void Dispatcher::Impl::judgeWorker(Worker &worker, RunOutcome outcome, const std::string &job,
@@ -309,7 +310,7 @@
             requestStop(*task.attempt, now);
         taskSucceeded(*step, end.task.index, now);
     } else if (end.outcome == RunOutcome::Failed) {
-        taskFailed(*step, end.task.index, worker.entry.id, now);
+        taskFailed(*step, end.task.index, end.run, worker.entry.id, now);
     }
 }
 
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -59,7 +59,7 @@
     void checkCompleted(Job &job, Instant now);
     void forgetIfDone(Job &job);
     void taskSucceeded(Step &step, int32_t index, Instant now);
-    void taskFailed(Step &step, int32_t index, const WorkerId &where, Instant now);
+    void taskFailed(Step &step, int32_t index, int64_t run, const WorkerId &where, Instant now);
     void restoreProgress(Job &job, const work::Progress &progress);
     void event(std::string_view what, const std::string &job, std::string detail) const;
 
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -48,7 +48,7 @@
 struct Task
 {
     TaskState state = TaskState::Waiting;
-    int32_t failures = 0;
+    std::set<int64_t> failedRuns; // numbers; of a gang only task 0 has any
     int64_t lastRun = 0; // highest number that was ordered or seen
     Instant notBefore; // no start before, after a failure
     std::string checkpoint;
@@ -73,7 +73,6 @@
     int32_t waiting = 0;
     int32_t active = 0;
     int32_t succeeded = 0;
-    int32_t gangFailures = 0;
     bool gangBroken = false; // members still run that are to end before the next start
     Resources need; // of one task
     std::map<WorkerId, int32_t> perWorker; // active tasks, for maxPerWorker
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -857,8 +857,8 @@
   this->succeeded = val;
 }
 
-void StepProgress::__set_failures(const std::map<int32_t, int32_t> & val) {
-  this->failures = val;
+void StepProgress::__set_failedRuns(const std::map<int32_t, std::vector<int64_t> > & val) {
+  this->failedRuns = val;
 }
 std::ostream& operator<<(std::ostream& out, const StepProgress& obj)
 {
@@ -927,7 +927,7 @@
       case 4:
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
-            this->failures.clear();
+            this->failedRuns.clear();
             uint32_t _size25;
             ::apache::thrift::protocol::TType _ktype26;
             ::apache::thrift::protocol::TType _vtype27;
@@ -937,12 +937,24 @@
             {
               int32_t _key30;
               xfer += iprot->readI32(_key30);
-              int32_t& _val31 = this->failures[_key30];
-              xfer += iprot->readI32(_val31);
+              std::vector<int64_t> & _val31 = this->failedRuns[_key30];
+              {
+                _val31.clear();
+                uint32_t _size32;
+                ::apache::thrift::protocol::TType _etype35;
+                xfer += iprot->readListBegin(_etype35, _size32);
+                _val31.resize(_size32);
+                uint32_t _i36;
+                for (_i36 = 0; _i36 < _size32; ++_i36)
+                {
+                  xfer += iprot->readI64(_val31[_i36]);
+                }
+                xfer += iprot->readListEnd();
+              }
             }
             xfer += iprot->readMapEnd();
           }
-          this->__isset.failures = true;
+          this->__isset.failedRuns = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -975,23 +987,31 @@
   xfer += oprot->writeFieldBegin("succeeded", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->succeeded.size()));
-    std::vector<int32_t> ::const_iterator _iter32;
-    for (_iter32 = this->succeeded.begin(); _iter32 != this->succeeded.end(); ++_iter32)
+    std::vector<int32_t> ::const_iterator _iter37;
+    for (_iter37 = this->succeeded.begin(); _iter37 != this->succeeded.end(); ++_iter37)
     {
-      xfer += oprot->writeI32((*_iter32));
+      xfer += oprot->writeI32((*_iter37));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_MAP, 4);
+  xfer += oprot->writeFieldBegin("failedRuns", ::apache::thrift::protocol::T_MAP, 4);
   {
-    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->failures.size()));
-    std::map<int32_t, int32_t> ::const_iterator _iter33;
-    for (_iter33 = this->failures.begin(); _iter33 != this->failures.end(); ++_iter33)
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->failedRuns.size()));
+    std::map<int32_t, std::vector<int64_t> > ::const_iterator _iter38;
+    for (_iter38 = this->failedRuns.begin(); _iter38 != this->failedRuns.end(); ++_iter38)
     {
-      xfer += oprot->writeI32(_iter33->first);
-      xfer += oprot->writeI32(_iter33->second);
+      xfer += oprot->writeI32(_iter38->first);
+      {
+        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter38->second.size()));
+        std::vector<int64_t> ::const_iterator _iter39;
+        for (_iter39 = _iter38->second.begin(); _iter39 != _iter38->second.end(); ++_iter39)
+        {
+          xfer += oprot->writeI64((*_iter39));
+        }
+        xfer += oprot->writeListEnd();
+      }
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1007,38 +1027,38 @@
   swap(a.occurrence, b.occurrence);
   swap(a.step, b.step);
   swap(a.succeeded, b.succeeded);
-  swap(a.failures, b.failures);
+  swap(a.failedRuns, b.failedRuns);
   swap(a.__isset, b.__isset);
 }
 
-StepProgress::StepProgress(const StepProgress& other34) {
-  occurrence = other34.occurrence;
-  step = other34.step;
-  succeeded = other34.succeeded;
-  failures = other34.failures;
-  __isset = other34.__isset;
-}
-StepProgress::StepProgress(StepProgress&& other35) noexcept {
-  occurrence = other35.occurrence;
-  step = other35.step;
-  succeeded = std::move(other35.succeeded);
-  failures = std::move(other35.failures);
-  __isset = other35.__isset;
-}
-StepProgress& StepProgress::operator=(const StepProgress& other36) {
-  occurrence = other36.occurrence;
-  step = other36.step;
-  succeeded = other36.succeeded;
-  failures = other36.failures;
-  __isset = other36.__isset;
+StepProgress::StepProgress(const StepProgress& other40) {
+  occurrence = other40.occurrence;
+  step = other40.step;
+  succeeded = other40.succeeded;
+  failedRuns = other40.failedRuns;
+  __isset = other40.__isset;
+}
+StepProgress::StepProgress(StepProgress&& other41) noexcept {
+  occurrence = other41.occurrence;
+  step = other41.step;
+  succeeded = std::move(other41.succeeded);
+  failedRuns = std::move(other41.failedRuns);
+  __isset = other41.__isset;
+}
+StepProgress& StepProgress::operator=(const StepProgress& other42) {
+  occurrence = other42.occurrence;
+  step = other42.step;
+  succeeded = other42.succeeded;
+  failedRuns = other42.failedRuns;
+  __isset = other42.__isset;
   return *this;
 }
-StepProgress& StepProgress::operator=(StepProgress&& other37) noexcept {
-  occurrence = other37.occurrence;
-  step = other37.step;
-  succeeded = std::move(other37.succeeded);
-  failures = std::move(other37.failures);
-  __isset = other37.__isset;
+StepProgress& StepProgress::operator=(StepProgress&& other43) noexcept {
+  occurrence = other43.occurrence;
+  step = other43.step;
+  succeeded = std::move(other43.succeeded);
+  failedRuns = std::move(other43.failedRuns);
+  __isset = other43.__isset;
   return *this;
 }
 void StepProgress::printTo(std::ostream& out) const {
@@ -1047,7 +1067,7 @@
   out << "occurrence=" << to_string(occurrence);
   out << ", " << "step=" << to_string(step);
   out << ", " << "succeeded=" << to_string(succeeded);
-  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "failedRuns=" << to_string(failedRuns);
   out << ")";
 }
 
@@ -1105,9 +1125,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast38;
-          xfer += iprot->readI32(ecast38);
-          this->state = static_cast<JobState::type>(ecast38);
+          int32_t ecast44;
+          xfer += iprot->readI32(ecast44);
+          this->state = static_cast<JobState::type>(ecast44);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1117,14 +1137,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->steps.clear();
-            uint32_t _size39;
-            ::apache::thrift::protocol::TType _etype42;
-            xfer += iprot->readListBegin(_etype42, _size39);
-            this->steps.resize(_size39);
-            uint32_t _i43;
-            for (_i43 = 0; _i43 < _size39; ++_i43)
+            uint32_t _size45;
+            ::apache::thrift::protocol::TType _etype48;
+            xfer += iprot->readListBegin(_etype48, _size45);
+            this->steps.resize(_size45);
+            uint32_t _i49;
+            for (_i49 = 0; _i49 < _size45; ++_i49)
             {
-              xfer += this->steps[_i43].read(iprot);
+              xfer += this->steps[_i49].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1161,10 +1181,10 @@
   xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
-    std::vector<StepProgress> ::const_iterator _iter44;
-    for (_iter44 = this->steps.begin(); _iter44 != this->steps.end(); ++_iter44)
+    std::vector<StepProgress> ::const_iterator _iter50;
+    for (_iter50 = this->steps.begin(); _iter50 != this->steps.end(); ++_iter50)
     {
-      xfer += (*_iter44).write(oprot);
+      xfer += (*_iter50).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1183,30 +1203,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Progress::Progress(const Progress& other45) {
-  id = other45.id;
-  state = other45.state;
-  steps = other45.steps;
-  __isset = other45.__isset;
+Progress::Progress(const Progress& other51) {
+  id = other51.id;
+  state = other51.state;
+  steps = other51.steps;
+  __isset = other51.__isset;
 }
-Progress::Progress(Progress&& other46) noexcept {
-  id = std::move(other46.id);
-  state = other46.state;
-  steps = std::move(other46.steps);
-  __isset = other46.__isset;
+Progress::Progress(Progress&& other52) noexcept {
+  id = std::move(other52.id);
+  state = other52.state;
+  steps = std::move(other52.steps);
+  __isset = other52.__isset;
 }
-Progress& Progress::operator=(const Progress& other47) {
-  id = other47.id;
-  state = other47.state;
-  steps = other47.steps;
-  __isset = other47.__isset;
+Progress& Progress::operator=(const Progress& other53) {
+  id = other53.id;
+  state = other53.state;
+  steps = other53.steps;
+  __isset = other53.__isset;
   return *this;
 }
-Progress& Progress::operator=(Progress&& other48) noexcept {
-  id = std::move(other48.id);
-  state = other48.state;
-  steps = std::move(other48.steps);
-  __isset = other48.__isset;
+Progress& Progress::operator=(Progress&& other54) noexcept {
+  id = std::move(other54.id);
+  state = other54.state;
+  steps = std::move(other54.steps);
+  __isset = other54.__isset;
   return *this;
 }
 void Progress::printTo(std::ostream& out) const {
@@ -1345,34 +1365,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Tenure::Tenure(const Tenure& other49) {
-  holder = other49.holder;
-  address = other49.address;
-  epoch = other49.epoch;
-  released = other49.released;
-  __isset = other49.__isset;
-}
-Tenure::Tenure(Tenure&& other50) noexcept {
-  holder = std::move(other50.holder);
-  address = std::move(other50.address);
-  epoch = other50.epoch;
-  released = other50.released;
-  __isset = other50.__isset;
-}
-Tenure& Tenure::operator=(const Tenure& other51) {
-  holder = other51.holder;
-  address = other51.address;
-  epoch = other51.epoch;
-  released = other51.released;
-  __isset = other51.__isset;
+Tenure::Tenure(const Tenure& other55) {
+  holder = other55.holder;
+  address = other55.address;
+  epoch = other55.epoch;
+  released = other55.released;
+  __isset = other55.__isset;
+}
+Tenure::Tenure(Tenure&& other56) noexcept {
+  holder = std::move(other56.holder);
+  address = std::move(other56.address);
+  epoch = other56.epoch;
+  released = other56.released;
+  __isset = other56.__isset;
+}
+Tenure& Tenure::operator=(const Tenure& other57) {
+  holder = other57.holder;
+  address = other57.address;
+  epoch = other57.epoch;
+  released = other57.released;
+  __isset = other57.__isset;
   return *this;
 }
-Tenure& Tenure::operator=(Tenure&& other52) noexcept {
-  holder = std::move(other52.holder);
-  address = std::move(other52.address);
-  epoch = other52.epoch;
-  released = other52.released;
-  __isset = other52.__isset;
+Tenure& Tenure::operator=(Tenure&& other58) noexcept {
+  holder = std::move(other58.holder);
+  address = std::move(other58.address);
+  epoch = other58.epoch;
+  released = other58.released;
+  __isset = other58.__isset;
   return *this;
 }
 void Tenure::printTo(std::ostream& out) const {
@@ -1478,26 +1498,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other53) {
-  name = other53.name;
-  address = other53.address;
-  __isset = other53.__isset;
+Member::Member(const Member& other59) {
+  name = other59.name;
+  address = other59.address;
+  __isset = other59.__isset;
 }
-Member::Member(Member&& other54) noexcept {
-  name = std::move(other54.name);
-  address = std::move(other54.address);
-  __isset = other54.__isset;
+Member::Member(Member&& other60) noexcept {
+  name = std::move(other60.name);
+  address = std::move(other60.address);
+  __isset = other60.__isset;
 }
-Member& Member::operator=(const Member& other55) {
-  name = other55.name;
-  address = other55.address;
-  __isset = other55.__isset;
+Member& Member::operator=(const Member& other61) {
+  name = other61.name;
+  address = other61.address;
+  __isset = other61.__isset;
   return *this;
 }
-Member& Member::operator=(Member&& other56) noexcept {
-  name = std::move(other56.name);
-  address = std::move(other56.address);
-  __isset = other56.__isset;
+Member& Member::operator=(Member&& other62) noexcept {
+  name = std::move(other62.name);
+  address = std::move(other62.address);
+  __isset = other62.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -1564,14 +1584,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->workers.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->workers.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += iprot->readString(this->workers[_i61]);
+              xfer += iprot->readString(this->workers[_i67]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1612,10 +1632,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->workers.size()));
-    std::vector<std::string> ::const_iterator _iter62;
-    for (_iter62 = this->workers.begin(); _iter62 != this->workers.end(); ++_iter62)
+    std::vector<std::string> ::const_iterator _iter68;
+    for (_iter68 = this->workers.begin(); _iter68 != this->workers.end(); ++_iter68)
     {
-      xfer += oprot->writeString((*_iter62));
+      xfer += oprot->writeString((*_iter68));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1638,30 +1658,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ApprovalRequest::ApprovalRequest(const ApprovalRequest& other63) {
-  step = other63.step;
-  workers = other63.workers;
-  timeoutMs = other63.timeoutMs;
-  __isset = other63.__isset;
+ApprovalRequest::ApprovalRequest(const ApprovalRequest& other69) {
+  step = other69.step;
+  workers = other69.workers;
+  timeoutMs = other69.timeoutMs;
+  __isset = other69.__isset;
 }
-ApprovalRequest::ApprovalRequest(ApprovalRequest&& other64) noexcept {
-  step = std::move(other64.step);
-  workers = std::move(other64.workers);
-  timeoutMs = other64.timeoutMs;
-  __isset = other64.__isset;
+ApprovalRequest::ApprovalRequest(ApprovalRequest&& other70) noexcept {
+  step = std::move(other70.step);
+  workers = std::move(other70.workers);
+  timeoutMs = other70.timeoutMs;
+  __isset = other70.__isset;
 }
-ApprovalRequest& ApprovalRequest::operator=(const ApprovalRequest& other65) {
-  step = other65.step;
-  workers = other65.workers;
-  timeoutMs = other65.timeoutMs;
-  __isset = other65.__isset;
+ApprovalRequest& ApprovalRequest::operator=(const ApprovalRequest& other71) {
+  step = other71.step;
+  workers = other71.workers;
+  timeoutMs = other71.timeoutMs;
+  __isset = other71.__isset;
   return *this;
 }
-ApprovalRequest& ApprovalRequest::operator=(ApprovalRequest&& other66) noexcept {
-  step = std::move(other66.step);
-  workers = std::move(other66.workers);
-  timeoutMs = other66.timeoutMs;
-  __isset = other66.__isset;
+ApprovalRequest& ApprovalRequest::operator=(ApprovalRequest&& other72) noexcept {
+  step = std::move(other72.step);
+  workers = std::move(other72.workers);
+  timeoutMs = other72.timeoutMs;
+  __isset = other72.__isset;
   return *this;
 }
 void ApprovalRequest::printTo(std::ostream& out) const {
@@ -1766,26 +1786,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Approval::Approval(const Approval& other67) {
-  worker = other67.worker;
-  ticket = other67.ticket;
-  __isset = other67.__isset;
+Approval::Approval(const Approval& other73) {
+  worker = other73.worker;
+  ticket = other73.ticket;
+  __isset = other73.__isset;
 }
-Approval::Approval(Approval&& other68) noexcept {
-  worker = std::move(other68.worker);
-  ticket = std::move(other68.ticket);
-  __isset = other68.__isset;
+Approval::Approval(Approval&& other74) noexcept {
+  worker = std::move(other74.worker);
+  ticket = std::move(other74.ticket);
+  __isset = other74.__isset;
 }
-Approval& Approval::operator=(const Approval& other69) {
-  worker = other69.worker;
-  ticket = other69.ticket;
-  __isset = other69.__isset;
+Approval& Approval::operator=(const Approval& other75) {
+  worker = other75.worker;
+  ticket = other75.ticket;
+  __isset = other75.__isset;
   return *this;
 }
-Approval& Approval::operator=(Approval&& other70) noexcept {
-  worker = std::move(other70.worker);
-  ticket = std::move(other70.ticket);
-  __isset = other70.__isset;
+Approval& Approval::operator=(Approval&& other76) noexcept {
+  worker = std::move(other76.worker);
+  ticket = std::move(other76.ticket);
+  __isset = other76.__isset;
   return *this;
 }
 void Approval::printTo(std::ostream& out) const {
@@ -1852,14 +1872,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->approved.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->approved.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->approved.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += this->approved[_i75].read(iprot);
+              xfer += this->approved[_i81].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1900,10 +1920,10 @@
   xfer += oprot->writeFieldBegin("approved", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->approved.size()));
-    std::vector<Approval> ::const_iterator _iter76;
-    for (_iter76 = this->approved.begin(); _iter76 != this->approved.end(); ++_iter76)
+    std::vector<Approval> ::const_iterator _iter82;
+    for (_iter82 = this->approved.begin(); _iter82 != this->approved.end(); ++_iter82)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter82).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1926,30 +1946,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ApprovalAnswer::ApprovalAnswer(const ApprovalAnswer& other77) {
-  ok = other77.ok;
-  approved = other77.approved;
-  error = other77.error;
-  __isset = other77.__isset;
+ApprovalAnswer::ApprovalAnswer(const ApprovalAnswer& other83) {
+  ok = other83.ok;
+  approved = other83.approved;
+  error = other83.error;
+  __isset = other83.__isset;
 }
-ApprovalAnswer::ApprovalAnswer(ApprovalAnswer&& other78) noexcept {
-  ok = other78.ok;
-  approved = std::move(other78.approved);
-  error = std::move(other78.error);
-  __isset = other78.__isset;
+ApprovalAnswer::ApprovalAnswer(ApprovalAnswer&& other84) noexcept {
+  ok = other84.ok;
+  approved = std::move(other84.approved);
+  error = std::move(other84.error);
+  __isset = other84.__isset;
 }
-ApprovalAnswer& ApprovalAnswer::operator=(const ApprovalAnswer& other79) {
-  ok = other79.ok;
-  approved = other79.approved;
-  error = other79.error;
-  __isset = other79.__isset;
+ApprovalAnswer& ApprovalAnswer::operator=(const ApprovalAnswer& other85) {
+  ok = other85.ok;
+  approved = other85.approved;
+  error = other85.error;
+  __isset = other85.__isset;
   return *this;
 }
-ApprovalAnswer& ApprovalAnswer::operator=(ApprovalAnswer&& other80) noexcept {
-  ok = other80.ok;
-  approved = std::move(other80.approved);
-  error = std::move(other80.error);
-  __isset = other80.__isset;
+ApprovalAnswer& ApprovalAnswer::operator=(ApprovalAnswer&& other86) noexcept {
+  ok = other86.ok;
+  approved = std::move(other86.approved);
+  error = std::move(other86.error);
+  __isset = other86.__isset;
   return *this;
 }
 void ApprovalAnswer::printTo(std::ostream& out) const {
@@ -2054,26 +2074,26 @@
   swap(a.__isset, b.__isset);
 }
 
-UsedWorker::UsedWorker(const UsedWorker& other81) {
-  id = other81.id;
-  address = other81.address;
-  __isset = other81.__isset;
+UsedWorker::UsedWorker(const UsedWorker& other87) {
+  id = other87.id;
+  address = other87.address;
+  __isset = other87.__isset;
 }
-UsedWorker::UsedWorker(UsedWorker&& other82) noexcept {
-  id = std::move(other82.id);
-  address = std::move(other82.address);
-  __isset = other82.__isset;
+UsedWorker::UsedWorker(UsedWorker&& other88) noexcept {
+  id = std::move(other88.id);
+  address = std::move(other88.address);
+  __isset = other88.__isset;
 }
-UsedWorker& UsedWorker::operator=(const UsedWorker& other83) {
-  id = other83.id;
-  address = other83.address;
-  __isset = other83.__isset;
+UsedWorker& UsedWorker::operator=(const UsedWorker& other89) {
+  id = other89.id;
+  address = other89.address;
+  __isset = other89.__isset;
   return *this;
 }
-UsedWorker& UsedWorker::operator=(UsedWorker&& other84) noexcept {
-  id = std::move(other84.id);
-  address = std::move(other84.address);
-  __isset = other84.__isset;
+UsedWorker& UsedWorker::operator=(UsedWorker&& other90) noexcept {
+  id = std::move(other90.id);
+  address = std::move(other90.address);
+  __isset = other90.__isset;
   return *this;
 }
 void UsedWorker::printTo(std::ostream& out) const {
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -321,11 +321,11 @@
 std::ostream& operator<<(std::ostream& out, const Submission& obj);
 
 typedef struct _StepProgress__isset {
-  _StepProgress__isset() : occurrence(false), step(false), succeeded(false), failures(false) {}
+  _StepProgress__isset() : occurrence(false), step(false), succeeded(false), failedRuns(false) {}
   bool occurrence :1;
   bool step :1;
   bool succeeded :1;
-  bool failures :1;
+  bool failedRuns :1;
 } _StepProgress__isset;
 
 class StepProgress : public virtual ::apache::thrift::TBase {
@@ -344,7 +344,7 @@
   int32_t occurrence;
   int32_t step;
   std::vector<int32_t>  succeeded;
-  std::map<int32_t, int32_t>  failures;
+  std::map<int32_t, std::vector<int64_t> >  failedRuns;
 
   _StepProgress__isset __isset;
 
@@ -354,7 +354,7 @@
 
   void __set_succeeded(const std::vector<int32_t> & val);
 
-  void __set_failures(const std::map<int32_t, int32_t> & val);
+  void __set_failedRuns(const std::map<int32_t, std::vector<int64_t> > & val);
 
   bool operator == (const StepProgress & rhs) const
   {
@@ -364,7 +364,7 @@
       return false;
     if (!(succeeded == rhs.succeeded))
       return false;
-    if (!(failures == rhs.failures))
+    if (!(failedRuns == rhs.failedRuns))
       return false;
     return true;
   }
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -44,7 +44,9 @@
   1: i32 occurrence;
   2: i32 step;
   3: list<i32> succeeded;      // task indices
-  4: map<i32, i32> failures;   // by task index
+  // Numbers of the failed runs, by task index. A worker may report their ends again. Of a gang only
+  // task 0 has any: its members fail together.
+  4: map<i32, list<i64>> failedRuns;
 }
 
 enum JobState { Queued = 0, Running = 1, Completed = 2, Failed = 3, Cancelled = 4 }
