Name the intended worker with each call; take a worker whose address another has as gone

Cause: a new scheduler looked at the address of a used worker that had been replaced, took the replacement's runs for the old worker's, and stopped them under their right name.

--- a/src/control/gateways.h
+++ b/src/control/gateways.h
@@ -94,7 +94,7 @@
 {
     int64_t epoch = 0; // fencing token: a worker refuses what comes with less than it has seen
     int64_t leaseUntilMs = 0; // on the worker's clock; 0: the lease is not extended
-    std::string life; // incarnation that is meant; empty: any
+    WorkerId life; // the worker that is meant: another one at its address refuses
 };
 
 struct LookAnswer
@@ -103,8 +103,8 @@
     int64_t workerClockMs = 0;
 };
 
-// Errors of all calls: PermissionDenied if a higher epoch was seen there, Conflict if another life
-// of the worker answered, Unavailable if the call surely was not carried out, OutcomeUnknown.
+// Errors of all calls: PermissionDenied if a higher epoch was seen there, Conflict if another worker
+// has the address, Unavailable if the call surely was not carried out, OutcomeUnknown.
 class WorkerGateway
 {
 public:
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -87,8 +87,7 @@
 {
     WorkerAuthority out;
     out.epoch = m_options.epoch;
-    if (link.reported)
-        out.life = link.entry.id;
+    out.life = link.entry.id;
     if (!extendLease || link.clockAt == Instant::min())
         return out;
     const Instant now = m_clock.now();
@@ -189,8 +188,18 @@
 void WorkerLinks::judgeError(const WorkerId &id, const Error &error)
 {
     if (error.code == ErrorCode::PermissionDenied)
-        m_callbacks.fenced();
-    (void)id;
+        return m_callbacks.fenced();
+    // Another worker has this address now, so this one has ended with all that it ran.
+    Link *link = error.code == ErrorCode::Conflict ? find(id) : nullptr;
+    if (link != nullptr && !link->lost)
+        declareLost(*link, "another worker has its address");
+}
+
+void WorkerLinks::declareLost(Link &link, const std::string &why)
+{
+    link.lost = true;
+    logInfo("worker_lost", "worker=" + link.entry.id + " reason=\"" + why + "\"");
+    m_callbacks.lost(link.entry.id);
 }
 
 void WorkerLinks::enqueue(const WorkerId &id, std::function<void()> call)
@@ -302,11 +311,8 @@
         if (!link.listed && ((link.reported && empty && link.reachable) || link.lost))
             gone.push_back(id);
     }
-    for (const WorkerId &id : lapsed) {
-        m_links.at(id).lost = true;
-        logInfo("worker_lost", "worker=" + id + " reason=\"leases have lapsed\"");
-        m_callbacks.lost(id);
-    }
+    for (const WorkerId &id : lapsed)
+        declareLost(m_links.at(id), "its leases have lapsed");
     for (const WorkerId &id : gone) {
         // Calls in flight end at a link that is gone; their answers no longer matter.
         if (Link &link = m_links.at(id); !link.looking && link.inFlight == 0)
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -32,7 +32,7 @@
         std::function<void(const StartOrder &, StartAnswer)> startAnswered;
         std::function<void(const StopOrder &)> stopConfirmed;
         std::function<void(const WorkerId &, bool)> reachable;
-        std::function<void(const WorkerId &)> lost; // its leases have lapsed
+        std::function<void(const WorkerId &)> lost; // nothing runs there any more
         std::function<void()> fenced; // a worker has seen a higher epoch
         std::function<bool(const WorkerId &)> busy;
         // Position up to which the worker's ends are stored.
@@ -97,6 +97,7 @@
     void enqueue(const WorkerId &id, std::function<void()> call);
     void callEnded(const WorkerId &id);
     void judgeError(const WorkerId &id, const Error &error);
+    void declareLost(Link &link, const std::string &why);
 
     boost::asio::io_context &m_io;
     const Clock &m_clock;
--- a/src/logging/bounded_appender.cc
+++ b/src/logging/bounded_appender.cc
@@ -2,6 +2,7 @@
 
 #include <log4cplus/spi/loggingevent.h>
 
+#include <algorithm>
 #include <chrono>
 #include <fcntl.h>
 #include <unistd.h>
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr Duration RefillInterval{1'000};
+constexpr size_t MaxWriteBytes = 4'000; // below PIPE_BUF, so that a write is not split
 
 } // namespace
 
