Shorten leases and claim the tenure after 1.2 s of silence

Cause: after a change of schedulers, tasks of silent workers waited 8 s for leases of 6 s to lapse, and the change itself took 2 s.

--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -14,10 +14,10 @@
 constexpr Duration TickInterval{100};
 // Between reads of the work topic: the scheduler starts what it reads, others only answer from it.
 constexpr Duration SchedulerGap{20};
-constexpr Duration FollowerGap{200};
+constexpr Duration FollowerGap{150};
 // A scheduler stores something twice a second; after this silence its tenure is claimed.
-constexpr Duration SilenceToClaim{1'600};
-constexpr int64_t ClaimJitterMs = 400;
+constexpr Duration SilenceToClaim{1'200};
+constexpr int64_t ClaimJitterMs = 250;
 constexpr int64_t FirstClaimJitterMs = 120;
 // After an outage of the log the scheduler gets this long to show itself first.
 constexpr Duration GraceAfterOutage{1'200};
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -25,12 +25,12 @@
 constexpr int MaxCallsPerWorker = 6;
 // Leases are asked for this long, or as long as the worker grants. Long enough for a change of
 // schedulers, short enough to restart the tasks of a worker that went silent.
-constexpr Duration WantedLease{6'000};
+constexpr Duration WantedLease{4'500};
 // A worker's clock may be slow by this much.
 constexpr int SlowClockPercent = 3;
 // A scheduler that was replaced may extend leases until it learns of it.
-constexpr Duration FormerSchedulerSlack{1'500};
-constexpr Duration LapseMargin{300};
+constexpr Duration FormerSchedulerSlack{600};
+constexpr Duration LapseMargin{200};
 
 Duration lapseTime(Duration lease)
 {
