--- a/src/control/acceptor.cc
+++ b/src/control/acceptor.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace cardamompaddle {
@@ -12,8 +14,12 @@
 namespace {
 
 constexpr Duration BatchTime{4}; // requests that arrive within it share a call
-constexpr Duration AppendTimeout{700};
-constexpr Duration RetryDelay{100};
+// Of the tries to store a record that has had no answer yet. The first is short: an answer is lost
+// more often than it is late, and storing a record twice changes nothing.
+constexpr std::array<Duration, 3> TryTimeouts = {Duration{350}, Duration{600}, Duration{700}};
+// After a record without an answer to any try, new ones are refused at once for this time.
+constexpr Duration SilenceTime{300};
+constexpr Duration RetryDelay{100}; // after a refusal of the log
 constexpr size_t MostPerBatch = 100;
 
 } // namespace
@@ -74,6 +80,11 @@
 void Acceptor::flush()
 {
     m_flushArmed = false;
+    if (m_clock.now() < m_silentUntil) {
+        std::vector<Entry> refused = std::exchange(m_queue, {});
+        m_inFlight += refused.size();
+        return finish(refused, AcceptOutcome::Refused, "the log gives no answers");
+    }
     while (!m_queue.empty()) {
         const size_t count = std::min(MostPerBatch, m_queue.size());
         const auto end = m_queue.begin() + static_cast<std::ptrdiff_t>(count);
@@ -91,7 +102,8 @@
     request.topic = m_topic;
     for (const Entry &entry : *batch)
         request.records.push_back(entry.record);
-    m_log.append(std::move(request), AppendTimeout,
+    const auto tries = static_cast<size_t>(batch->front().tries);
+    m_log.append(std::move(request), TryTimeouts[std::min(tries, TryTimeouts.size() - 1)],
                  [this, alive = m_alive, batch](const AppendAnswer &answer) {
                      if (*alive)
                          onAppend(batch, answer);
@@ -104,23 +116,27 @@
         return finish(*batch, AcceptOutcome::Accepted, "stored");
     // What surely was not stored is refused at once, so that the caller can go elsewhere. A record
     // that may have been stored is stored again under the same key, which changes nothing.
+    const Instant now = m_clock.now();
     std::vector<Entry> refused;
     std::vector<Entry> unknown;
     auto retry = std::make_shared<std::vector<Entry>>();
-    const Instant next = m_clock.now() + RetryDelay + AppendTimeout;
     for (Entry &entry : *batch) {
-        entry.maybeStored = entry.maybeStored || answer.outcome == AppendOutcome::Unknown;
-        if (!entry.maybeStored)
+        if (answer.outcome != AppendOutcome::Unknown && entry.tries == 0) {
             refused.push_back(std::move(entry));
-        else if (next >= entry.deadline)
-            unknown.push_back(std::move(entry));
-        else
-            retry->push_back(std::move(entry));
+            continue;
+        }
+        ++entry.tries;
+        const bool last = static_cast<size_t>(entry.tries) >= TryTimeouts.size()
+                          || now + TryTimeouts.back() >= entry.deadline;
+        last ? unknown.push_back(std::move(entry)) : retry->push_back(std::move(entry));
     }
+    if (!unknown.empty() && answer.outcome == AppendOutcome::Unknown)
+        m_silentUntil = now + SilenceTime;
     finish(refused, AcceptOutcome::Refused, answer.reason);
     finish(unknown, AcceptOutcome::Unknown, answer.reason);
     if (!retry->empty())
-        later(RetryDelay, [this, retry] { send(retry); });
+        later(answer.outcome == AppendOutcome::Unknown ? Duration::zero() : RetryDelay,
+              [this, retry] { send(retry); });
 }
 
 void Acceptor::finish(std::vector<Entry> &entries, AcceptOutcome outcome, const std::string &reason)
--- a/src/control/acceptor.h
+++ b/src/control/acceptor.h
@@ -37,7 +37,7 @@
     Acceptor &operator=(const Acceptor &) = delete;
 
     // Stores the job; a job of the same id that is known already is Accepted as it is. `done` runs
-    // by `deadline`.
+    // by `deadline`. While the log gives no answers a job is Refused at once, unsent.
     void submit(work::Submission job, Instant deadline, Done done);
     void cancel(const std::string &id, Instant deadline, Done done);
     // Looks a job up; one that is not known here may have been accepted elsewhere a moment ago.
@@ -54,7 +54,7 @@
         std::string id;
         Instant deadline;
         Done done;
-        bool maybeStored = false; // an earlier try had no answer
+        int tries = 0; // without an answer
     };
     using Batch = std::shared_ptr<std::vector<Entry>>;
 
@@ -73,6 +73,7 @@
     std::string m_topic;
     boost::asio::steady_timer m_flushTimer;
     bool m_flushArmed = false;
+    Instant m_silentUntil = Instant::min(); // the log gave no answer; nothing is sent to it before
     std::vector<Entry> m_queue;
     size_t m_inFlight = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
