--- a/src/control/acceptor.cc
+++ b/src/control/acceptor.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace cardamompaddle {
@@ -14,9 +13,14 @@
 namespace {
 
 constexpr Duration BatchTime{4}; // requests that arrive within it share a call
-// Of the tries to store a record that has had no answer yet. The first is short: an answer is lost
-// more often than it is late, and storing a record twice changes nothing.
-constexpr std::array<Duration, 3> TryTimeouts = {Duration{350}, Duration{600}, Duration{700}};
+// The first try to store a record is short: an answer is lost more often than it is late, and
+// storing a record twice changes nothing. A log that is slow for all gets longer.
+constexpr Duration FirstTryTimeout{350};
+constexpr int FirstTryUsualTimes = 3;
+constexpr Duration LaterTryTimeout{700};
+constexpr int MaxTries = 3;
+// More jobs share the next append while these have no answer, so that a slow log is not flooded.
+constexpr int MaxCalls = 2;
 // After a record without an answer to any try, new ones are refused at once for this time.
 constexpr Duration SilenceTime{300};
 constexpr Duration RetryDelay{100}; // after a refusal of the log
@@ -85,7 +89,7 @@
         m_inFlight += refused.size();
         return finish(refused, AcceptOutcome::Refused, "the log gives no answers");
     }
-    while (!m_queue.empty()) {
+    while (!m_queue.empty() && m_calls < MaxCalls) {
         const size_t count = std::min(MostPerBatch, m_queue.size());
         const auto end = m_queue.begin() + static_cast<std::ptrdiff_t>(count);
         auto batch = std::make_shared<std::vector<Entry>>(std::make_move_iterator(m_queue.begin()),
@@ -102,11 +106,21 @@
     request.topic = m_topic;
     for (const Entry &entry : *batch)
         request.records.push_back(entry.record);
-    const auto tries = static_cast<size_t>(batch->front().tries);
-    m_log.append(std::move(request), TryTimeouts[std::min(tries, TryTimeouts.size() - 1)],
-                 [this, alive = m_alive, batch](const AppendAnswer &answer) {
-                     if (*alive)
-                         onAppend(batch, answer);
+    ++m_calls;
+    const Instant sentAt = m_clock.now();
+    const Duration timeout = batch->front().tries > 0
+                                 ? LaterTryTimeout
+                                 : std::clamp(m_usualTime * FirstTryUsualTimes, FirstTryTimeout,
+                                              LaterTryTimeout);
+    m_log.append(std::move(request), timeout,
+                 [this, alive = m_alive, batch, sentAt](const AppendAnswer &answer) {
+                     if (!*alive)
+                         return;
+                     --m_calls;
+                     m_usualTime = (m_usualTime * 3 + (m_clock.now() - sentAt)) / 4;
+                     onAppend(batch, answer);
+                     if (!m_queue.empty() && !m_flushArmed)
+                         flush();
                  });
 }
 
@@ -126,8 +140,8 @@
             continue;
         }
         ++entry.tries;
-        const bool last = static_cast<size_t>(entry.tries) >= TryTimeouts.size()
-                          || now + TryTimeouts.back() >= entry.deadline;
+        const bool last =
+            entry.tries >= MaxTries || now + LaterTryTimeout >= entry.deadline;
         last ? unknown.push_back(std::move(entry)) : retry->push_back(std::move(entry));
     }
     if (!unknown.empty() && answer.outcome == AppendOutcome::Unknown)
--- a/src/control/acceptor.h
+++ b/src/control/acceptor.h
@@ -75,7 +75,9 @@
     bool m_flushArmed = false;
     Instant m_silentUntil = Instant::min(); // the log gave no answer; nothing is sent to it before
     std::vector<Entry> m_queue;
-    size_t m_inFlight = 0;
+    size_t m_inFlight = 0; // records
+    int m_calls = 0; // appends in flight
+    Duration m_usualTime{0}; // of an append, smoothed
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
