Let the lease of a silent worker lapse

Cause: each look without an answer moved the time by which leases have surely lapsed, so the tasks of a silent worker never came free, and workers that had left stayed in use for the next scheduler.

--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -120,7 +120,9 @@
     if (!link->reported || !link->reachable || link->awaitsAck)
         wait = Duration::zero();
     link->looking = true;
-    m_gateway.look(link->entry, authority(*link, true), m_callbacks.storedEnds(id), wait,
+    // A look without an answer may still extend the lease. While the worker is silent none is asked
+    // for, so that it lapses.
+    m_gateway.look(link->entry, authority(*link, link->reachable), m_callbacks.storedEnds(id), wait,
                    wait + LookTimeout, now,
                    [this, alive = m_alive, id, now](Result<LookAnswer> answer) {
                        if (*alive)
