Restart long-running tasks however they end, and pace from the first report on

Cause: a success of a long-running task completed it; and the time of the last change of a pace began at the lowest instant, whose distance to the present overflows, so that nothing was ever paced. Both found by DispatcherTest (RestartsALongRunningTaskThatEndedWithSuccess, SlowsIdleCpuTasksWhileATaskBesideThemMissesItsTarget), which failed before.

--- a/src/dispatch/dispatcher_workers.cc
+++ b/src/dispatch/dispatcher_workers.cc
@@ -210,7 +210,8 @@
               + " outcome=" + std::string(runOutcomeName(outcome))
               + " ran_ms=" + std::to_string((now - attempt.orderedAt).count()));
     const bool wasFinal = step.job->isFinal();
-    if (outcome == RunOutcome::Succeeded) {
+    // A long-running task runs until its job is cancelled, however its runs end.
+    if (outcome == RunOutcome::Succeeded && !step.spec->longRunning) {
         detach(attempt);
         if (!wasFinal)
             taskSucceeded(step, index, now);
@@ -305,7 +306,7 @@
     task.lastRun = std::max(task.lastRun, end.run);
     if (!end.checkpoint.empty() && !task.attempt)
         task.checkpoint = end.checkpoint;
-    if (end.outcome == RunOutcome::Succeeded) {
+    if (end.outcome == RunOutcome::Succeeded && !step->spec->longRunning) {
         if (task.attempt)
             requestStop(*task.attempt, now);
         taskSucceeded(*step, end.task.index, now);
@@ -404,7 +405,8 @@
             worst =
                 std::max(worst, static_cast<double>(attempt->gauge) / static_cast<double>(target));
     }
-    if (now - worker.pacedAt < PaceInterval || (worst < PaceDownFrom && worst >= PaceUpBelow))
+    const bool recent = worker.pacedAt && now - *worker.pacedAt < PaceInterval;
+    if (recent || (worst < PaceDownFrom && worst >= PaceUpBelow))
         return;
     for (Attempt *attempt : worker.attempts) {
         if (!attempt->step->spec->usesIdleCpu || attempt->phase != AttemptPhase::Running)
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -126,7 +127,7 @@
     int32_t avoidances = 0;
     Instant avoidUntil = Instant::min();
     double slowness = 1; // run time against the estimate, smoothed; 1: as the others
-    Instant pacedAt = Instant::min();
+    std::optional<Instant> pacedAt; // last change of a pace
 };
 
 } // namespace cardamompaddle::dispatch
