--- /dev/null
+++ b/src/logging/bounded_appender_test.cc
@@ -0,0 +1,81 @@
+#include "logging/bounded_appender.h"
+
+#include <gtest/gtest.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace cardamompaddle {
+namespace {
+
+class BoundedAppenderTest : public ::testing::Test
+{
+protected:
+    BoundedAppenderTest() { EXPECT_EQ(::pipe2(m_pipe, O_NONBLOCK), 0); }
+    ~BoundedAppenderTest() override
+    {
+        ::close(m_pipe[0]);
+        ::close(m_pipe[1]);
+    }
+    void log(BoundedAppender &appender, const std::string &message)
+    {
+        appender.doAppend(log4cplus::spi::InternalLoggingEvent("test", log4cplus::INFO_LOG_LEVEL,
+                                                               message, __FILE__, __LINE__));
+    }
+    std::string read()
+    {
+        std::string out(1 << 20, '\0');
+        const auto count = ::read(m_pipe[0], out.data(), out.size());
+        out.resize(count > 0 ? static_cast<size_t>(count) : 0);
+        return out;
+    }
+
+    int m_pipe[2] = {-1, -1};
+    Instant m_now = instantFromMs(10'000);
+};
+
+TEST_F(BoundedAppenderTest, WritesWholeLinesWithTheInstance)
+{
+    BoundedAppender appender({m_pipe[1], 1 << 16, 1 << 16, "n1"});
+    log(appender, "event=started zone=z");
+    appender.flush(m_now);
+    const std::string text = read();
+    EXPECT_NE(text.find("level=INFO instance=n1 event=started zone=z\n"), std::string::npos);
+}
+
+// Guards against a process that stands still because nobody reads its output.
+TEST_F(BoundedAppenderTest, NeverBlocksOnAFullPipeAndTellsWhatItDropped)
+{
+    BoundedAppender appender({m_pipe[1], 8'000, 1 << 30, "n1"});
+    for (int i = 0; i < 20'000; ++i) {
+        log(appender, "event=line number=" + std::to_string(i));
+        appender.flush(m_now);
+    }
+    EXPECT_GT(appender.droppedLines(), 0U);
+    read();
+    appender.flush(m_now + Duration(2'000));
+    std::string text;
+    for (std::string part = read(); !part.empty(); part = read()) {
+        text += part;
+        appender.flush(m_now + Duration(2'000));
+        if (part.size() < 100)
+            break;
+    }
+    EXPECT_NE(text.find("event=log_dropped lines="), std::string::npos);
+}
+
+TEST_F(BoundedAppenderTest, BoundsTheVolumeOfASecond)
+{
+    BoundedAppender appender({m_pipe[1], 1 << 20, 1'000, "n1"});
+    appender.flush(m_now);
+    for (int i = 0; i < 100; ++i)
+        log(appender, "event=line number=" + std::to_string(i));
+    appender.flush(m_now + Duration(10));
+    EXPECT_LE(read().size(), 1'000U);
+    EXPECT_GT(appender.droppedLines(), 50U);
+}
+
+} // namespace
+} // namespace cardamompaddle
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -335,5 +335,37 @@
     EXPECT_EQ(HttpServer::create({.address = taken}, handler).error().code, ErrorCode::Unavailable);
 }
 
+// Guards against a server that needs threads of its own where the caller runs one event loop.
+TEST(HttpServerOnLoopTest, ServesOnTheCallersEventLoopWithRetryAfter)
+{
+    boost::asio::io_context io;
+    HttpServerOptions options;
+    options.address = "127.0.0.1:0";
+    const auto thread = std::this_thread::get_id();
+    auto server =
+        HttpServer::create(io, options, [&](const HttpRequest &, const HttpRespond &done) {
+            EXPECT_EQ(std::this_thread::get_id(), thread);
+            HttpResponse response;
+            response.status = 503;
+            response.retryAfter = Duration(1'200);
+            done(response);
+        });
+    ASSERT_TRUE(server);
+    boost::asio::ip::tcp::socket socket(io);
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), (*server)->port()});
+    const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(request));
+    std::string answer(4'096, '\0');
+    size_t received = 0;
+    socket.async_read_some(boost::asio::buffer(answer),
+                           [&received](const auto &, size_t count) { received = count; });
+    for (int i = 0; i < 400 && received == 0; ++i)
+        io.run_one_for(std::chrono::milliseconds(5));
+    answer.resize(received);
+    EXPECT_EQ(answer.rfind("HTTP/1.1 503", 0), 0U) << answer;
+    EXPECT_NE(answer.find("Retry-After: 2"), std::string::npos) << answer;
+    (*server)->stopAccepting();
+}
+
 } // namespace
 } // namespace cardamompaddle
