--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr Duration TickInterval{100};
-// Between reads of the work topic: the scheduler starts what it reads, others only answer from it.
+// Between reads of jobs: the scheduler starts what it reads, others only answer from it.
 constexpr Duration SchedulerGap{20};
 constexpr Duration FollowerGap{150};
 // A scheduler stores something twice a second; after this silence its tenure is claimed.
@@ -21,7 +21,7 @@
 constexpr int64_t FirstClaimJitterMs = 120;
 // After an outage of the log the scheduler gets this long to show itself first.
 constexpr Duration GraceAfterOutage{1'200};
-constexpr Duration ClaimTimeout{900};
+constexpr Duration ClaimTimeout{1'500};
 constexpr Duration ReadBackRetry{100};
 constexpr int64_t FirstSequenceAfterClaim = 1;
 constexpr Duration AnnounceTimeout{900};
@@ -51,6 +51,14 @@
     m_work = std::make_unique<LogFollower>(
         scheduler.io, scheduler.clock, scheduler.log,
         LogFollowerOptions{scheduler.workTopic, Duration{2'000}, FollowerGap}, std::move(work));
+    LogFollower::Callbacks jobs;
+    jobs.record = [this](const KeyedRecord &record) { onWorkRecord(record); };
+    jobs.availability = [](bool lost, const std::string &reason) {
+        logWarn(lost ? "jobs_lost" : "jobs_back", "reason=\"" + reason + "\"");
+    };
+    m_jobs = std::make_unique<LogFollower>(
+        scheduler.io, scheduler.clock, scheduler.log,
+        LogFollowerOptions{scheduler.jobsTopic, Duration{2'000}, FollowerGap}, std::move(jobs));
     LogFollower::Callbacks operators;
     operators.record = [this](const KeyedRecord &record) { onOperatorRecord(record); };
     operators.loaded = [this](const std::set<std::string> &keys) { onOperatorsLoaded(keys); };
@@ -62,7 +70,7 @@
         LogFollowerOptions{m_context.operatorTopic, Duration{2'000}, Duration::zero()},
         std::move(operators));
     m_acceptor = std::make_unique<Acceptor>(scheduler.io, scheduler.clock, scheduler.log, m_book,
-                                            *m_work, scheduler.workTopic);
+                                            *m_jobs, scheduler.jobsTopic);
 }
 
 Instance::~Instance()
@@ -74,20 +82,21 @@
 {
     m_patience = Duration(static_cast<int64_t>(m_random() % FirstClaimJitterMs));
     m_operators->start();
+    m_jobs->start();
     m_work->start();
     tick();
 }
 
 bool Instance::current() const
 {
-    return m_work->loaded()
-           && m_context.scheduler.clock.now() - m_work->currentAsOf() <= CurrentFor;
+    const Instant now = m_context.scheduler.clock.now();
+    return m_jobs->loaded() && now - m_jobs->currentAsOf() <= CurrentFor;
 }
 
 bool Instance::ready() const
 {
     const Instant now = m_context.scheduler.clock.now();
-    return !m_stopping && m_catalog && m_work->loaded() && now - m_work->currentAsOf() <= ReadyFor
+    return !m_stopping && m_catalog && m_jobs->loaded() && now - m_jobs->currentAsOf() <= ReadyFor
            && now - m_operators->currentAsOf() <= ReadyFor;
 }
 
@@ -256,24 +265,39 @@
 }
 
 // The log answers an equal epoch and sequence of another claimant with the first one's answer. Only
-// the record that is read back tells who holds the tenure.
+// the record that is read back tells who holds the tenure. The jobs are read too: a run or an end
+// of a job that is not known would be taken for one that nobody wants.
 void Instance::readClaimBack(const work::Tenure &tenure)
 {
-    m_work->refresh([this, alive = m_alive, tenure](bool current) {
+    m_work->refresh([this, alive = m_alive, tenure](bool workCurrent) {
         if (!*alive)
             return;
-        if (!current && !m_stopping) {
-            m_claimTimer.expires_after(ReadBackRetry);
-            m_claimTimer.async_wait([this, alive, tenure](const boost::system::error_code &ec) {
-                if (!ec && *alive)
-                    readClaimBack(tenure);
-            });
+        if (!workCurrent)
+            return retryReadBack(tenure);
+        if (m_book.tenure() != tenure) {
+            m_claiming = false;
             return;
         }
-        m_claiming = false;
-        if (m_book.tenure() != tenure || m_stopping)
-            return;
-        beginScheduling(tenure);
+        m_jobs->refresh([this, alive, tenure](bool jobsCurrent) {
+            if (!*alive)
+                return;
+            if (!jobsCurrent)
+                return retryReadBack(tenure);
+            m_claiming = false;
+            if (m_book.tenure() == tenure && !m_stopping)
+                beginScheduling(tenure);
+        });
+    });
+}
+
+void Instance::retryReadBack(const work::Tenure &tenure)
+{
+    if (m_stopping)
+        return;
+    m_claimTimer.expires_after(ReadBackRetry);
+    m_claimTimer.async_wait([this, alive = m_alive, tenure](const boost::system::error_code &ec) {
+        if (!ec && *alive)
+            readClaimBack(tenure);
     });
 }
 
@@ -284,7 +308,7 @@
     options.maxLease = m_options.maxLease;
     options.remoteFactor = m_options.remoteFactor;
     options.keepFinal = m_options.keepFinal;
-    m_work->setGap(SchedulerGap);
+    m_jobs->setGap(SchedulerGap);
     m_scheduler =
         std::make_unique<Scheduler>(m_context.scheduler, options, FirstSequenceAfterClaim,
                                     [this](const std::string &reason) { deposed(reason); });
@@ -297,7 +321,7 @@
 {
     logWarn("tenure_lost", "reason=\"" + reason + "\"");
     m_scheduler.reset();
-    m_work->setGap(FollowerGap);
+    m_jobs->setGap(FollowerGap);
     m_activityAt = m_context.scheduler.clock.now();
 }
 
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -79,6 +79,7 @@
     void claim();
     void onClaimed(const work::Tenure &tenure, const AppendAnswer &answer);
     void readClaimBack(const work::Tenure &tenure);
+    void retryReadBack(const work::Tenure &tenure);
     void beginScheduling(const work::Tenure &tenure);
     void deposed(const std::string &reason);
     void tick();
@@ -88,6 +89,7 @@
     InstanceOptions m_options;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     std::unique_ptr<LogFollower> m_work;
+    std::unique_ptr<LogFollower> m_jobs;
     std::unique_ptr<LogFollower> m_operators;
     std::unique_ptr<Acceptor> m_acceptor;
     std::unique_ptr<Scheduler> m_scheduler;
--- a/src/control/instance_test.cc
+++ b/src/control/instance_test.cc
@@ -17,6 +17,7 @@
 using testing::TestWorkers;
 
 constexpr const char *WorkTopic = "work";
+constexpr const char *JobsTopic = "jobs";
 constexpr const char *RegistryTopic = "registry";
 constexpr const char *OperatorTopic = "operators";
 
@@ -81,8 +82,8 @@
                 SchedulerContext context{
                     m_io,          m_clock,     [] { return int64_t{1'000'000}; },
                     *node.log,     m_workers,   m_policy,
-                    m_policy,      book,        WorkTopic,
-                    RegistryTopic, decodeWorker};
+                    m_policy,      book,        WorkTopic, JobsTopic,
+                                         RegistryTopic, decodeWorker};
                 return InstanceContext{std::move(context), OperatorTopic, decodeOperators};
             },
             options);
@@ -277,6 +278,28 @@
     EXPECT_EQ(schedulers(), 1);
 }
 
+// Found on a hunted day of kbg-fitting: a scheduler that could not read the jobs yet acknowledged the
+// end of a job that it did not know, and the task was started again.
+TEST_F(InstanceTest, ATakeoverWaitsUntilTheJobsAreRead)
+{
+    addNode("a");
+    Node &b = addNode("b");
+    ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+    Node &former = scheduler();
+    Node &next = former.instance == b.instance ? m_nodes["a"] : b;
+    next.log->deafTopic = JobsTopic;
+    runFor(Duration(100));
+    ASSERT_EQ(submit(former, "job", 1), AcceptOutcome::Accepted);
+    ASSERT_TRUE(runUntil([this] { return m_workers.runningCount() == 1; }));
+    former.instance.reset();
+    m_workers.endAll(RunOutcome::Succeeded);
+    runFor(Duration(2'500));
+    EXPECT_EQ(schedulers(), 0);
+    next.log->deafTopic.clear();
+    EXPECT_TRUE(reached(next, "job", work::JobState::Completed));
+    EXPECT_EQ(m_workers.starts, 1);
+}
+
 TEST_F(InstanceTest, APlannedStopHandsOverFast)
 {
     addNode("a");
--- a/src/control/job_book.cc
+++ b/src/control/job_book.cc
@@ -95,12 +95,22 @@
                                           const std::string &id)
 {
     if (record.removed) {
-        // A scheduler drops the records of a final job together, the submission last.
+        // A job is dropped with its submission; what else is stored of it follows.
         const auto it = m_entries.find(id);
-        if (kind == "job" && it != m_entries.end()) {
-            countWaiting(it->second, -1);
+        if (it == m_entries.end())
+            return Change::None;
+        countWaiting(it->second, -1);
+        if (kind == "job")
+            it->second.submission.reset();
+        else if (kind == "cancel")
+            it->second.cancelled = false;
+        else
+            it->second.progress.reset();
+        const bool empty = !it->second.submission && !it->second.cancelled && !it->second.progress;
+        if (empty)
             m_entries.erase(it);
-        }
+        else
+            countWaiting(it->second, 1);
         return Change::None;
     }
     JobEntry &entry = m_entries[id];
--- a/src/control/log_follower.cc
+++ b/src/control/log_follower.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Beside the time that the log holds a read.
-constexpr Duration AnswerTimeout{1'200};
+constexpr Duration AnswerTimeout{1'500};
 constexpr Duration RetryDelay{150};
 
 } // namespace
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -20,8 +20,10 @@
 constexpr Duration TickInterval{250};
 constexpr Duration HeartbeatInterval{400}; // without other appends
 constexpr Duration RegistryGap{300};
-constexpr size_t MaxRecordsPerBatch = 400;
-constexpr size_t MaxRemovalsPerBatch = 60;
+constexpr Duration ForgetInterval{2'000};
+constexpr size_t MaxRemovals = 200; // jobs dropped at a time
+// A scheduler that was replaced learns of it within this time.
+constexpr Duration FormerSchedulerTime{1'000};
 constexpr const char *WriterName = "scheduler";
 
 } // namespace
@@ -37,7 +39,7 @@
       m_passTimer(m_context.io), m_eventTimer(m_context.io), m_flushTimer(m_context.io),
       m_tickTimer(m_context.io), m_sequence(nextSequence), m_releaseTimer(m_context.io)
 {
-    m_storedAt = m_context.clock.now();
+    m_beganAt = m_storedAt = m_forgotAt = m_context.clock.now();
     WorkerLinks::Callbacks links;
     links.report = [this](const WorkerId &id, const RunReport &report) { onReport(id, report); };
     links.startAnswered = [this](const StartOrder &order, StartAnswer answer) {
@@ -128,7 +130,9 @@
     if (entry == nullptr)
         return;
     if (change == JobBook::Change::Submitted && entry->state() < work::JobState::Completed) {
-        m_dispatcher.addJob(entry->submission, entry->progress.get(), false, now);
+        // The former scheduler may have read it too before it was fenced.
+        const bool mayRunAlready = !m_allKnown && now - m_beganAt < FormerSchedulerTime;
+        m_dispatcher.addJob(entry->submission, entry->progress.get(), mayRunAlready, now);
         schedulePass();
     } else if (change == JobBook::Change::Cancelled) {
         m_dispatcher.cancelJob(id, now);
@@ -288,7 +292,7 @@
     for (const work::Progress &progress : m_dispatcher.takeProgress())
         request.records.push_back(
             {work_key::progress(progress.id), encodeRecord(progress), false, 0});
-    addHousekeeping(request.records);
+    addWorkerRecords(request.records);
     const Instant now = m_context.clock.now();
     if (request.records.empty() && now - m_storedAt < HeartbeatInterval && !m_released) {
         // Nothing to store: the ends concern no task any more.
@@ -307,7 +311,7 @@
     sendBatch();
 }
 
-void Scheduler::addHousekeeping(std::vector<KeyedRecord> &records)
+void Scheduler::addWorkerRecords(std::vector<KeyedRecord> &records)
 {
     for (const WorkerId &id : m_unusedToStore) {
         records.push_back({work_key::usedWorker(id), "", true, 0});
@@ -321,14 +325,39 @@
         used.address = m_links->address(id);
         records.push_back({work_key::usedWorker(id), encodeRecord(used), false, 0});
     }
+}
+
+// Drops the records of jobs that ended so long ago that nobody asks for them. Lost answers do not
+// matter: what is still there is dropped the next time.
+void Scheduler::forgetOldJobs()
+{
+    const Instant now = m_context.clock.now();
+    if (now - m_forgotAt < ForgetInterval)
+        return;
+    m_forgotAt = now;
     const int64_t before = m_context.unixClock() - m_options.keepFinal.count();
-    for (const std::string &id : m_context.book.finalBefore(before, MaxRemovalsPerBatch)) {
-        if (records.size() >= MaxRecordsPerBatch)
-            break;
-        for (const std::string &key :
-             {work_key::progress(id), work_key::cancel(id), work_key::job(id)})
-            records.push_back({key, "", true, 0});
+    AppendRequest work;
+    AppendRequest jobs;
+    work.topic = m_context.workTopic;
+    jobs.topic = m_context.jobsTopic;
+    for (const std::string &id : m_context.book.finalBefore(before, MaxRemovals)) {
+        work.records.push_back({work_key::progress(id), "", true, 0});
+        jobs.records.push_back({work_key::cancel(id), "", true, 0});
+        jobs.records.push_back({work_key::job(id), "", true, 0});
     }
+    if (jobs.records.empty())
+        return;
+    // The submission goes first: a job without progress must not look as if it had never run.
+    m_context.log.append(
+        std::move(jobs), AppendTimeout,
+        [this, alive = m_alive, work](const AppendAnswer &answer) {
+            if (!*alive || answer.outcome != AppendOutcome::Stored)
+                return;
+            m_context.log.append(work, AppendTimeout, [](const AppendAnswer &removed) {
+                if (removed.outcome != AppendOutcome::Stored)
+                    logWarn("forget_failed", "reason=\"" + removed.reason + "\"");
+            });
+        });
 }
 
 void Scheduler::sendBatch()
@@ -377,6 +406,7 @@
 {
     const Instant now = m_context.clock.now();
     m_links->tick();
+    forgetOldJobs();
     if (!m_allKnown)
         judgeAllKnown();
     for (const WorkerId &id : m_usedStored) {
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -38,7 +38,8 @@
     PolicyGateway &policy;
     PeerGateway &peers;
     const JobBook &book;
-    std::string workTopic;
+    std::string workTopic; // of the scheduler: tenure, members, workers in use, progress
+    std::string jobsTopic; // of callers: jobs and cancels
     std::string registryTopic;
     // Reads an entry of the registry. Errors: InvalidArgument for one that names no worker to use.
     std::function<Result<WorkerEntry>(const KeyedRecord &)> decodeWorker;
@@ -85,7 +86,8 @@
     void flush();
     void sendBatch();
     void onStored(const AppendAnswer &answer);
-    void addHousekeeping(std::vector<KeyedRecord> &records);
+    void addWorkerRecords(std::vector<KeyedRecord> &records);
+    void forgetOldJobs();
     void tick();
     void finishRelease();
     void depose(const std::string &reason);
@@ -100,6 +102,8 @@
     std::unique_ptr<LogFollower> m_registry;
 
     std::set<WorkerId> m_adoptable; // workers that an earlier scheduler used; not settled yet
+    Instant m_beganAt;
+    Instant m_forgotAt; // the last removal of old jobs
     bool m_registryLoaded = false;
     bool m_allKnown = false;
     std::set<WorkerId> m_usedStored; // workers whose use is stored: they may get starts
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -97,7 +97,7 @@
     void read(const std::string &topic, int64_t from, Duration wait, Duration timeout,
               ReadDone done) override
     {
-        if (silent || refuses)
+        if (silent || refuses || topic == deafTopic)
             return later(silent ? timeout : Duration(1), [done] {
                 done(Error{ErrorCode::Unavailable, "no log"});
             });
@@ -132,6 +132,7 @@
     bool silent = false; // calls get no answer
     bool applyWhileSilent = false; // appends are carried out all the same
     bool refuses = false;
+    std::string deafTopic; // reads of it fail
     int appendCalls = 0;
 
 private:
