Take an idle read as proof up to the end of its wait

Cause: the age of what is known was counted from the start of a read, so it reached 4 s while nobody wrote, and instances left the rotation by turns.

--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -196,6 +196,17 @@
 void Instance::tick()
 {
     judgeTenure();
+    if (const bool now = ready(); now != m_wasReady) {
+        m_wasReady = now;
+        const Instant present = m_context.scheduler.clock.now();
+        const auto age = [present](const LogFollower &follower) {
+            return follower.loaded()
+                       ? std::to_string((present - follower.currentAsOf()).count())
+                       : std::string("none");
+        };
+        logInfo(now ? "ready" : "not_ready",
+                "jobs_age_ms=" + age(*m_jobs) + " configuration_age_ms=" + age(*m_operators));
+    }
     m_tickTimer.expires_after(TickInterval);
     m_tickTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
         if (!ec && *alive)
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -103,6 +103,7 @@
     bool m_claiming = false;
     bool m_announcing = false;
     bool m_stopping = false;
+    bool m_wasReady = false;
 };
 
 } // namespace cardamompaddle
--- a/src/control/instance_test.cc
+++ b/src/control/instance_test.cc
@@ -437,6 +437,16 @@
     EXPECT_TRUE(runUntil([&] { return node.instance->ready(); }));
 }
 
+// Found on scale-2: while nobody wrote, the age of what is known passed the bound between two reads,
+// and all instances left the rotation by turns.
+TEST_F(InstanceTest, StaysReadyWhileNobodyWrites)
+{
+    Node &node = addNode("a");
+    ASSERT_TRUE(runUntil([&] { return node.instance->ready(); }));
+    EXPECT_FALSE(runUntil([&] { return !node.instance->ready() || !node.instance->current(); },
+                          Duration(5'000)));
+}
+
 TEST_F(InstanceTest, AllInstancesLostLoseNoAcceptedJob)
 {
     addNode("a");
--- a/src/control/log_follower.cc
+++ b/src/control/log_follower.cc
@@ -1,5 +1,6 @@
 #include "control/log_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cardamompaddle {
@@ -118,8 +119,9 @@
         failed(slice.error());
         return again(RetryDelay, [this] { read(); });
     }
-    succeeded(askedAt);
     const bool any = !slice->records.empty();
+    // A read that waited in vain proves that nothing came until its wait was over.
+    succeeded(any ? askedAt : std::min(askedAt + m_options.readWait, m_clock.now()));
     take(slice->records);
     if (any && m_callbacks.batch)
         m_callbacks.batch();
