--- a/src/control/acceptor.cc
+++ b/src/control/acceptor.cc
@@ -29,9 +29,10 @@
 } // namespace
 
 Acceptor::Acceptor(boost::asio::io_context &io, const Clock &clock, KeyedLog &log,
-                   const JobBook &book, LogFollower &follower, std::string topic)
+                   const JobBook &book, LogFollower &follower, std::string topic,
+                   std::function<void()> stored)
     : m_io(io), m_clock(clock), m_log(log), m_book(book), m_follower(follower),
-      m_topic(std::move(topic)), m_flushTimer(io)
+      m_topic(std::move(topic)), m_stored(std::move(stored)), m_flushTimer(io)
 { }
 
 Acceptor::~Acceptor()
@@ -126,8 +127,10 @@
 
 void Acceptor::onAppend(const Batch &batch, const AppendAnswer &answer)
 {
-    if (answer.outcome == AppendOutcome::Stored)
+    if (answer.outcome == AppendOutcome::Stored) {
+        m_stored();
         return finish(*batch, AcceptOutcome::Accepted, "stored");
+    }
     // What surely was not stored is refused at once, so that the caller can go elsewhere. A record
     // that may have been stored is stored again under the same key, which changes nothing.
     const Instant now = m_clock.now();
--- a/src/control/acceptor.h
+++ b/src/control/acceptor.h
@@ -29,9 +29,10 @@
 public:
     using Done = std::function<void(AcceptOutcome, const std::string &reason)>;
 
-    // All arguments must outlive the acceptor. `topic`: where jobs are kept.
+    // All arguments must outlive the acceptor. `topic`: where jobs are kept. `stored` runs after
+    // records were stored.
     Acceptor(boost::asio::io_context &io, const Clock &clock, KeyedLog &log, const JobBook &book,
-             LogFollower &follower, std::string topic);
+             LogFollower &follower, std::string topic, std::function<void()> stored);
     ~Acceptor();
     Acceptor(const Acceptor &) = delete;
     Acceptor &operator=(const Acceptor &) = delete;
@@ -71,6 +72,7 @@
     const JobBook &m_book;
     LogFollower &m_follower;
     std::string m_topic;
+    std::function<void()> m_stored;
     boost::asio::steady_timer m_flushTimer;
     bool m_flushArmed = false;
     Instant m_silentUntil = Instant::min(); // the log gave no answer; nothing is sent to it before
--- a/src/control/gateways.h
+++ b/src/control/gateways.h
@@ -146,6 +146,9 @@
     virtual ~PeerGateway() = default;
     virtual void approve(const std::string &address, const work::ApprovalRequest &request,
                          Duration timeout, Done done) = 0;
+    // Tells the scheduler that jobs were stored, so that it reads them at once. Only a hint: it
+    // finds them by itself too, later.
+    virtual void jobsStored(const std::string &address) = 0;
 };
 
 } // namespace cardamompaddle
--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr Duration TickInterval{100};
-// Between reads of jobs: the scheduler starts what it reads, others only answer from it.
-constexpr Duration SchedulerGap{20};
+// Between reads of jobs. The scheduler is told of new ones besides.
+constexpr Duration SchedulerGap{100};
 constexpr Duration FollowerGap{150};
 // A scheduler stores something twice a second; after this silence its tenure is claimed.
 constexpr Duration SilenceToClaim{1'200};
@@ -69,8 +69,9 @@
         scheduler.io, scheduler.clock, scheduler.log,
         LogFollowerOptions{m_context.operatorTopic, Duration{2'000}, Duration::zero()},
         std::move(operators));
-    m_acceptor = std::make_unique<Acceptor>(scheduler.io, scheduler.clock, scheduler.log, m_book,
-                                            *m_jobs, scheduler.jobsTopic);
+    m_acceptor =
+        std::make_unique<Acceptor>(scheduler.io, scheduler.clock, scheduler.log, m_book, *m_jobs,
+                                   scheduler.jobsTopic, [this] { tellScheduler(); });
 }
 
 Instance::~Instance()
@@ -193,6 +194,21 @@
         });
 }
 
+void Instance::jobsStored()
+{
+    if (m_scheduler)
+        m_jobs->refresh([](bool) {});
+}
+
+void Instance::tellScheduler()
+{
+    const work::Tenure &tenure = m_book.tenure();
+    if (m_scheduler)
+        jobsStored();
+    else if (tenure.epoch > 0 && !tenure.released)
+        m_context.scheduler.peers.jobsStored(tenure.address);
+}
+
 void Instance::tick()
 {
     judgeTenure();
@@ -200,9 +216,8 @@
         m_wasReady = now;
         const Instant present = m_context.scheduler.clock.now();
         const auto age = [present](const LogFollower &follower) {
-            return follower.loaded()
-                       ? std::to_string((present - follower.currentAsOf()).count())
-                       : std::string("none");
+            return follower.loaded() ? std::to_string((present - follower.currentAsOf()).count())
+                                     : std::string("none");
         };
         logInfo(now ? "ready" : "not_ready",
                 "jobs_age_ms=" + age(*m_jobs) + " configuration_age_ms=" + age(*m_operators));
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -65,6 +65,8 @@
     // Consults the policy service for the scheduler.
     void approve(const work::ApprovalRequest &request,
                  std::function<void(work::ApprovalAnswer)> done);
+    // Some instance has stored jobs: the scheduler reads them at once.
+    void jobsStored();
     // Refuses new connections, gives the tenure up, and calls `done` when nothing is left to do.
     void stop(std::function<void()> done);
     bool schedules() const { return m_scheduler != nullptr; }
@@ -75,6 +77,7 @@
     void onOperatorsLoaded(const std::set<std::string> &keys);
     void applyZones();
     void announce();
+    void tellScheduler();
     void judgeTenure();
     void claim();
     void onClaimed(const work::Tenure &tenure, const AppendAnswer &answer);
--- a/src/control/instance_test.cc
+++ b/src/control/instance_test.cc
@@ -80,10 +80,10 @@
         node.instance = std::make_unique<Instance>(
             [this, &node](const JobBook &book) {
                 SchedulerContext context{
-                    m_io,          m_clock,     [] { return int64_t{1'000'000}; },
-                    *node.log,     m_workers,   m_policy,
-                    m_policy,      book,        WorkTopic, JobsTopic,
-                                         RegistryTopic, decodeWorker};
+                    m_io,      m_clock,       [] { return int64_t{1'000'000}; },
+                    *node.log, m_workers,     m_policy,
+                    m_policy,  book,          WorkTopic,
+                    JobsTopic, RegistryTopic, decodeWorker};
                 return InstanceContext{std::move(context), OperatorTopic, decodeOperators};
             },
             options);
@@ -278,8 +278,8 @@
     EXPECT_EQ(schedulers(), 1);
 }
 
-// Found on a hunted day of kbg-fitting: a scheduler that could not read the jobs yet acknowledged the
-// end of a job that it did not know, and the task was started again.
+// Found on a hunted day of kbg-fitting: a scheduler that could not read the jobs yet acknowledged
+// the end of a job that it did not know, and the task was started again.
 TEST_F(InstanceTest, ATakeoverWaitsUntilTheJobsAreRead)
 {
     addNode("a");
@@ -437,8 +437,8 @@
     EXPECT_TRUE(runUntil([&] { return node.instance->ready(); }));
 }
 
-// Found on scale-2: while nobody wrote, the age of what is known passed the bound between two reads,
-// and all instances left the rotation by turns.
+// Found on scale-2: while nobody wrote, the age of what is known passed the bound between two
+// reads, and all instances left the rotation by turns.
 TEST_F(InstanceTest, StaysReadyWhileNobodyWrites)
 {
     Node &node = addNode("a");
--- a/src/control/peer_http.cc
+++ b/src/control/peer_http.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr const char *ApprovePath = "/peer/approve";
+constexpr const char *JobsStoredPath = "/peer/jobs-stored";
+constexpr Duration HintTimeout{1'000};
 constexpr const char *ThriftType = "application/vnd.apache.thrift.compact";
 
 } // namespace
@@ -28,21 +30,33 @@
                    {{"Content-Type", ThriftType}});
 }
 
-HttpHandler makePeerHandler(ApproveHandler approve)
+void PeerHttpClient::jobsStored(const std::string &address)
 {
-    return [approve = std::move(approve)](const HttpRequest &request, const HttpRespond &respond) {
-        if (request.method != "POST" || request.path != ApprovePath)
-            return respond(errorResponse({ErrorCode::NotFound, "no such call"}, Executed::No));
-        const auto decoded = decodeRecord<work::ApprovalRequest>(request.body);
-        if (!decoded)
-            return respond(errorResponse(decoded.error(), Executed::No));
-        approve(*decoded, [respond](const work::ApprovalAnswer &answer) {
-            HttpResponse out;
-            out.contentType = ThriftType;
-            out.body = encodeRecord(answer);
-            respond(std::move(out));
-        });
-    };
+    // A lost hint costs the time until the scheduler's next read.
+    m_http.request(address, "POST", JobsStoredPath, "", HintTimeout,
+                   [](const Result<HttpResponse> &, bool) {});
+}
+
+HttpHandler makePeerHandler(PeerHandlers handlers)
+{
+    return
+        [handlers = std::move(handlers)](const HttpRequest &request, const HttpRespond &respond) {
+            if (request.method == "POST" && request.path == JobsStoredPath) {
+                handlers.jobsStored();
+                return respond({});
+            }
+            if (request.method != "POST" || request.path != ApprovePath)
+                return respond(errorResponse({ErrorCode::NotFound, "no such call"}, Executed::No));
+            const auto decoded = decodeRecord<work::ApprovalRequest>(request.body);
+            if (!decoded)
+                return respond(errorResponse(decoded.error(), Executed::No));
+            handlers.approve(*decoded, [respond](const work::ApprovalAnswer &answer) {
+                HttpResponse out;
+                out.contentType = ThriftType;
+                out.body = encodeRecord(answer);
+                respond(std::move(out));
+            });
+        };
 }
 
 } // namespace cardamompaddle
--- a/src/control/peer_http.h
+++ b/src/control/peer_http.h
@@ -16,14 +16,19 @@
     explicit PeerHttpClient(HttpClient &http) : m_http(http) { }
     void approve(const std::string &address, const work::ApprovalRequest &request, Duration timeout,
                  Done done) override;
+    void jobsStored(const std::string &address) override;
 
 private:
     HttpClient &m_http;
 };
 
-// The handler of a peer's calls; anything else is answered 404.
-using ApproveHandler =
-    std::function<void(const work::ApprovalRequest &, std::function<void(work::ApprovalAnswer)>)>;
-HttpHandler makePeerHandler(ApproveHandler approve);
+// Handles a peer's calls; anything else is answered 404.
+struct PeerHandlers
+{
+    std::function<void(const work::ApprovalRequest &, std::function<void(work::ApprovalAnswer)>)>
+        approve;
+    std::function<void()> jobsStored;
+};
+HttpHandler makePeerHandler(PeerHandlers handlers);
 
 } // namespace cardamompaddle
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -349,8 +349,7 @@
         return;
     // The submission goes first: a job without progress must not look as if it had never run.
     m_context.log.append(
-        std::move(jobs), AppendTimeout,
-        [this, alive = m_alive, work](const AppendAnswer &answer) {
+        std::move(jobs), AppendTimeout, [this, alive = m_alive, work](const AppendAnswer &answer) {
             if (!*alive || answer.outcome != AppendOutcome::Stored)
                 return;
             m_context.log.append(work, AppendTimeout, [](const AppendAnswer &removed) {
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -292,6 +292,14 @@
         boost::asio::post(m_io, [answer, done] { done(answer); });
     }
 
+    void jobsStored(const std::string &address) override
+    {
+        if (const auto it = scheduling.find(address); it != scheduling.end())
+            boost::asio::post(m_io, it->second);
+    }
+
+    std::map<std::string, std::function<void()>> scheduling; // hints, by peer address
+
 private:
     static std::vector<work::Approval> answerFor(const std::vector<WorkerId> &workers)
     {
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -123,14 +123,13 @@
     // A look without an answer may still extend the lease. While the worker is silent none is asked
     // for, so that it lapses.
     m_gateway.look(link->entry, authority(*link, link->reachable), m_callbacks.storedEnds(id), wait,
-                   wait + LookTimeout, now,
-                   [this, alive = m_alive, id, now](Result<LookAnswer> answer) {
+                   wait + LookTimeout, now, [this, alive = m_alive, id](Result<LookAnswer> answer) {
                        if (*alive)
-                           onLook(id, now, std::move(answer));
+                           onLook(id, std::move(answer));
                    });
 }
 
-void WorkerLinks::onLook(const WorkerId &id, Instant askedAt, Result<LookAnswer> answer)
+void WorkerLinks::onLook(const WorkerId &id, Result<LookAnswer> answer)
 {
     Link *link = find(id);
     if (link == nullptr)
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -91,7 +91,7 @@
     Link *find(const WorkerId &id);
     void look(const WorkerId &id);
     void lookAfter(const WorkerId &id, Duration wait);
-    void onLook(const WorkerId &id, Instant askedAt, Result<LookAnswer> answer);
+    void onLook(const WorkerId &id, Result<LookAnswer> answer);
     void setReachable(Link &link, bool reachable, const std::string &why);
     WorkerAuthority authority(Link &link, bool extendLease);
     void enqueue(const WorkerId &id, std::function<void()> call);
