--- a/src/control/acceptor.cc
+++ b/src/control/acceptor.cc
@@ -98,7 +98,9 @@
         m_inFlight += refused.size();
         return finish(refused, AcceptOutcome::Refused, "the log gives no answers");
     }
-    while (!m_queue.empty() && m_calls < MaxCalls) {
+    // While an answer is missing, nothing new is risked that could still be refused.
+    const int mostCalls = m_unanswered > 0 ? 1 : MaxCalls;
+    while (!m_queue.empty() && m_calls < mostCalls) {
         const size_t count = std::min(MostPerBatch, m_queue.size());
         const auto end = m_queue.begin() + static_cast<std::ptrdiff_t>(count);
         auto batch = std::make_shared<std::vector<Entry>>(std::make_move_iterator(m_queue.begin()),
--- a/src/dispatch/dispatcher_jobs.cc
+++ b/src/dispatch/dispatcher_jobs.cc
@@ -21,8 +21,7 @@
     const auto width = static_cast<int32_t>(spec->steps.size());
     if (occurrence < 0 || occurrence >= occurrences() || number < 0 || number >= width)
         return nullptr;
-    return steps[static_cast<size_t>(occurrence) * spec->steps.size()
-                 + static_cast<size_t>(number)]
+    return steps[static_cast<size_t>(occurrence) * spec->steps.size() + static_cast<size_t>(number)]
         .get();
 }
 
