--- a/src/metrics/names.h
+++ b/src/metrics/names.h
@@ -1,4 +1,4 @@
-// Every metric that an entry instance exposes. docs/operating.md lists each with its meaning; a
+// Every metric that an entry instance exposes. docs/OPERATIONS.md lists each with its meaning; a
 // test compares the two.
 #pragma once
 
--- a/src/metrics/registry_test.cc
+++ b/src/metrics/registry_test.cc
@@ -111,7 +111,7 @@
 TEST(NamesTest, EveryMetricIsInTheOperatingPage)
 {
     const std::string names = readSource("src/metrics/names.h");
-    const std::string page = readSource("docs/operating.md");
+    const std::string page = readSource("docs/OPERATIONS.md");
     int found = 0;
     for (size_t at = names.find("\"cardamompaddle_"); at != std::string::npos;
          at = names.find("\"cardamompaddle_", at + 1)) {
