--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,9 +6,9 @@
 cache="${XDG_CACHE_HOME:-$HOME/.cache}/cardamompaddle-lint"
 mkdir -p "$cache"
 if [ "$#" -gt 0 ]; then files=("$@"); else
-    mapfile -t files < <(git ls-files --cached --others --exclude-standard -- 'src/*.cc' | grep -v '/gen/')
+    mapfile -t files < <(git ls-files --cached --others --exclude-standard -- 'src/*.cc' 'platform/*.cc' | grep -v '/gen/')
 fi
-headers=$(git ls-files --cached --others --exclude-standard -- 'src/*.h' .clang-tidy | sort -u | xargs cat | sha256sum | cut -c1-20)
+headers=$(git ls-files --cached --others --exclude-standard -- 'src/*.h' 'platform/*.h' .clang-tidy | sort -u | xargs cat | sha256sum | cut -c1-20)
 check() {
     local file=$1 key
     key="$cache/$2-$(sha256sum <"$file" | cut -c1-20)"
