Let no address decide the order of stops, progress and lost runs

Cause: sets of attempts and jobs were ordered by pointer, so equal calls gave different orders. DispatcherTest.EqualCallsGiveEqualOrdersWhereverTheRecordsLie failed before. A phase and a mark of attempts that nothing read are gone.

--- a/src/dispatch/dispatcher_jobs.cc
+++ b/src/dispatch/dispatcher_jobs.cc
@@ -102,7 +102,6 @@
 
 void Dispatcher::Impl::markDirty(Job &job)
 {
-    job.dirty = true;
     m_dirty.insert(&job);
 }
 
@@ -183,7 +182,6 @@
 {
     std::vector<work::Progress> out;
     for (Job *job : std::exchange(m_dirty, {})) {
-        job->dirty = false;
         work::Progress progress;
         progress.id = job->spec->id;
         progress.state = job->state;
@@ -211,7 +209,7 @@
 
 void Dispatcher::Impl::forgetIfDone(Job &job)
 {
-    if (job.isFinal() && job.active == 0 && !job.dirty)
+    if (job.isFinal() && job.active == 0)
         m_jobs.erase(std::string(job.spec->id));
 }
 
--- a/src/dispatch/dispatcher_test.cc
+++ b/src/dispatch/dispatcher_test.cc
@@ -563,6 +563,50 @@
     EXPECT_EQ(m_dispatcher.decide(m_now, UnixNow + 1'500).starts.size(), 1U);
 }
 
+// Guards against decisions that follow the addresses of records.
+TEST_F(DispatcherTest, EqualCallsGiveEqualOrdersWhereverTheRecordsLie)
+{
+    const auto play = [this](bool scatter) {
+        Dispatcher dispatcher({1, 1.0}, nullptr);
+        std::vector<std::unique_ptr<char[]>> filler;
+        const auto disturb = [&] {
+            // Frees every second block, so that later records land between the remaining ones.
+            for (size_t i = 0; scatter && i < 200; ++i)
+                filler.push_back(std::make_unique<char[]>(40 + 8 * (i % 20)));
+            for (size_t i = 0; i < filler.size(); i += 2)
+                filler[filler.size() - 1 - i].reset();
+        };
+        auto catalog = std::make_shared<Catalog>();
+        WorkRoute route;
+        route.name = "r";
+        route.pool = "p";
+        catalog->routes["r"] = route;
+        dispatcher.setCatalog(catalog);
+        dispatcher.setWorker(entry("w", 100'000), m_now);
+        dispatcher.workerReported("w", {}, m_now);
+        dispatcher.setReachable("w", true);
+        std::string story;
+        for (int i = 0; i < 12; ++i) {
+            disturb();
+            auto job = std::make_shared<work::Submission>();
+            job->id = "job" + std::to_string(i);
+            job->route = "r";
+            job->steps = {step(3, 100)};
+            dispatcher.addJob(job, nullptr, false, m_now);
+            for (const StartOrder &order : dispatcher.decide(m_now, UnixNow).starts)
+                story += order.task.toString() + " ";
+        }
+        for (int i = 0; i < 12; ++i)
+            dispatcher.cancelJob("job" + std::to_string((i * 7) % 12), m_now);
+        for (const StopOrder &order : dispatcher.decide(m_now, UnixNow).stops)
+            story += order.task.toString() + " ";
+        for (const work::Progress &progress : dispatcher.takeProgress())
+            story += progress.id + " ";
+        return story;
+    };
+    EXPECT_EQ(play(false), play(true));
+}
+
 TEST(TaskRefTest, ParsesWhatItPrints)
 {
     TaskRef task;
--- a/src/dispatch/dispatcher_workers.cc
+++ b/src/dispatch/dispatcher_workers.cc
@@ -58,7 +58,7 @@
 
 void Dispatcher::Impl::releaseDraining(Worker &worker, Instant now)
 {
-    for (Attempt *attempt : std::set<Attempt *>(worker.attempts)) {
+    for (Attempt *attempt : AttemptSet(worker.attempts)) {
         const work::StepSpec &spec = *attempt->step->spec;
         const bool moves =
             spec.longRunning
@@ -95,7 +95,7 @@
 
 void Dispatcher::Impl::loseAttempts(Worker &worker, Instant now, std::string_view why)
 {
-    for (Attempt *attempt : std::set<Attempt *>(worker.attempts)) {
+    for (Attempt *attempt : AttemptSet(worker.attempts)) {
         event("run_lost", attempt->step->job->spec->id,
               "worker=" + worker.entry.id + " run=" + std::to_string(attempt->run)
                   + " reason=" + std::string(why));
@@ -109,6 +109,7 @@
     Task &task = step.tasks[static_cast<size_t>(index)];
     task.attempt = std::make_unique<Attempt>();
     Attempt &attempt = *task.attempt;
+    attempt.serial = m_nextAttempt++;
     attempt.step = &step;
     attempt.worker = &worker;
     attempt.index = index;
@@ -274,7 +275,7 @@
             takeEnd(worker, end, now);
         worker.endPosition = std::max(worker.endPosition, end.position);
     }
-    std::set<Attempt *> seen;
+    AttemptSet seen;
     for (const RunningRun &run : report.running) {
         takeRunning(worker, run, report.askedAt, now);
         Step *step = findStep(run.task.step);
@@ -325,7 +326,6 @@
     Attempt *known = task != nullptr ? task->attempt.get() : nullptr;
     const bool matches = known != nullptr && known->worker == &worker && known->run == run.run;
     if (matches) {
-        known->listed = true;
         if (known->phase == AttemptPhase::Ordered) {
             known->phase = AttemptPhase::Running;
             known->confirmedAt = std::min(known->confirmedAt, now);
@@ -351,7 +351,6 @@
     }
     Attempt &adopted = attach(*step, run.task.index, run.run, worker, now);
     adopted.phase = AttemptPhase::Running;
-    adopted.listed = true;
     adopted.confirmedAt = askedAt;
     adopted.percent = run.percent;
     adopted.gauge = run.gauge;
@@ -362,10 +361,10 @@
               + " worker=" + worker.entry.id);
 }
 
-void Dispatcher::Impl::dropMissing(Worker &worker, const std::set<Attempt *> &seen, Instant askedAt,
+void Dispatcher::Impl::dropMissing(Worker &worker, const AttemptSet &seen, Instant askedAt,
                                    Instant now)
 {
-    for (Attempt *attempt : std::set<Attempt *>(worker.attempts)) {
+    for (Attempt *attempt : AttemptSet(worker.attempts)) {
         // The member of a gang may have been dropped with another one.
         if (!worker.attempts.contains(attempt) || seen.contains(attempt)
             || attempt->confirmedAt >= askedAt)
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -63,7 +63,8 @@
     void endRun(Attempt &attempt, RunOutcome outcome, const std::string &checkpoint, Instant now);
     void takeEnd(Worker &worker, const EndedRun &end, Instant now);
     void takeRunning(Worker &worker, const RunningRun &run, Instant askedAt, Instant now);
-    void dropMissing(Worker &worker, const std::set<Attempt *> &seen, Instant askedAt, Instant now);
+    void dropMissing(Worker &worker, const dispatch::AttemptSet &seen, Instant askedAt,
+                     Instant now);
     void loseAttempts(Worker &worker, Instant now, std::string_view why);
     void judgeWorker(Worker &worker, RunOutcome outcome, const std::string &job, Instant now);
     void avoid(Worker &worker, Instant now, std::string_view why);
@@ -98,14 +99,15 @@
     std::set<std::string> m_zonesOut;
     std::map<std::string, std::unique_ptr<Job>> m_jobs;
     std::map<WorkerId, std::unique_ptr<Worker>> m_workers;
-    std::set<Job *> m_dirty;
+    dispatch::JobSet m_dirty; // progress not taken yet
     bool m_allKnown = false;
     std::map<std::string, dispatch::TeamUse> m_teams;
     Resources m_total; // capacity of all listed workers
     uint64_t m_nextSequence = 0;
     std::vector<StopOrder> m_unwanted; // runs of no known job, to be stopped
     std::vector<PaceOrder> m_paces;
-    std::set<Attempt *> m_toStop;
+    dispatch::AttemptSet m_toStop;
+    uint64_t m_nextAttempt = 0;
 };
 
 } // namespace cardamompaddle
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -3,9 +3,6 @@
 
 #include "dispatch/dispatcher.h"
 
-#include <boost/unordered/unordered_flat_map.hpp>
-
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -21,7 +18,6 @@
 
 enum class AttemptPhase : uint8_t {
     Ordered, // the start has no answer yet
-    Uncertain, // the start's answer was lost; a stop is being sent
     Running,
     Stopping, // a stop was ordered
 };
@@ -29,12 +25,12 @@
 // One run of a task.
 struct Attempt
 {
+    uint64_t serial = 0; // in order of creation; orders sets, whose order reaches the decisions
     Step *step = nullptr;
     Worker *worker = nullptr;
     int32_t index = 0;
     int64_t run = 0;
     AttemptPhase phase = AttemptPhase::Ordered;
-    bool listed = false; // a report has shown it
     Instant orderedAt;
     Instant confirmedAt = Instant::max(); // start or stop answered: must be listed from then on
     Instant stopSentAt = Instant::min();
@@ -57,6 +53,18 @@
     std::unique_ptr<Attempt> attempt; // while Active
 };
 
+// Orders what it points to by its number, so that equal calls give equal decisions.
+template <auto Number>
+struct ByNumber
+{
+    template <typename T>
+    bool operator()(const T *a, const T *b) const
+    {
+        return a->*Number < b->*Number;
+    }
+};
+using AttemptSet = std::set<Attempt *, ByNumber<&Attempt::serial>>;
+
 struct KnownApproval
 {
     std::string ticket;
@@ -97,7 +105,6 @@
     uint64_t sequence = 0;
     work::JobState::type state = work::JobState::Queued;
     bool mayRunAlready = false;
-    bool dirty = false;
     TeamUse *team = nullptr;
     std::vector<std::unique_ptr<Step>> steps; // by occurrence, then number
     int32_t active = 0;
@@ -108,6 +115,8 @@
     int32_t occurrences() const { return std::max(1, spec->repetitions); }
 };
 
+using JobSet = std::set<Job *, ByNumber<&Job::sequence>>;
+
 struct Worker
 {
     WorkerEntry entry;
@@ -118,7 +127,7 @@
     Resources used;
     int64_t lifeStartedAtMs = 0; // of the last report
     int64_t endPosition = 0;
-    std::set<Attempt *> attempts;
+    AttemptSet attempts;
     int32_t servingTasks = 0; // with a latency target
     int32_t idleCpuTasks = 0; // that use idle processors
     // Health.
