Remove dead state and second copies in control and dispatch; name outcomes in logs

Unread fields, callbacks and parameters are gone; the writer's name, the margin of approvals and the wait of reads stand once; log lines name outcomes and states instead of numbers; a removal of old records and a hint to the scheduler that fail leave a line.

--- a/src/control/acceptor.cc
+++ b/src/control/acceptor.cc
@@ -3,9 +3,9 @@
 #include "work/codec.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace cardamompaddle {
@@ -27,8 +27,18 @@
 constexpr Duration RetryDelay{100}; // after a refusal of the log
 constexpr size_t MostPerBatch = 100;
 
+// One part in so many of the usual time is the last append's.
+constexpr int UsualTimeParts = 4;
+
 } // namespace
 
+std::string_view acceptOutcomeName(AcceptOutcome outcome)
+{
+    static constexpr std::array<std::string_view, 4> Names = {"accepted", "refused", "unknown",
+                                                              "not_found"};
+    return Names[static_cast<size_t>(outcome)];
+}
+
 Acceptor::Acceptor(boost::asio::io_context &io, const Clock &clock, KeyedLog &log,
                    const JobBook &book, LogFollower &follower, std::string topic,
                    std::function<void()> stored)
@@ -130,7 +140,7 @@
                      --m_calls;
                      const bool unanswered = answer.outcome == AppendOutcome::Unknown;
                      m_unanswered = unanswered ? m_unanswered + 1 : 0;
-                     m_usualTime = (m_usualTime * 3 + (m_clock.now() - sentAt)) / 4;
+                     m_usualTime += (m_clock.now() - sentAt - m_usualTime) / UsualTimeParts;
                      onAppend(batch, answer);
                      if (!m_queue.empty() && !m_flushArmed)
                          flush();
--- a/src/control/acceptor.h
+++ b/src/control/acceptor.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cardamompaddle {
@@ -23,6 +24,8 @@
     Unknown, // may be stored, now or later
     NotFound, // of a cancel: no such job
 };
+// Stable lower-case name, for example "not_found".
+std::string_view acceptOutcomeName(AcceptOutcome outcome);
 
 class Acceptor
 {
@@ -45,8 +48,6 @@
     // `entry` null: there is none. `current` false: the log does not answer, so nothing is certain.
     using FindDone = std::function<void(const JobEntry *entry, bool current)>;
     void find(const std::string &id, FindDone done);
-    // Requests that have no answer yet.
-    size_t pending() const { return m_queue.size() + m_inFlight; }
 
 private:
     struct Entry
--- a/src/control/gateways.h
+++ b/src/control/gateways.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cardamompaddle {
@@ -63,6 +64,8 @@
     Fenced, // surely not: a higher epoch was seen, or the sequence does not follow
     Unknown,
 };
+// Stable lower-case name, for example "end_moved".
+std::string_view appendOutcomeName(AppendOutcome outcome);
 
 struct AppendAnswer
 {
@@ -93,7 +96,7 @@
 struct WorkerAuthority
 {
     int64_t epoch = 0; // fencing token: a worker refuses what comes with less than it has seen
-    int64_t leaseUntilMs = 0; // on the worker's clock; 0: the lease is not extended
+    int64_t leaseEndMs = 0; // on the worker's clock; 0: the lease is not extended
     WorkerId life; // the worker that is meant: another one at its address refuses
 };
 
--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -31,6 +31,14 @@
 constexpr Duration ReadyFor{3'500};
 constexpr Duration ReleaseTime{1'500};
 
+// Logs that a topic is lost or answers again, as NAME_lost or NAME_back.
+std::function<void(bool, const std::string &)> logAvailability(const std::string &name)
+{
+    return [name](bool lost, const std::string &reason) {
+        logWarn(name + (lost ? "_lost" : "_back"), "reason=\"" + reason + "\"");
+    };
+}
+
 } // namespace
 
 Instance::Instance(const ContextFactory &context, InstanceOptions options)
@@ -45,30 +53,23 @@
         m_activityAt = m_context.scheduler.clock.now();
         announce();
     };
-    work.availability = [](bool lost, const std::string &reason) {
-        logWarn(lost ? "log_lost" : "log_back", "reason=\"" + reason + "\"");
-    };
-    m_work = std::make_unique<LogFollower>(
-        scheduler.io, scheduler.clock, scheduler.log,
-        LogFollowerOptions{scheduler.workTopic, Duration{2'000}, FollowerGap}, std::move(work));
+    work.availability = logAvailability("log");
+    m_work = std::make_unique<LogFollower>(scheduler.io, scheduler.clock, scheduler.log,
+                                           LogFollowerOptions{scheduler.workTopic, FollowerGap},
+                                           std::move(work));
     LogFollower::Callbacks jobs;
     jobs.record = [this](const KeyedRecord &record) { onWorkRecord(record); };
-    jobs.availability = [](bool lost, const std::string &reason) {
-        logWarn(lost ? "jobs_lost" : "jobs_back", "reason=\"" + reason + "\"");
-    };
-    m_jobs = std::make_unique<LogFollower>(
-        scheduler.io, scheduler.clock, scheduler.log,
-        LogFollowerOptions{scheduler.jobsTopic, Duration{2'000}, FollowerGap}, std::move(jobs));
+    jobs.availability = logAvailability("jobs");
+    m_jobs = std::make_unique<LogFollower>(scheduler.io, scheduler.clock, scheduler.log,
+                                           LogFollowerOptions{scheduler.jobsTopic, FollowerGap},
+                                           std::move(jobs));
     LogFollower::Callbacks operators;
     operators.record = [this](const KeyedRecord &record) { onOperatorRecord(record); };
     operators.loaded = [this](const std::set<std::string> &keys) { onOperatorsLoaded(keys); };
-    operators.availability = [](bool lost, const std::string &reason) {
-        logWarn(lost ? "configuration_lost" : "configuration_back", "reason=\"" + reason + "\"");
-    };
+    operators.availability = logAvailability("configuration");
     m_operators = std::make_unique<LogFollower>(
         scheduler.io, scheduler.clock, scheduler.log,
-        LogFollowerOptions{m_context.operatorTopic, Duration{2'000}, Duration::zero()},
-        std::move(operators));
+        LogFollowerOptions{m_context.operatorTopic, Duration::zero()}, std::move(operators));
     m_acceptor =
         std::make_unique<Acceptor>(scheduler.io, scheduler.clock, scheduler.log, m_book, *m_jobs,
                                    scheduler.jobsTopic, [this] { tellScheduler(); });
@@ -270,7 +271,7 @@
     request.records.push_back({work_key::Tenure, encodeRecord(tenure), false, 0});
     // Only one claimant can append at the end that both have read up to.
     request.expectedEnd = m_work->next();
-    request.writer = {"scheduler", tenure.epoch, 0};
+    request.writer = {SchedulerWriter, tenure.epoch, 0};
     m_context.scheduler.log.append(std::move(request), ClaimTimeout,
                                    [this, alive = m_alive, tenure](const AppendAnswer &answer) {
                                        if (*alive)
@@ -281,13 +282,11 @@
 void Instance::onClaimed(const work::Tenure &tenure, const AppendAnswer &answer)
 {
     logInfo("tenure_claim", "epoch=" + std::to_string(tenure.epoch)
-                                + " outcome=" + std::to_string(static_cast<int>(answer.outcome))
+                                + " outcome=" + std::string(appendOutcomeName(answer.outcome))
                                 + " reason=\"" + answer.reason + "\"");
+    if (answer.outcome == AppendOutcome::Stored)
+        return readClaimBack(tenure);
     m_claiming = false;
-    if (answer.outcome != AppendOutcome::Stored)
-        return;
-    m_claiming = true;
-    readClaimBack(tenure);
 }
 
 // The log answers an equal epoch and sequence of another claimant with the first one's answer. Only
--- a/src/control/log_follower.cc
+++ b/src/control/log_follower.cc
@@ -96,8 +96,6 @@
     if (m_callbacks.loaded)
         m_callbacks.loaded(m_loadedKeys);
     std::erase_if(m_offsets, [this](const auto &it) { return !m_loadedKeys.contains(it.first); });
-    if (m_callbacks.batch)
-        m_callbacks.batch();
     read();
 }
 
@@ -123,8 +121,6 @@
     // A read that waited in vain proves that nothing came until its wait was over.
     succeeded(any ? askedAt : std::min(askedAt + m_options.readWait, m_clock.now()));
     take(slice->records);
-    if (any && m_callbacks.batch)
-        m_callbacks.batch();
     if (any && m_options.gap > Duration::zero())
         return again(m_options.gap, [this] { read(); });
     read();
@@ -153,8 +149,6 @@
                    if (slice) {
                        succeeded(askedAt);
                        take(slice->records);
-                       if (m_callbacks.batch)
-                           m_callbacks.batch();
                        // One answer holds a bounded number of bytes.
                        if (m_next < slice->end && !slice->records.empty())
                            return readNow();
--- a/src/control/log_follower.h
+++ b/src/control/log_follower.h
@@ -17,8 +17,8 @@
 struct LogFollowerOptions
 {
     std::string topic;
-    Duration readWait{2'000}; // how long the log holds a read at its end
     Duration gap{0}; // between an answer with records and the next read
+    Duration readWait{2'000}; // how long the log holds a read at its end
 };
 
 // Not thread-safe: the event loop's thread only.
@@ -31,8 +31,6 @@
         std::function<void(const KeyedRecord &)> record;
         // The keys of a whole load: every other key has gone.
         std::function<void(const std::set<std::string> &keys)> loaded;
-        // After the records of one answer.
-        std::function<void()> batch;
         // The log was lost (true) or answers again (false).
         std::function<void(bool lost, const std::string &reason)> availability;
     };
--- a/src/control/peer_http.cc
+++ b/src/control/peer_http.cc
@@ -1,5 +1,6 @@
 #include "control/peer_http.h"
 
+#include "logging/event_log.h"
 #include "work/codec.h"
 
 #include <utility>
@@ -34,7 +35,11 @@
 {
     // A lost hint costs the time until the scheduler's next read.
     m_http.request(address, "POST", JobsStoredPath, "", HintTimeout,
-                   [](const Result<HttpResponse> &, bool) {});
+                   [address](const Result<HttpResponse> &response, bool) {
+                       if (!response)
+                           logWarn("hint_failed", "peer=" + address + " reason=\""
+                                                      + response.error().reason + "\"");
+                   });
 }
 
 HttpHandler makePeerHandler(PeerHandlers handlers)
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -24,7 +24,6 @@
 constexpr size_t MaxRemovals = 200; // jobs dropped at a time
 // A scheduler that was replaced learns of it within this time.
 constexpr Duration FormerSchedulerTime{1'000};
-constexpr const char *WriterName = "scheduler";
 
 } // namespace
 
@@ -55,7 +54,7 @@
         updateUsable(id);
     };
     links.lost = [this](const WorkerId &id) {
-        m_dispatcher.workerLost(id, m_context.clock.now());
+        m_dispatcher.workerLost(id);
         judgeAllKnown();
         schedulePass();
     };
@@ -79,8 +78,7 @@
     };
     m_registry = std::make_unique<LogFollower>(
         m_context.io, m_context.clock, m_context.log,
-        LogFollowerOptions{m_context.registryTopic, Duration{2'000}, RegistryGap},
-        std::move(registry));
+        LogFollowerOptions{m_context.registryTopic, RegistryGap}, std::move(registry));
 }
 
 Scheduler::~Scheduler()
@@ -103,7 +101,7 @@
     std::sort(open.begin(), open.end(),
               [](const JobEntry *a, const JobEntry *b) { return a->offset < b->offset; });
     for (const JobEntry *entry : open)
-        m_dispatcher.addJob(entry->submission, entry->progress.get(), !m_adoptable.empty(), now);
+        m_dispatcher.addJob(entry->submission, entry->progress.get(), !m_adoptable.empty());
     logInfo("scheduling_began", "epoch=" + std::to_string(m_options.tenure.epoch)
                                     + " open_jobs=" + std::to_string(open.size())
                                     + " used_workers=" + std::to_string(m_adoptable.size()));
@@ -132,10 +130,10 @@
     if (change == JobBook::Change::Submitted && entry->state() < work::JobState::Completed) {
         // The former scheduler may have read it too before it was fenced.
         const bool mayRunAlready = !m_allKnown && now - m_beganAt < FormerSchedulerTime;
-        m_dispatcher.addJob(entry->submission, entry->progress.get(), mayRunAlready, now);
+        m_dispatcher.addJob(entry->submission, entry->progress.get(), mayRunAlready);
         schedulePass();
     } else if (change == JobBook::Change::Cancelled) {
-        m_dispatcher.cancelJob(id, now);
+        m_dispatcher.cancelJob(id);
         schedulePass();
         scheduleFlush(FlushDelay);
     }
@@ -145,7 +143,7 @@
 {
     const Instant now = m_context.clock.now();
     if (record.removed) {
-        m_dispatcher.removeWorker(record.key, now);
+        m_dispatcher.removeWorker(record.key);
         m_links->unlist(record.key);
         schedulePass();
         return;
@@ -157,7 +155,7 @@
                 "key=" + record.key + " reason=\"" + entry.error().reason + "\"");
         return;
     }
-    m_dispatcher.setWorker(*entry, now);
+    m_dispatcher.setWorker(*entry);
     m_links->setEntry(*entry, true);
     if (!m_usedStored.contains(entry->id) && m_usedToStore.insert(entry->id).second)
         scheduleFlush(Duration::zero());
@@ -170,7 +168,7 @@
     for (const auto &[id, used] : m_context.book.usedWorkers()) {
         if (!ids.contains(id)) {
             m_dispatcher.adoptWorker(id);
-            m_dispatcher.removeWorker(id, now);
+            m_dispatcher.removeWorker(id);
             WorkerEntry entry;
             entry.id = id;
             entry.address = used.address;
@@ -306,7 +304,7 @@
         request.records.push_back({work_key::Tenure, encodeRecord(tenure), false, 0});
         m_releaseStored = tenure.released;
     }
-    request.writer = {WriterName, m_options.tenure.epoch, m_sequence};
+    request.writer = {SchedulerWriter, m_options.tenure.epoch, m_sequence};
     m_batch = std::move(request);
     sendBatch();
 }
@@ -350,8 +348,10 @@
     // The submission goes first: a job without progress must not look as if it had never run.
     m_context.log.append(
         std::move(jobs), AppendTimeout, [this, alive = m_alive, work](const AppendAnswer &answer) {
-            if (!*alive || answer.outcome != AppendOutcome::Stored)
+            if (!*alive)
                 return;
+            if (answer.outcome != AppendOutcome::Stored)
+                return logWarn("forget_failed", "reason=\"" + answer.reason + "\"");
             m_context.log.append(work, AppendTimeout, [](const AppendAnswer &removed) {
                 if (removed.outcome != AppendOutcome::Stored)
                     logWarn("forget_failed", "reason=\"" + removed.reason + "\"");
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -25,6 +25,9 @@
 
 namespace cardamompaddle {
 
+// Writer of the scheduler's records in the log; their epochs fence former schedulers.
+inline constexpr const char *SchedulerWriter = "scheduler";
+
 // Unix time in milliseconds; replaced in tests.
 using UnixClock = std::function<int64_t()>;
 
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -92,7 +92,7 @@
         return out;
     const Instant now = m_clock.now();
     const Duration lease = std::min(WantedLease, m_options.maxLease);
-    out.leaseUntilMs = link.clockMs + (now - link.clockAt).count() + lease.count();
+    out.leaseEndMs = link.clockMs + (now - link.clockAt).count() + lease.count();
     link.leaseLapsed = std::max(link.leaseLapsed, now + lapseTime(lease));
     link.lost = false;
     return out;
@@ -143,7 +143,6 @@
         return;
     }
     const Instant now = m_clock.now();
-    link->answeredAt = now;
     link->clockMs = answer->workerClockMs;
     link->clockAt = now;
     const bool first = !link->reported;
@@ -160,8 +159,6 @@
     // The first look could not extend the lease: the worker's clock was not known.
     if (first)
         return look(id);
-    if (ends && !link->awaitsAck)
-        link->awaitsAckSince = now;
     link->awaitsAck = ends;
     lookAfter(id, ends ? UnstoredLookInterval : Duration::zero());
 }
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -78,11 +78,9 @@
         bool reported = false;
         bool lost = false; // nothing runs there: told to the scheduler
         bool reachable = false;
-        Instant answeredAt = Instant::min();
         int64_t clockMs = 0; // of the worker, at clockAt
         Instant clockAt = Instant::min();
         Instant leaseLapsed; // by then everything there has surely lapsed
-        Instant awaitsAckSince;
         std::shared_ptr<boost::asio::steady_timer> timer;
         std::deque<std::function<void()>> queue; // calls that wait for a free channel
         int inFlight = 0;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -23,14 +23,14 @@
 }
 
 void Dispatcher::addJob(std::shared_ptr<const work::Submission> job, const work::Progress *progress,
-                        bool mayRunAlready, Instant now)
+                        bool mayRunAlready)
 {
-    m_impl->addJob(std::move(job), progress, mayRunAlready, now);
+    m_impl->addJob(std::move(job), progress, mayRunAlready);
 }
 
-void Dispatcher::cancelJob(const std::string &id, Instant now)
+void Dispatcher::cancelJob(const std::string &id)
 {
-    m_impl->cancelJob(id, now);
+    m_impl->cancelJob(id);
 }
 
 bool Dispatcher::knowsJob(const std::string &id) const
@@ -43,9 +43,9 @@
     m_impl->m_allKnown = true;
 }
 
-void Dispatcher::setWorker(const WorkerEntry &entry, Instant now)
+void Dispatcher::setWorker(const WorkerEntry &entry)
 {
-    m_impl->setWorker(entry, now);
+    m_impl->setWorker(entry);
 }
 
 void Dispatcher::adoptWorker(const WorkerId &id)
@@ -57,9 +57,9 @@
     slot->entry.id = id;
 }
 
-void Dispatcher::removeWorker(const WorkerId &id, Instant now)
+void Dispatcher::removeWorker(const WorkerId &id)
 {
-    m_impl->removeWorker(id, now);
+    m_impl->removeWorker(id);
 }
 
 void Dispatcher::setReachable(const WorkerId &id, bool reachable)
@@ -69,9 +69,9 @@
         it->second->reachable = reachable;
 }
 
-void Dispatcher::workerLost(const WorkerId &id, Instant now)
+void Dispatcher::workerLost(const WorkerId &id)
 {
-    m_impl->workerLost(id, now);
+    m_impl->workerLost(id);
 }
 
 void Dispatcher::workerReported(const WorkerId &id, const RunReport &report, Instant now)
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -3,8 +3,8 @@
 // Holds everything that the one scheduler of a fleet knows: jobs with their steps, workers with
 // what runs on them, teams with what they use, approvals of the policy service.
 //
-// Core: no I/O and no clock. Each call takes the present time, which must not go backwards. Equal
-// sequences of calls give equal orders. Not thread-safe.
+// Core: no I/O and no clock. Calls that need the present time take it; it must not go backwards.
+// Equal sequences of calls give equal orders. Not thread-safe.
 #pragma once
 
 #include "dispatch/catalog.h"
@@ -62,23 +62,23 @@
     // `mayRunAlready`: an earlier scheduler may have started tasks that no report has shown yet;
     // its tasks start only after allWorkersKnown(). Jobs that are known here are ignored.
     void addJob(std::shared_ptr<const work::Submission> job, const work::Progress *progress,
-                bool mayRunAlready, Instant now);
-    void cancelJob(const std::string &id, Instant now);
+                bool mayRunAlready);
+    void cancelJob(const std::string &id);
     bool knowsJob(const std::string &id) const;
     // Every run that an earlier scheduler started has been reported, or its lease has lapsed.
     void allWorkersKnown();
 
     // The registry's entry of a worker. A worker gets starts once it has reported and is reachable.
-    void setWorker(const WorkerEntry &entry, Instant now);
+    void setWorker(const WorkerEntry &entry);
     // A worker that an earlier scheduler used and that the registry does not list. It gets no
     // starts; its runs are taken over.
     void adoptWorker(const WorkerId &id);
     // The entry has gone. Its runs count until workerLost() or a report tells more.
-    void removeWorker(const WorkerId &id, Instant now);
+    void removeWorker(const WorkerId &id);
     // Whether calls to the worker are answered at present; nothing starts while they are not.
     void setReachable(const WorkerId &id, bool reachable);
     // The lease of everything on the worker has surely lapsed.
-    void workerLost(const WorkerId &id, Instant now);
+    void workerLost(const WorkerId &id);
     void workerReported(const WorkerId &id, const RunReport &report, Instant now);
     void startAnswered(const StartOrder &order, StartAnswer answer, Instant now);
     // The worker confirmed a stop: the run can no longer begin, and ends soon if it is there.
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -21,7 +21,6 @@
 // No further call for the same step before.
 constexpr Duration AskInterval{250};
 constexpr Duration AskIntervalAfterFailure{100};
-constexpr Duration ApprovalMargin{200};
 
 int64_t fittingTasks(const Worker &worker, const Step &step)
 {
--- a/src/dispatch/dispatcher_jobs.cc
+++ b/src/dispatch/dispatcher_jobs.cc
@@ -37,7 +37,7 @@
 }
 
 void Dispatcher::Impl::addJob(std::shared_ptr<const work::Submission> spec,
-                              const work::Progress *progress, bool mayRunAlready, Instant now)
+                              const work::Progress *progress, bool mayRunAlready)
 {
     if (m_jobs.contains(spec->id))
         return;
@@ -68,7 +68,7 @@
     event("job_queued", job.spec->id,
           "steps=" + std::to_string(job.spec->steps.size())
               + " restored=" + (progress != nullptr ? "true" : "false"));
-    checkCompleted(job, now);
+    checkCompleted(job);
 }
 
 void Dispatcher::Impl::restoreProgress(Job &job, const work::Progress &progress)
@@ -105,40 +105,39 @@
     m_dirty.insert(&job);
 }
 
-void Dispatcher::Impl::cancelJob(const std::string &id, Instant now)
+void Dispatcher::Impl::cancelJob(const std::string &id)
 {
     const auto it = m_jobs.find(id);
     if (it == m_jobs.end() || it->second->isFinal())
         return;
-    finishJob(*it->second, work::JobState::Cancelled, now, "cancelled by its caller");
+    finishJob(*it->second, work::JobState::Cancelled, "cancelled by its caller");
 }
 
-void Dispatcher::Impl::finishJob(Job &job, work::JobState::type state, Instant now,
-                                 const std::string &why)
+void Dispatcher::Impl::finishJob(Job &job, work::JobState::type state, const std::string &why)
 {
     job.state = state;
     markDirty(job);
     event("job_final", job.spec->id,
-          "state=" + std::to_string(static_cast<int>(state)) + " reason=\"" + why + "\"");
+          "state=" + std::string(storedStateName(state)) + " reason=\"" + why + "\"");
     for (const auto &step : job.steps) {
         for (Task &task : step->tasks) {
             if (task.attempt)
-                requestStop(*task.attempt, now);
+                requestStop(*task.attempt);
         }
     }
 }
 
-void Dispatcher::Impl::checkCompleted(Job &job, Instant now)
+void Dispatcher::Impl::checkCompleted(Job &job)
 {
     if (job.isFinal())
         return;
     const bool all = std::all_of(job.steps.begin(), job.steps.end(),
                                  [](const auto &step) { return step->done(); });
     if (all)
-        finishJob(job, work::JobState::Completed, now, "all tasks have succeeded");
+        finishJob(job, work::JobState::Completed, "all tasks have succeeded");
 }
 
-void Dispatcher::Impl::taskSucceeded(Step &step, int32_t index, Instant now)
+void Dispatcher::Impl::taskSucceeded(Step &step, int32_t index)
 {
     const auto succeed = [&step](Task &task) {
         if (task.state == TaskState::Succeeded)
@@ -153,7 +152,7 @@
     if (step.spec->gang)
         std::for_each(step.tasks.begin(), step.tasks.end(), succeed);
     markDirty(*step.job);
-    checkCompleted(*step.job, now);
+    checkCompleted(*step.job);
 }
 
 void Dispatcher::Impl::taskFailed(Step &step, int32_t index, int64_t run, const WorkerId &where,
@@ -173,7 +172,7 @@
     const WorkRoute *route = routeOf(*step.job);
     if (route != nullptr && !step.spec->longRunning && failures >= route->maxAttempts
         && !step.job->isFinal())
-        finishJob(*step.job, work::JobState::Failed, now,
+        finishJob(*step.job, work::JobState::Failed,
                   "task " + std::to_string(index) + " of step " + std::to_string(step.number)
                       + " failed " + std::to_string(failures) + " times");
 }
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -13,8 +13,6 @@
 
 // A stop without an answer is sent again after this.
 constexpr Duration StopRetry{600};
-// An approval is used only while it is valid for so much longer; the start takes time to arrive.
-constexpr Duration ApprovalMargin{200};
 // Run numbers that one tenure may use for a task.
 constexpr int64_t RunsPerTenure = 1'000;
 // A job is worth little after this multiple of its objective; others go first.
@@ -22,6 +20,12 @@
 // Score of a worker on which the tasks of the other kind (with users, or on idle processors) run.
 constexpr double DisturbancePenalty = 2;
 constexpr double FailedHerePenalty = 4;
+constexpr double PenaltyPerIdleCpuTask = 0.1; // spreads them
+// Weight of the room that is left: of equal workers the fuller one is taken, which keeps room for
+// large tasks together.
+constexpr double SlackWeight = 0.2;
+// Below it a share of progress says nothing about the time that is left.
+constexpr double LeastProgress = 0.05;
 
 double fraction(int64_t part, int64_t whole)
 {
@@ -64,8 +68,9 @@
                 continue;
             const auto ran = static_cast<double>((now - task.attempt->orderedAt).count());
             const double done = std::clamp(task.attempt->percent / 100.0, 0.0, 1.0);
-            const double left = done > 0.05 ? ran * (1 - done) / done
-                                            : static_cast<double>(before->spec->estimatedMs) - ran;
+            const double left = done > LeastProgress
+                                    ? ran * (1 - done) / done
+                                    : static_cast<double>(before->spec->estimatedMs) - ran;
             if (left > static_cast<double>(lead.count()))
                 return false;
         }
@@ -167,12 +172,13 @@
         const Resources left = capacity - worker.used - step.need;
         const double slack =
             fraction(left.cpuMilli, capacity.cpuMilli) + fraction(left.memoryMb, capacity.memoryMb);
-        double score = worker.slowness * (1 + 0.2 * slack);
+        double score = worker.slowness * (1 + SlackWeight * slack);
         const std::string &near = step.spec->preferredRack;
         if (!near.empty() && !worker.entry.labels.contains(near))
             score *= m_options.remoteFactor;
         if (step.spec->usesIdleCpu)
-            score += (worker.servingTasks > 0 ? DisturbancePenalty : 0) + worker.idleCpuTasks * 0.1;
+            score += (worker.servingTasks > 0 ? DisturbancePenalty : 0)
+                     + worker.idleCpuTasks * PenaltyPerIdleCpuTask;
         else if (step.spec->latencyTargetMs > 0 && worker.idleCpuTasks > 0)
             score += DisturbancePenalty;
         if (task.failedOn == worker.entry.id)
--- a/src/dispatch/dispatcher_test.cc
+++ b/src/dispatch/dispatcher_test.cc
@@ -53,7 +53,7 @@
     void join(const WorkerEntry &worker, std::vector<RunningRun> running = {},
               std::vector<EndedRun> ended = {})
     {
-        m_dispatcher.setWorker(worker, m_now);
+        m_dispatcher.setWorker(worker);
         report(worker.id, std::move(running), std::move(ended));
         m_dispatcher.setReachable(worker.id, true);
     }
@@ -76,7 +76,7 @@
         job->team = "t";
         job->steps = std::move(steps);
         job->acceptedAtMs = UnixNow;
-        m_dispatcher.addJob(job, progress, mayRunAlready, m_now);
+        m_dispatcher.addJob(job, progress, mayRunAlready);
     }
     Orders decide() { return m_dispatcher.decide(m_now, UnixNow); }
     // Decides and lets every start succeed.
@@ -137,7 +137,7 @@
     add("b", {step(1)});
     const auto starts = startAll();
     ASSERT_EQ(starts.size(), 2U);
-    m_dispatcher.cancelJob("a", m_now);
+    m_dispatcher.cancelJob("a");
     const Orders orders = decide();
     EXPECT_EQ(orders.stops.size(), 2U);
     EXPECT_TRUE(orders.starts.empty()) << "what is being stopped still uses its capacity";
@@ -172,7 +172,7 @@
     join(entry("w"));
     add("job", {step(1)});
     startAll();
-    m_dispatcher.cancelJob("job", m_now);
+    m_dispatcher.cancelJob("job");
     EXPECT_EQ(decide().stops.size(), 1U);
     EXPECT_TRUE(decide().stops.empty());
     m_now += Duration(1'000);
@@ -277,10 +277,10 @@
     add("job", {step(1)});
     ASSERT_EQ(startAll().size(), 1U);
     m_dispatcher.setReachable("w", false);
-    m_dispatcher.removeWorker("w", m_now);
+    m_dispatcher.removeWorker("w");
     join(entry("v"));
     EXPECT_TRUE(startAll().empty());
-    m_dispatcher.workerLost("w", m_now);
+    m_dispatcher.workerLost("w");
     EXPECT_EQ(startAll().size(), 1U);
 }
 
@@ -392,7 +392,7 @@
     add("job", {service});
     const auto starts = startAll();
     worker.draining = true;
-    m_dispatcher.setWorker(worker, m_now);
+    m_dispatcher.setWorker(worker);
     EXPECT_EQ(decide().stops.size(), 1U);
     join(entry("v"));
     report("w", {}, {ended(starts[0], RunOutcome::Stopped, "saved")});
@@ -533,11 +533,11 @@
     route.pool = "p";
     catalog->routes["r"] = route;
     later.setCatalog(catalog);
-    later.setWorker(entry("v"), m_now);
+    later.setWorker(entry("v"));
     RunReport empty;
     later.workerReported("v", empty, m_now);
     later.setReachable("v", true);
-    later.addJob(first[0].job, nullptr, false, m_now);
+    later.addJob(first[0].job, nullptr, false);
     const auto orders = later.decide(m_now, UnixNow);
     ASSERT_EQ(orders.starts.size(), 1U);
     EXPECT_GT(orders.starts[0].run, first[0].run);
@@ -554,7 +554,7 @@
     job->repetitions = 2;
     job->firstDueMs = UnixNow + 1'000;
     job->intervalMs = 500;
-    m_dispatcher.addJob(job, nullptr, false, m_now);
+    m_dispatcher.addJob(job, nullptr, false);
     EXPECT_TRUE(decide().starts.empty());
     const auto next = m_dispatcher.nextEvent(m_now, UnixNow);
     ASSERT_TRUE(next);
@@ -582,7 +582,7 @@
         route.pool = "p";
         catalog->routes["r"] = route;
         dispatcher.setCatalog(catalog);
-        dispatcher.setWorker(entry("w", 100'000), m_now);
+        dispatcher.setWorker(entry("w", 100'000));
         dispatcher.workerReported("w", {}, m_now);
         dispatcher.setReachable("w", true);
         std::string story;
@@ -592,12 +592,12 @@
             job->id = "job" + std::to_string(i);
             job->route = "r";
             job->steps = {step(3, 100)};
-            dispatcher.addJob(job, nullptr, false, m_now);
+            dispatcher.addJob(job, nullptr, false);
             for (const StartOrder &order : dispatcher.decide(m_now, UnixNow).starts)
                 story += order.task.toString() + " ";
         }
         for (int i = 0; i < 12; ++i)
-            dispatcher.cancelJob("job" + std::to_string((i * 7) % 12), m_now);
+            dispatcher.cancelJob("job" + std::to_string((i * 7) % 12));
         for (const StopOrder &order : dispatcher.decide(m_now, UnixNow).stops)
             story += order.task.toString() + " ";
         for (const work::Progress &progress : dispatcher.takeProgress())
--- a/src/dispatch/dispatcher_workers.cc
+++ b/src/dispatch/dispatcher_workers.cc
@@ -37,7 +37,7 @@
 
 } // namespace
 
-void Dispatcher::Impl::setWorker(const WorkerEntry &entry, Instant now)
+void Dispatcher::Impl::setWorker(const WorkerEntry &entry)
 {
     auto &slot = m_workers[entry.id];
     if (!slot)
@@ -52,11 +52,11 @@
     worker.entry = entry;
     if (drains) {
         event("worker_draining", "", "worker=" + entry.id);
-        releaseDraining(worker, now);
+        releaseDraining(worker);
     }
 }
 
-void Dispatcher::Impl::releaseDraining(Worker &worker, Instant now)
+void Dispatcher::Impl::releaseDraining(Worker &worker)
 {
     for (Attempt *attempt : AttemptSet(worker.attempts)) {
         const work::StepSpec &spec = *attempt->step->spec;
@@ -64,11 +64,11 @@
             spec.longRunning
             || (spec.checkpointing && !spec.gang && attempt->percent < NearlyDonePercent);
         if (moves)
-            requestStop(*attempt, now);
+            requestStop(*attempt);
     }
 }
 
-void Dispatcher::Impl::removeWorker(const WorkerId &id, Instant /*now*/)
+void Dispatcher::Impl::removeWorker(const WorkerId &id)
 {
     const auto it = m_workers.find(id);
     if (it == m_workers.end() || !it->second->listed)
@@ -81,25 +81,25 @@
         m_workers.erase(it);
 }
 
-void Dispatcher::Impl::workerLost(const WorkerId &id, Instant now)
+void Dispatcher::Impl::workerLost(const WorkerId &id)
 {
     const auto it = m_workers.find(id);
     if (it == m_workers.end())
         return;
-    loseAttempts(*it->second, now, "lease_lapsed");
+    loseAttempts(*it->second, "lease_lapsed");
     it->second->reported = false;
     it->second->reachable = false;
     if (!it->second->listed)
         m_workers.erase(it);
 }
 
-void Dispatcher::Impl::loseAttempts(Worker &worker, Instant now, std::string_view why)
+void Dispatcher::Impl::loseAttempts(Worker &worker, std::string_view why)
 {
     for (Attempt *attempt : AttemptSet(worker.attempts)) {
         event("run_lost", attempt->step->job->spec->id,
               "worker=" + worker.entry.id + " run=" + std::to_string(attempt->run)
                   + " reason=" + std::string(why));
-        requeue(*attempt, now);
+        requeue(*attempt);
     }
 }
 
@@ -163,7 +163,7 @@
         markDirty(*step.job);
 }
 
-void Dispatcher::Impl::requeue(Attempt &attempt, Instant now)
+void Dispatcher::Impl::requeue(Attempt &attempt)
 {
     Step &step = *attempt.step;
     detach(attempt);
@@ -172,12 +172,12 @@
         step.gangBroken = true;
         for (Task &task : step.tasks) {
             if (task.attempt)
-                requestStop(*task.attempt, now);
+                requestStop(*task.attempt);
         }
     }
 }
 
-void Dispatcher::Impl::requestStop(Attempt &attempt, Instant /*now*/)
+void Dispatcher::Impl::requestStop(Attempt &attempt)
 {
     if (attempt.phase == AttemptPhase::Running)
         attempt.confirmedAt = Instant::max();
@@ -215,10 +215,10 @@
     if (outcome == RunOutcome::Succeeded && !step.spec->longRunning) {
         detach(attempt);
         if (!wasFinal)
-            taskSucceeded(step, index, now);
+            taskSucceeded(step, index);
         return;
     }
-    requeue(attempt, now);
+    requeue(attempt);
     if (outcome == RunOutcome::Failed && !wasFinal)
         taskFailed(step, index, run, where, now);
 }
@@ -259,7 +259,7 @@
     Worker &worker = *it->second;
     if (worker.reported && worker.lifeStartedAtMs != report.startedAtMs) {
         event("worker_restarted", "", "worker=" + id);
-        loseAttempts(worker, now, "worker_restarted");
+        loseAttempts(worker, "worker_restarted");
         worker.endPosition = 0;
         worker.slowness = 1;
     }
@@ -285,7 +285,7 @@
         if (task.attempt && task.attempt->worker == &worker && task.attempt->run == run.run)
             seen.insert(task.attempt.get());
     }
-    dropMissing(worker, seen, report.askedAt, now);
+    dropMissing(worker, seen, report.askedAt);
     watchProgress(worker, now);
     paceIdleCpuTasks(worker, now);
     if (!worker.listed && worker.attempts.empty())
@@ -309,8 +309,8 @@
         task.checkpoint = end.checkpoint;
     if (end.outcome == RunOutcome::Succeeded && !step->spec->longRunning) {
         if (task.attempt)
-            requestStop(*task.attempt, now);
-        taskSucceeded(*step, end.task.index, now);
+            requestStop(*task.attempt);
+        taskSucceeded(*step, end.task.index);
     } else if (end.outcome == RunOutcome::Failed) {
         taskFailed(*step, end.task.index, end.run, worker.entry.id, now);
     }
@@ -361,8 +361,7 @@
               + " worker=" + worker.entry.id);
 }
 
-void Dispatcher::Impl::dropMissing(Worker &worker, const AttemptSet &seen, Instant askedAt,
-                                   Instant now)
+void Dispatcher::Impl::dropMissing(Worker &worker, const AttemptSet &seen, Instant askedAt)
 {
     for (Attempt *attempt : AttemptSet(worker.attempts)) {
         // The member of a gang may have been dropped with another one.
@@ -371,7 +370,7 @@
             continue;
         event("run_missing", attempt->step->job->spec->id,
               "worker=" + worker.entry.id + " run=" + std::to_string(attempt->run));
-        requeue(*attempt, now);
+        requeue(*attempt);
     }
 }
 
@@ -387,7 +386,7 @@
         event("run_stalled", attempt->step->job->spec->id,
               "worker=" + worker.entry.id + " run=" + std::to_string(attempt->run)
                   + " percent=" + std::to_string(attempt->percent));
-        requestStop(*attempt, now);
+        requestStop(*attempt);
     }
     if (stalled > 0)
         avoid(worker, now, "stalled_runs");
@@ -446,7 +445,7 @@
               + " worker=" + order.worker + " answer=" + std::string(startAnswerName(answer)));
     if (answer == StartAnswer::Unknown) {
         // It may be carried out later. A confirmed stop makes the worker reject it.
-        requestStop(*attempt, now);
+        requestStop(*attempt);
         return;
     }
     Worker &worker = *attempt->worker;
@@ -456,7 +455,7 @@
         step->tasks[static_cast<size_t>(order.task.index)].lastRun += StaleRunSkip;
     if (answer == StartAnswer::NotRun || answer == StartAnswer::NoRoom)
         avoid(worker, now, startAnswerName(answer));
-    requeue(*attempt, now);
+    requeue(*attempt);
 }
 
 void Dispatcher::Impl::stopAnswered(const StopOrder &order, Instant now)
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -15,14 +15,14 @@
 
     // dispatcher_jobs.cc
     void addJob(std::shared_ptr<const work::Submission> spec, const work::Progress *progress,
-                bool mayRunAlready, Instant now);
-    void cancelJob(const std::string &id, Instant now);
+                bool mayRunAlready);
+    void cancelJob(const std::string &id);
     std::vector<work::Progress> takeProgress();
 
     // dispatcher_workers.cc
-    void setWorker(const WorkerEntry &entry, Instant now);
-    void removeWorker(const WorkerId &id, Instant now);
-    void workerLost(const WorkerId &id, Instant now);
+    void setWorker(const WorkerEntry &entry);
+    void removeWorker(const WorkerId &id);
+    void workerLost(const WorkerId &id);
     void workerReported(const WorkerId &id, const RunReport &report, Instant now);
     void startAnswered(const StartOrder &order, StartAnswer answer, Instant now);
     void stopAnswered(const StopOrder &order, Instant now);
@@ -47,10 +47,10 @@
 
     // dispatcher_jobs.cc
     void markDirty(Job &job);
-    void finishJob(Job &job, work::JobState::type state, Instant now, const std::string &why);
-    void checkCompleted(Job &job, Instant now);
+    void finishJob(Job &job, work::JobState::type state, const std::string &why);
+    void checkCompleted(Job &job);
     void forgetIfDone(Job &job);
-    void taskSucceeded(Step &step, int32_t index, Instant now);
+    void taskSucceeded(Step &step, int32_t index);
     void taskFailed(Step &step, int32_t index, int64_t run, const WorkerId &where, Instant now);
     void restoreProgress(Job &job, const work::Progress &progress);
     void event(std::string_view what, const std::string &job, std::string detail) const;
@@ -58,19 +58,18 @@
     // dispatcher_workers.cc
     Attempt &attach(Step &step, int32_t index, int64_t run, Worker &worker, Instant now);
     void detach(Attempt &attempt); // destroys the attempt
-    void requeue(Attempt &attempt, Instant now); // its run has ended without success
-    void requestStop(Attempt &attempt, Instant now);
+    void requeue(Attempt &attempt); // its run has ended without success
+    void requestStop(Attempt &attempt);
     void endRun(Attempt &attempt, RunOutcome outcome, const std::string &checkpoint, Instant now);
     void takeEnd(Worker &worker, const EndedRun &end, Instant now);
     void takeRunning(Worker &worker, const RunningRun &run, Instant askedAt, Instant now);
-    void dropMissing(Worker &worker, const dispatch::AttemptSet &seen, Instant askedAt,
-                     Instant now);
-    void loseAttempts(Worker &worker, Instant now, std::string_view why);
+    void dropMissing(Worker &worker, const dispatch::AttemptSet &seen, Instant askedAt);
+    void loseAttempts(Worker &worker, std::string_view why);
     void judgeWorker(Worker &worker, RunOutcome outcome, const std::string &job, Instant now);
     void avoid(Worker &worker, Instant now, std::string_view why);
     void watchProgress(Worker &worker, Instant now);
     void paceIdleCpuTasks(Worker &worker, Instant now);
-    void releaseDraining(Worker &worker, Instant now);
+    void releaseDraining(Worker &worker);
     std::string carriedCheckpoint(const Step &step, int32_t index) const;
 
     // dispatcher_place.cc
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -16,6 +16,9 @@
 struct Step;
 struct Worker;
 
+// An approval is used only while it is valid for so much longer; the start takes time to arrive.
+inline constexpr Duration ApprovalMargin{200};
+
 enum class AttemptPhase : uint8_t {
     Ordered, // the start has no answer yet
     Running,
--- a/src/dispatch/worker_runs.cc
+++ b/src/dispatch/worker_runs.cc
@@ -40,6 +40,13 @@
     return Names[static_cast<size_t>(outcome)];
 }
 
+std::string_view storedStateName(work::JobState::type state)
+{
+    static constexpr std::array<std::string_view, 5> Names = {"queued", "running", "completed",
+                                                              "failed", "cancelled"};
+    return Names[static_cast<size_t>(state)];
+}
+
 std::string_view startAnswerName(StartAnswer answer)
 {
     static constexpr std::array<std::string_view, 6> Names = {"started",     "no_room", "stale_run",
--- a/src/dispatch/worker_runs.h
+++ b/src/dispatch/worker_runs.h
@@ -135,4 +135,7 @@
 };
 std::string_view startAnswerName(StartAnswer answer);
 
+// Stable lower-case name of a job's state, for example "completed".
+std::string_view storedStateName(work::JobState::type state);
+
 } // namespace cardamompaddle
