--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -88,7 +88,6 @@
 
 void Scheduler::start()
 {
-    const Instant now = m_context.clock.now();
     for (const auto &[id, used] : m_context.book.usedWorkers()) {
         m_adoptable.insert(id);
         m_usedStored.insert(id);
@@ -141,7 +140,6 @@
 
 void Scheduler::onWorkerRecord(const KeyedRecord &record)
 {
-    const Instant now = m_context.clock.now();
     if (record.removed) {
         m_dispatcher.removeWorker(record.key);
         m_links->unlist(record.key);
@@ -164,7 +162,6 @@
 
 void Scheduler::onRegistryLoaded(const std::set<std::string> &ids)
 {
-    const Instant now = m_context.clock.now();
     for (const auto &[id, used] : m_context.book.usedWorkers()) {
         if (!ids.contains(id)) {
             m_dispatcher.adoptWorker(id);
