--- /dev/null
+++ b/src/control/fenced_writer.cc
@@ -0,0 +1,70 @@
+#include "control/fenced_writer.h"
+
+#include "base/invariant.h"
+#include "logging/event_log.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <utility>
+
+namespace cardamompaddle {
+
+namespace {
+
+constexpr Duration AppendTimeout{900};
+constexpr Duration AppendRetry{120};
+
+} // namespace
+
+FencedWriter::FencedWriter(boost::asio::io_context &io, KeyedLog &log, std::string topic,
+                           AppendRequest::Writer writer,
+                           std::function<void(const std::string &)> fenced)
+    : m_log(log), m_topic(std::move(topic)), m_writer(std::move(writer)),
+      m_fenced(std::move(fenced)), m_retryTimer(io)
+{ }
+
+FencedWriter::~FencedWriter()
+{
+    *m_alive = false;
+}
+
+void FencedWriter::append(std::vector<KeyedRecord> records, std::function<void()> stored)
+{
+    invariant(!busy(), "FencedWriter::append while another append has no answer", m_topic);
+    AppendRequest request;
+    request.topic = m_topic;
+    request.records = std::move(records);
+    request.writer = m_writer;
+    m_request = std::move(request);
+    m_stored = std::move(stored);
+    send();
+}
+
+void FencedWriter::send()
+{
+    m_log.append(*m_request, AppendTimeout, [this, alive = m_alive](const AppendAnswer &answer) {
+        if (*alive)
+            onAnswer(answer);
+    });
+}
+
+void FencedWriter::onAnswer(const AppendAnswer &answer)
+{
+    if (answer.outcome == AppendOutcome::Fenced)
+        return m_fenced(answer.reason);
+    if (answer.outcome == AppendOutcome::Stored) {
+        ++m_writer.sequence;
+        m_request.reset();
+        return std::exchange(m_stored, nullptr)();
+    }
+    // The same append again: the log stores a sequence number once.
+    logWarn("store_failed", "records=" + std::to_string(m_request->records.size()) + " reason=\""
+                                + answer.reason + "\"");
+    m_retryTimer.expires_after(AppendRetry);
+    m_retryTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+        if (!ec && *alive)
+            send();
+    });
+}
+
+} // namespace cardamompaddle
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -15,13 +15,9 @@
 
 constexpr Duration PassDelay{4}; // events within it share a decision
 constexpr Duration FlushDelay{50}; // changes of progress within it share an append
-constexpr Duration AppendTimeout{900};
-constexpr Duration AppendRetry{120};
 constexpr Duration TickInterval{250};
 constexpr Duration HeartbeatInterval{400}; // without other appends
 constexpr Duration RegistryGap{300};
-constexpr Duration ForgetInterval{2'000};
-constexpr size_t MaxRemovals = 200; // jobs dropped at a time
 // A scheduler that was replaced learns of it within this time.
 constexpr Duration FormerSchedulerTime{1'000};
 
@@ -36,9 +32,15 @@
                                (event.job.empty() ? "" : "job=" + event.job + " ") + event.detail);
                    }),
       m_passTimer(m_context.io), m_eventTimer(m_context.io), m_flushTimer(m_context.io),
-      m_tickTimer(m_context.io), m_sequence(nextSequence), m_releaseTimer(m_context.io)
+      m_tickTimer(m_context.io), m_writer(m_context.io, m_context.log, m_context.workTopic,
+                                          {SchedulerWriter, m_options.tenure.epoch, nextSequence},
+                                          [this](const std::string &reason) {
+                                              depose("the log refuses this epoch: " + reason);
+                                          }),
+      m_oldJobs(m_context.log, m_context.book, m_context.jobsTopic, m_context.workTopic),
+      m_releaseTimer(m_context.io)
 {
-    m_beganAt = m_storedAt = m_forgotAt = m_context.clock.now();
+    m_beganAt = m_storedAt = m_context.clock.now();
     WorkerLinks::Callbacks links;
     links.report = [this](const WorkerId &id, const RunReport &report) { onReport(id, report); };
     links.startAnswered = [this](const StartOrder &order, StartAnswer answer) {
@@ -257,7 +259,7 @@
 
 void Scheduler::scheduleFlush(Duration wait)
 {
-    if (m_batch) {
+    if (m_writer.busy()) {
         m_moreToStore = true;
         return;
     }
@@ -269,15 +271,14 @@
         if (ec || !*alive)
             return;
         m_flushArmed = false;
-        if (!m_batch)
+        if (!m_writer.busy())
             flush();
     });
 }
 
 void Scheduler::flush()
 {
-    AppendRequest request;
-    request.topic = m_context.workTopic;
+    std::vector<KeyedRecord> records;
     m_moreToStore = false;
     m_batchEnds.clear();
     for (const auto &[id, used] : m_context.book.usedWorkers())
@@ -285,25 +286,22 @@
     for (const WorkerId &id : m_usedStored)
         m_batchEnds[id] = m_dispatcher.endPosition(id);
     for (const work::Progress &progress : m_dispatcher.takeProgress())
-        request.records.push_back(
-            {work_key::progress(progress.id), encodeRecord(progress), false, 0});
-    addWorkerRecords(request.records);
+        records.push_back({work_key::progress(progress.id), encodeRecord(progress), false, 0});
+    addWorkerRecords(records);
     const Instant now = m_context.clock.now();
-    if (request.records.empty() && now - m_storedAt < HeartbeatInterval && !m_released) {
+    if (records.empty() && now - m_storedAt < HeartbeatInterval && !m_released) {
         // Nothing to store: the ends concern no task any more.
         std::swap(m_storedEnds, m_batchEnds);
         m_links->endsStored();
         return;
     }
-    if (request.records.empty() || m_released) {
+    if (records.empty() || m_released) {
         work::Tenure tenure = m_options.tenure;
         tenure.released = m_released != nullptr;
-        request.records.push_back({work_key::Tenure, encodeRecord(tenure), false, 0});
+        records.push_back({work_key::Tenure, encodeRecord(tenure), false, 0});
         m_releaseStored = tenure.released;
     }
-    request.writer = {SchedulerWriter, m_options.tenure.epoch, m_sequence};
-    m_batch = std::move(request);
-    sendBatch();
+    m_writer.append(std::move(records), [this] { onStored(); });
 }
 
 void Scheduler::addWorkerRecords(std::vector<KeyedRecord> &records)
@@ -322,66 +320,8 @@
     }
 }
 
-// Drops the records of jobs that ended so long ago that nobody asks for them. Lost answers do not
-// matter: what is still there is dropped the next time.
-void Scheduler::forgetOldJobs()
+void Scheduler::onStored()
 {
-    const Instant now = m_context.clock.now();
-    if (now - m_forgotAt < ForgetInterval)
-        return;
-    m_forgotAt = now;
-    const int64_t before = m_context.unixClock() - m_options.keepFinal.count();
-    AppendRequest work;
-    AppendRequest jobs;
-    work.topic = m_context.workTopic;
-    jobs.topic = m_context.jobsTopic;
-    for (const std::string &id : m_context.book.finalBefore(before, MaxRemovals)) {
-        work.records.push_back({work_key::progress(id), "", true, 0});
-        jobs.records.push_back({work_key::cancel(id), "", true, 0});
-        jobs.records.push_back({work_key::job(id), "", true, 0});
-    }
-    if (jobs.records.empty())
-        return;
-    // The submission goes first: a job without progress must not look as if it had never run.
-    m_context.log.append(
-        std::move(jobs), AppendTimeout, [this, alive = m_alive, work](const AppendAnswer &answer) {
-            if (!*alive)
-                return;
-            if (answer.outcome != AppendOutcome::Stored)
-                return logWarn("forget_failed", "reason=\"" + answer.reason + "\"");
-            m_context.log.append(work, AppendTimeout, [](const AppendAnswer &removed) {
-                if (removed.outcome != AppendOutcome::Stored)
-                    logWarn("forget_failed", "reason=\"" + removed.reason + "\"");
-            });
-        });
-}
-
-void Scheduler::sendBatch()
-{
-    m_context.log.append(*m_batch, AppendTimeout,
-                         [this, alive = m_alive](const AppendAnswer &answer) {
-                             if (*alive)
-                                 onStored(answer);
-                         });
-}
-
-void Scheduler::onStored(const AppendAnswer &answer)
-{
-    if (answer.outcome == AppendOutcome::Fenced)
-        return depose("the log refuses this epoch: " + answer.reason);
-    if (answer.outcome != AppendOutcome::Stored) {
-        // The same append again: the log stores a sequence number once.
-        logWarn("store_failed", "records=" + std::to_string(m_batch->records.size()) + " reason=\""
-                                    + answer.reason + "\"");
-        m_flushTimer.expires_after(AppendRetry);
-        m_flushTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
-            if (!ec && *alive && m_batch)
-                sendBatch();
-        });
-        return;
-    }
-    ++m_sequence;
-    m_batch.reset();
     m_storedAt = m_context.clock.now();
     std::swap(m_storedEnds, m_batchEnds);
     for (const WorkerId &id : m_batchUsed) {
@@ -402,7 +342,7 @@
 {
     const Instant now = m_context.clock.now();
     m_links->tick();
-    forgetOldJobs();
+    m_oldJobs.drop(now, m_context.unixClock() - m_options.keepFinal.count());
     if (!m_allKnown)
         judgeAllKnown();
     for (const WorkerId &id : m_usedStored) {
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -7,9 +7,11 @@
 #pragma once
 
 #include "control/approvals.h"
+#include "control/fenced_writer.h"
 #include "control/gateways.h"
 #include "control/job_book.h"
 #include "control/log_follower.h"
+#include "control/old_jobs.h"
 #include "control/worker_links.h"
 #include "dispatch/dispatcher.h"
 
@@ -18,7 +20,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -74,7 +75,6 @@
     void bookChanged(JobBook::Change change, const std::string &id);
     // Stores what is left and gives the tenure up; `done` is called at the latest after `most`.
     void release(Duration most, std::function<void()> done);
-    Instant storedAt() const { return m_storedAt; }
 
 private:
     void onWorkerRecord(const KeyedRecord &record);
@@ -87,10 +87,8 @@
     void armEvent();
     void scheduleFlush(Duration wait);
     void flush();
-    void sendBatch();
-    void onStored(const AppendAnswer &answer);
+    void onStored();
     void addWorkerRecords(std::vector<KeyedRecord> &records);
-    void forgetOldJobs();
     void tick();
     void finishRelease();
     void depose(const std::string &reason);
@@ -106,7 +104,6 @@
 
     std::set<WorkerId> m_adoptable; // workers that an earlier scheduler used; not settled yet
     Instant m_beganAt;
-    Instant m_forgotAt; // the last removal of old jobs
     bool m_registryLoaded = false;
     bool m_allKnown = false;
     std::set<WorkerId> m_usedStored; // workers whose use is stored: they may get starts
@@ -122,10 +119,9 @@
     bool m_flushArmed = false;
     boost::asio::steady_timer m_tickTimer;
 
-    // The one append in flight.
-    int64_t m_sequence;
-    std::optional<AppendRequest> m_batch;
-    std::map<WorkerId, int64_t> m_batchEnds; // end positions that the batch makes durable
+    FencedWriter m_writer;
+    OldJobs m_oldJobs;
+    std::map<WorkerId, int64_t> m_batchEnds; // end positions that the append in flight stores
     std::set<WorkerId> m_batchUsed;
     bool m_moreToStore = false;
     Instant m_storedAt; // the last append that was stored
