--- /dev/null
+++ b/src/control/instance_testing.h
@@ -0,0 +1,166 @@
+// Several instances over one log and one set of workers, in real time.
+#pragma once
+
+#include "control/instance.h"
+#include "control/testing_platform.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace cardamompaddle {
+
+inline constexpr const char *WorkTopic = "work";
+inline constexpr const char *JobsTopic = "jobs";
+inline constexpr const char *RegistryTopic = "registry";
+inline constexpr const char *OperatorTopic = "operators";
+
+inline Result<WorkerEntry> decodeWorker(const KeyedRecord &record)
+{
+    if (record.value == "bad")
+        return Error{ErrorCode::InvalidArgument, "bad entry"};
+    WorkerEntry out;
+    out.id = record.key;
+    out.address = "10.0.0.1:80";
+    out.pool = "p";
+    out.availabilityZone = "z";
+    out.capacity = {4'000, 4'000, 0, 0, 0};
+    out.draining = record.value == "draining";
+    return out;
+}
+
+inline Result<OperatorRecord> decodeOperators(const KeyedRecord &record)
+{
+    OperatorRecord out;
+    if (record.key.starts_with("zone/")) {
+        out.zoneOut = record.value;
+        return out;
+    }
+    auto catalog = std::make_shared<Catalog>();
+    catalog->version = std::stoll(record.value);
+    WorkRoute route;
+    route.name = "r";
+    route.pool = "p";
+    route.maxAttempts = 3;
+    catalog->routes["r"] = route;
+    out.catalog = std::move(catalog);
+    return out;
+}
+
+class InstanceTest : public ::testing::Test
+{
+protected:
+    struct Node
+    {
+        testing::TestLog *log = nullptr;
+        std::unique_ptr<Instance> instance;
+    };
+
+    InstanceTest()
+    {
+        m_model.put(OperatorTopic, "config", "1");
+        m_model.put(RegistryTopic, "w1", "ready");
+        m_model.put(RegistryTopic, "w2", "ready");
+    }
+    Node &addNode(const std::string &name)
+    {
+        Node &node = m_nodes[name];
+        m_logs.push_back(std::make_unique<testing::TestLog>(m_io, m_model));
+        node.log = m_logs.back().get();
+        InstanceOptions options;
+        options.name = name;
+        options.peerAddress = name + ":1";
+        options.maxLease = m_maxLease;
+        node.instance = std::make_unique<Instance>(
+            [this, &node](const JobBook &book) {
+                SchedulerContext context{
+                    m_io,      m_clock,       [] { return int64_t{1'000'000}; },
+                    *node.log, m_workers,     m_policy,
+                    m_policy,  book,          WorkTopic,
+                    JobsTopic, RegistryTopic, decodeWorker};
+                return InstanceContext{std::move(context), OperatorTopic, decodeOperators};
+            },
+            options);
+        node.instance->start();
+        return node;
+    }
+    // Runs the event loop until `done` or for at most `most`. Returns what `done` says at the end.
+    bool runUntil(const std::function<bool()> &done, Duration most = Duration(4'000))
+    {
+        const Instant end = m_clock.now() + most;
+        while (!done() && m_clock.now() < end)
+            m_io.run_one_for(std::chrono::milliseconds(5));
+        return done();
+    }
+    void runFor(Duration time)
+    {
+        runUntil([] { return false; }, time);
+    }
+    int schedulers()
+    {
+        int count = 0;
+        for (const auto &[name, node] : m_nodes)
+            count += node.instance && node.instance->schedules() ? 1 : 0;
+        return count;
+    }
+    Node &scheduler()
+    {
+        for (auto &[name, node] : m_nodes) {
+            if (node.instance && node.instance->schedules())
+                return node;
+        }
+        throw std::logic_error("no scheduler");
+    }
+    Node &follower()
+    {
+        for (auto &[name, node] : m_nodes) {
+            if (node.instance && !node.instance->schedules())
+                return node;
+        }
+        throw std::logic_error("no follower");
+    }
+    std::optional<AcceptOutcome> submit(Node &node, const std::string &id, int32_t tasks = 1,
+                                        Duration most = Duration(3'000))
+    {
+        work::Submission job;
+        job.id = id;
+        job.route = "r";
+        job.acceptedAtMs = 1'000'000;
+        work::StepSpec step;
+        step.tasks = tasks;
+        step.cpuMilli = 1'000;
+        step.estimatedMs = 1'000;
+        job.steps = {step};
+        auto outcome = std::make_shared<std::optional<AcceptOutcome>>();
+        node.instance->acceptor().submit(
+            job, m_clock.now() + Duration(2'500),
+            [outcome](AcceptOutcome it, const std::string &) { *outcome = it; });
+        runUntil([outcome] { return outcome->has_value(); }, most);
+        return *outcome;
+    }
+    bool reached(Node &node, const std::string &id, work::JobState::type state)
+    {
+        return runUntil([&] {
+            const JobEntry *entry = node.instance->book().find(id);
+            return entry != nullptr && entry->state() == state;
+        });
+    }
+
+    Duration m_maxLease{1'000};
+    boost::asio::io_context m_io;
+    testing::TestClock m_clock;
+    testing::LogModel m_model;
+    testing::TestWorkers m_workers{m_io};
+    testing::TestPolicy m_policy{m_io};
+    std::vector<std::unique_ptr<testing::TestLog>>
+        m_logs; // outlive the instances: calls are in flight
+    std::map<std::string, Node> m_nodes;
+};
+
+} // namespace cardamompaddle
