Look tasks and attempts up in one place

The search for a task, for the attempt of a run and the naming of an attempt stood five times; two of them did not check the index. No other change of behaviour.

--- a/src/dispatch/dispatcher_jobs.cc
+++ b/src/dispatch/dispatcher_jobs.cc
@@ -47,7 +47,6 @@
     job.sequence = m_nextSequence++;
     job.mayRunAlready = mayRunAlready;
     job.teamUse = &m_teamUse[job.spec->team];
-    job.acceptedAtMs = job.spec->acceptedAtMs;
     for (int32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
         for (size_t number = 0; number < job.spec->steps.size(); ++number) {
             auto step = std::make_unique<Step>();
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -104,7 +104,7 @@
                 chain += static_cast<double>(spec.estimatedMs);
             const double objective =
                 route->stretch * chain + static_cast<double>(route->latencyTarget.count());
-            const auto age = static_cast<double>(unixMs - job->acceptedAtMs);
+            const auto age = static_cast<double>(unixMs - job->spec->acceptedAtMs);
             const int32_t lateness = age > WorthlessAfterObjectives * objective ? 1 : 0;
             const auto team = m_catalog->teams.find(job->spec->team);
             const double weight = team == m_catalog->teams.end() ? 1 : team->second.weight;
@@ -210,18 +210,15 @@
 void Dispatcher::Impl::start(Step &step, int32_t index, int64_t run, Worker &worker, Instant now,
                              Orders &out)
 {
-    const Task &task = step.tasks[static_cast<size_t>(index)];
-    attach(step, index, run, worker, now);
+    const Attempt &attempt = attach(step, index, run, worker, now);
     const auto approval = step.approvals.find(worker.entry.id);
-    out.starts.push_back({worker.entry.id,
-                          {{step.job->spec->id, step.occurrence, step.number}, index},
-                          run,
-                          step.job->spec,
+    out.starts.push_back({worker.entry.id, refOf(attempt), run, step.job->spec,
                           carriedCheckpoint(step, index),
                           approval == step.approvals.end() ? "" : approval->second.ticket});
     event("run_started", step.job->spec->id,
-          "task=" + out.starts.back().task.toString() + " run=" + std::to_string(run) + " worker="
-              + worker.entry.id + " resumed=" + (task.checkpoint.empty() ? "false" : "true"));
+          "task=" + out.starts.back().task.toString() + " run=" + std::to_string(run)
+              + " worker=" + worker.entry.id
+              + " resumed=" + (out.starts.back().checkpoint.empty() ? "false" : "true"));
 }
 
 std::string Dispatcher::Impl::carriedCheckpoint(const Step &step, int32_t index) const
@@ -302,10 +299,7 @@
         if (attempt->stopSentAt != Instant::min() && now - attempt->stopSentAt < StopRetry)
             continue;
         attempt->stopSentAt = now;
-        const Step &step = *attempt->step;
-        out.stops.push_back({attempt->worker->entry.id,
-                             {{step.job->spec->id, step.occurrence, step.number}, attempt->index},
-                             attempt->run});
+        out.stops.push_back({attempt->worker->entry.id, refOf(*attempt), attempt->run});
     }
     for (StopOrder &stop : std::exchange(m_unwanted, {}))
         out.stops.push_back(std::move(stop));
--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -25,6 +25,30 @@
 
 } // namespace
 
+TaskRef Dispatcher::Impl::refOf(const Attempt &attempt)
+{
+    const Step &step = *attempt.step;
+    return {{step.job->spec->id, step.occurrence, step.number}, attempt.index};
+}
+
+Task *Dispatcher::Impl::findTask(const TaskRef &ref, Step *&step)
+{
+    step = findStep(ref.step);
+    const bool valid =
+        step != nullptr && ref.index >= 0 && ref.index < static_cast<int32_t>(step->tasks.size());
+    return valid ? &step->tasks[static_cast<size_t>(ref.index)] : nullptr;
+}
+
+Attempt *Dispatcher::Impl::findAttempt(const WorkerId &worker, const TaskRef &ref, int64_t run)
+{
+    Step *step = nullptr;
+    const Task *task = findTask(ref, step);
+    Attempt *attempt = task == nullptr ? nullptr : task->attempt.get();
+    const bool matches =
+        attempt != nullptr && attempt->run == run && attempt->worker->entry.id == worker;
+    return matches ? attempt : nullptr;
+}
+
 void Dispatcher::Impl::loseAttempts(Worker &worker, std::string_view why)
 {
     for (Attempt *attempt : AttemptSet(worker.attempts)) {
@@ -138,9 +162,8 @@
     const WorkerId where = worker.entry.id;
     const int64_t run = attempt.run;
     event("run_ended", job,
-          "task=" + TaskRef{{job, step.occurrence, step.number}, index}.toString()
-              + " run=" + std::to_string(attempt.run) + " worker=" + where
-              + " outcome=" + std::string(runOutcomeName(outcome))
+          "task=" + refOf(attempt).toString() + " run=" + std::to_string(attempt.run)
+              + " worker=" + where + " outcome=" + std::string(runOutcomeName(outcome))
               + " ran_ms=" + std::to_string((now - attempt.orderedAt).count()));
     const bool wasFinal = step.job->isFinal();
     // A long-running task runs until its job is cancelled, however its runs end.
@@ -157,13 +180,13 @@
 
 void Dispatcher::Impl::takeEnd(Worker &worker, const EndedRun &end, Instant now)
 {
-    Step *step = findStep(end.task.step);
-    if (step == nullptr || end.task.index < 0
-        || end.task.index >= static_cast<int32_t>(step->tasks.size()))
+    Step *step = nullptr;
+    Task *found = findTask(end.task, step);
+    if (found == nullptr)
         return;
-    Task &task = step->tasks[static_cast<size_t>(end.task.index)];
-    if (task.attempt && task.attempt->worker == &worker && task.attempt->run == end.run)
-        return endRun(*task.attempt, end.outcome, end.checkpoint, now);
+    Task &task = *found;
+    if (Attempt *attempt = findAttempt(worker.entry.id, end.task, end.run))
+        return endRun(*attempt, end.outcome, end.checkpoint, now);
     // The end of a run that an earlier scheduler started, or of one whose answer was lost.
     if (step->job->isFinal() || task.state == TaskState::Succeeded)
         return;
@@ -179,28 +202,22 @@
     }
 }
 
-void Dispatcher::Impl::takeRunning(Worker &worker, const RunningRun &run, Instant askedAt,
-                                   Instant now)
+Attempt *Dispatcher::Impl::takeRunning(Worker &worker, const RunningRun &run, Instant askedAt,
+                                       Instant now)
 {
-    Step *step = findStep(run.task.step);
-    const bool valid = step != nullptr && run.task.index >= 0
-                       && run.task.index < static_cast<int32_t>(step->tasks.size());
-    Task *task = valid ? &step->tasks[static_cast<size_t>(run.task.index)] : nullptr;
-    Attempt *known = task != nullptr ? task->attempt.get() : nullptr;
-    const bool matches = known != nullptr && known->worker == &worker && known->run == run.run;
-    if (matches) {
+    Step *step = nullptr;
+    Task *task = findTask(run.task, step);
+    if (Attempt *known = findAttempt(worker.entry.id, run.task, run.run)) {
         if (known->phase == AttemptPhase::Ordered) {
             known->phase = AttemptPhase::Running;
             known->confirmedAt = std::min(known->confirmedAt, now);
         }
-        if (!run.checkpoint.empty())
-            task->checkpoint = run.checkpoint;
         if (run.percent != known->percent)
             known->progressAt = now;
-        known->percent = run.percent;
-        known->gauge = run.gauge;
-        return;
+        describe(*known, run);
+        return known;
     }
+    const Attempt *known = task != nullptr ? task->attempt.get() : nullptr;
     const bool adopt = task != nullptr && known == nullptr && task->state == TaskState::Waiting
                        && !step->job->isFinal() && !step->gangBroken;
     if (!adopt) {
@@ -210,18 +227,24 @@
             m_unwanted.push_back({worker.entry.id, run.task, run.run});
         // It takes up room that is not counted here until it has ended.
         worker.unwantedRuns = true;
-        return;
+        return nullptr;
     }
     Attempt &adopted = attach(*step, run.task.index, run.run, worker, now);
     adopted.phase = AttemptPhase::Running;
     adopted.confirmedAt = askedAt;
-    adopted.percent = run.percent;
-    adopted.gauge = run.gauge;
-    if (!run.checkpoint.empty())
-        task->checkpoint = run.checkpoint;
+    describe(adopted, run);
     event("run_adopted", step->job->spec->id,
           "task=" + run.task.toString() + " run=" + std::to_string(run.run)
               + " worker=" + worker.entry.id);
+    return &adopted;
+}
+
+void Dispatcher::Impl::describe(Attempt &attempt, const RunningRun &run)
+{
+    attempt.percent = run.percent;
+    attempt.gauge = run.gauge;
+    if (!run.checkpoint.empty())
+        attempt.step->tasks[static_cast<size_t>(attempt.index)].checkpoint = run.checkpoint;
 }
 
 void Dispatcher::Impl::dropMissing(Worker &worker, const AttemptSet &seen, Instant askedAt)
@@ -239,12 +262,8 @@
 
 void Dispatcher::Impl::startAnswered(const StartOrder &order, StartAnswer answer, Instant now)
 {
-    Step *step = findStep(order.task.step);
-    if (step == nullptr)
-        return;
-    Attempt *attempt = step->tasks[static_cast<size_t>(order.task.index)].attempt.get();
-    if (attempt == nullptr || attempt->run != order.run
-        || attempt->worker->entry.id != order.worker)
+    Attempt *attempt = findAttempt(order.worker, order.task, order.run);
+    if (attempt == nullptr)
         return;
     if (answer == StartAnswer::Started) {
         attempt->confirmedAt = std::min(attempt->confirmedAt, now);
@@ -260,24 +279,20 @@
         requestStop(*attempt);
         return;
     }
-    Worker &worker = *attempt->worker;
+    Step &step = *attempt->step;
     if (answer == StartAnswer::NoApproval)
-        step->approvals.erase(order.worker);
+        step.approvals.erase(order.worker);
     if (answer == StartAnswer::StaleRun)
-        step->tasks[static_cast<size_t>(order.task.index)].lastRun += StaleRunSkip;
+        step.tasks[static_cast<size_t>(order.task.index)].lastRun += StaleRunSkip;
     if (answer == StartAnswer::NotRun || answer == StartAnswer::NoRoom)
-        avoid(worker, now, startAnswerName(answer));
+        avoid(*attempt->worker, now, startAnswerName(answer));
     requeue(*attempt);
 }
 
 void Dispatcher::Impl::stopAnswered(const StopOrder &order, Instant now)
 {
-    Step *step = findStep(order.task.step);
-    if (step == nullptr || order.task.index >= static_cast<int32_t>(step->tasks.size()))
-        return;
-    Attempt *attempt = step->tasks[static_cast<size_t>(order.task.index)].attempt.get();
-    if (attempt == nullptr || attempt->run != order.run
-        || attempt->worker->entry.id != order.worker)
+    Attempt *attempt = findAttempt(order.worker, order.task, order.run);
+    if (attempt == nullptr)
         return;
     // From now on the run is listed as running, listed as ended, or never begins.
     attempt->confirmedAt = std::min(attempt->confirmedAt, now);
--- a/src/dispatch/dispatcher_workers.cc
+++ b/src/dispatch/dispatcher_workers.cc
@@ -138,13 +138,8 @@
     }
     AttemptSet seen;
     for (const RunningRun &run : report.running) {
-        takeRunning(worker, run, report.askedAt, now);
-        Step *step = findStep(run.task.step);
-        if (step == nullptr || run.task.index >= static_cast<int32_t>(step->tasks.size()))
-            continue;
-        Task &task = step->tasks[static_cast<size_t>(run.task.index)];
-        if (task.attempt && task.attempt->worker == &worker && task.attempt->run == run.run)
-            seen.insert(task.attempt.get());
+        if (Attempt *attempt = takeRunning(worker, run, report.askedAt, now))
+            seen.insert(attempt);
     }
     dropMissing(worker, seen, report.askedAt);
     watchProgress(worker, now);
@@ -196,11 +191,7 @@
         attempt->pace = pace;
         attempt->progressAt = now;
         worker.pacedAt = now;
-        const Step &step = *attempt->step;
-        m_paces.push_back({worker.entry.id,
-                           {{step.job->spec->id, step.occurrence, step.number}, attempt->index},
-                           attempt->run,
-                           pace});
+        m_paces.push_back({worker.entry.id, refOf(*attempt), attempt->run, pace});
     }
 }
 
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -58,13 +58,18 @@
     void event(std::string_view what, const std::string &job, std::string detail) const;
 
     // dispatcher_runs.cc
+    static TaskRef refOf(const Attempt &attempt);
+    Task *findTask(const TaskRef &ref, Step *&step); // null if there is none
+    Attempt *findAttempt(const WorkerId &worker, const TaskRef &ref, int64_t run);
     Attempt &attach(Step &step, int32_t index, int64_t run, Worker &worker, Instant now);
     void detach(Attempt &attempt); // destroys the attempt
     void requeue(Attempt &attempt); // its run has ended without success
     void requestStop(Attempt &attempt);
     void endRun(Attempt &attempt, RunOutcome outcome, const std::string &checkpoint, Instant now);
     void takeEnd(Worker &worker, const EndedRun &end, Instant now);
-    void takeRunning(Worker &worker, const RunningRun &run, Instant askedAt, Instant now);
+    // The attempt that the run belongs to; null if no task wants it.
+    Attempt *takeRunning(Worker &worker, const RunningRun &run, Instant askedAt, Instant now);
+    static void describe(Attempt &attempt, const RunningRun &run);
     void dropMissing(Worker &worker, const dispatch::AttemptSet &seen, Instant askedAt);
     void loseAttempts(Worker &worker, std::string_view why);
 
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -106,7 +106,6 @@
     Resources *teamUse = nullptr; // what all jobs of its team use
     std::vector<std::unique_ptr<Step>> steps; // by occurrence, then number
     int32_t active = 0;
-    int64_t acceptedAtMs = 0;
 
     bool isFinal() const { return state >= work::JobState::Completed; }
     Step *step(int32_t occurrence, int32_t number) const;
