Let a member that fails again to consult the policy service rest longer

Cause: an instance that is gone stays among the members, and a step that asks it waits for the call to time out, every 1.5 s anew. ApprovalsTest.AMemberThatFailsAgainRestsLonger failed before. The margin of a call is 0.4 s instead of 0.7 s.

--- a/src/control/approvals.cc
+++ b/src/control/approvals.cc
@@ -2,6 +2,7 @@
 
 #include "logging/event_log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cardamompaddle {
@@ -9,9 +10,10 @@
 namespace {
 
 constexpr Duration ShortCall{150}; // calls up to this length are kept apart from longer ones
-constexpr Duration CallMargin{700};
+constexpr Duration CallMargin{400};
 constexpr Duration PeerMargin{200}; // of the call to a peer beside the peer's own call
-constexpr Duration CallerRest{1'500}; // after a failed call
+constexpr Duration CallerRest{1'500}; // after a failed call; doubles with each further one
+constexpr int MaxRestDoublings = 4;
 // One caller in so many serves short calls only, so that none waits for a long one to end.
 constexpr size_t CallersPerShortCaller = 3;
 
@@ -90,10 +92,12 @@
     Caller &caller = m_callers[name];
     caller.busy = false;
     if (!answer) {
-        caller.usableFrom = now + CallerRest;
+        caller.usableFrom = now + CallerRest * (1 << std::min(caller.failures++, MaxRestDoublings));
         logWarn("approval_failed", "step=" + need.step.toString() + " caller=" + name + " reason=\""
                                        + answer.error().reason + "\"");
     }
+    if (answer)
+        caller.failures = 0;
     m_dispatcher.approvalAnswered(need, answer ? &answer.value() : nullptr, at, now);
     m_answered();
 }
--- a/src/control/approvals.h
+++ b/src/control/approvals.h
@@ -34,6 +34,7 @@
     {
         bool busy = false;
         Instant usableFrom = Instant::min(); // after a failure
+        int failures = 0; // in a row
     };
 
     void send(const std::string &name, const std::string &address, const ApprovalNeed &need);
--- /dev/null
+++ b/src/control/approvals_test.cc
@@ -0,0 +1,99 @@
+#include "control/approvals.h"
+
+#include "dispatch/dispatcher_testing.h"
+
+#include <gtest/gtest.h>
+
+namespace cardamompaddle {
+namespace {
+
+class ManualClock : public Clock
+{
+public:
+    Instant now() const override { return time; }
+    Instant time = instantFromMs(100'000);
+};
+
+// Keeps each call until the test answers it.
+class HeldCalls : public PolicyGateway, public PeerGateway
+{
+public:
+    void approve(const std::string &step, const std::vector<WorkerId> &, Duration,
+                 PolicyGateway::Done done) override
+    {
+        own.push_back({step, std::move(done)});
+    }
+    void approve(const std::string &address, const work::ApprovalRequest &, Duration,
+                 PeerGateway::Done done) override
+    {
+        peers.push_back({address, std::move(done)});
+    }
+    void jobsStored(const std::string &) override { }
+
+    std::vector<std::pair<std::string, PolicyGateway::Done>> own;
+    std::vector<std::pair<std::string, PeerGateway::Done>> peers;
+};
+
+class ApprovalsTest : public DispatcherTest
+{
+protected:
+    ApprovalsTest()
+    {
+        m_route.approval = ApprovalPolicy{Duration(20), 0.1, Duration(2'000)};
+        setCatalog();
+        join(entry("w", 100'000));
+        for (const char *name : {"a", "b"}) {
+            work::Member member;
+            member.name = name;
+            member.address = std::string(name) + ":1";
+            m_members[name] = member;
+        }
+    }
+    void ask() { m_approvals.ask(m_members, UnixNow); }
+    // Fails the last call to a peer.
+    void failPeer()
+    {
+        const auto done = std::move(m_calls.peers.back().second);
+        m_calls.peers.pop_back();
+        done(Error{ErrorCode::OutcomeUnknown, "no answer"});
+    }
+
+    ManualClock m_clock;
+    HeldCalls m_calls;
+    std::map<std::string, work::Member> m_members;
+    Approvals m_approvals{m_clock, m_calls, m_calls, m_dispatcher, "a", [] {}};
+};
+
+TEST_F(ApprovalsTest, OneCallAtATimeForEachMember)
+{
+    for (const char *id : {"j1", "j2", "j3"})
+        add(id, {step(1)});
+    ask();
+    ask();
+    EXPECT_EQ(m_calls.own.size(), 1U);
+    ASSERT_EQ(m_calls.peers.size(), 1U);
+    EXPECT_EQ(m_calls.peers[0].first, "b:1");
+}
+
+// Guards against steps that wait again and again for an instance that is gone for good.
+TEST_F(ApprovalsTest, AMemberThatFailsAgainRestsLonger)
+{
+    for (const char *id : {"j1", "j2"})
+        add(id, {step(1)});
+    const auto askedAfter = [this](Duration wait) {
+        m_clock.time += wait;
+        ask();
+        return m_calls.peers.size() == 1;
+    };
+    ASSERT_TRUE(askedAfter(Duration(0)));
+    failPeer();
+    EXPECT_FALSE(askedAfter(Duration(1'000)));
+    ASSERT_TRUE(askedAfter(Duration(1'000)));
+    failPeer();
+    EXPECT_FALSE(askedAfter(Duration(2'000))) << "the second failure in a row";
+    ASSERT_TRUE(askedAfter(Duration(2'000)));
+    m_calls.peers.back().second(work::ApprovalAnswer{});
+}
+
+} // namespace
+} // namespace cardamompaddle
