--- a/src/control/acceptance_test.cc
+++ b/src/control/acceptance_test.cc
@@ -24,20 +24,11 @@
     Node &node = scheduler();
     node.log->silent = true;
     node.log->applyWhileSilent = true;
-    auto outcome = std::make_shared<std::optional<AcceptOutcome>>();
-    work::Submission job;
-    job.id = "job";
-    job.route = "r";
-    work::StepSpec step;
-    step.tasks = 1;
-    job.steps = {step};
-    node.instance->acceptor().submit(
-        job, m_clock.now() + Duration(2'500),
-        [outcome](AcceptOutcome it, const std::string &) { *outcome = it; });
+    handIn(node, "job");
     runFor(Duration(100));
     node.log->silent = false;
-    ASSERT_TRUE(runUntil([outcome] { return outcome->has_value(); }));
-    EXPECT_EQ(**outcome, AcceptOutcome::Accepted);
+    ASSERT_TRUE(runUntil([this] { return m_outcomes.contains("job"); }));
+    EXPECT_EQ(m_outcomes["job"], AcceptOutcome::Accepted);
     EXPECT_TRUE(runUntil([this] { return m_workers.starts > 0; }, Duration(6'000)));
     runFor(Duration(200));
     EXPECT_EQ(m_workers.starts, 1);
@@ -51,31 +42,19 @@
     ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
     Node &node = scheduler();
     node.log->silent = true;
-    std::map<std::string, AcceptOutcome> outcomes;
-    const auto submitOnly = [&](const std::string &id) {
-        work::Submission job;
-        job.id = id;
-        job.route = "r";
-        work::StepSpec step;
-        step.tasks = 1;
-        job.steps = {step};
-        node.instance->acceptor().submit(
-            job, m_clock.now() + Duration(2'500),
-            [&outcomes, id](AcceptOutcome it, const std::string &) { outcomes[id] = it; });
-    };
-    submitOnly("first");
+    handIn(node, "first");
     runFor(Duration(20));
-    submitOnly("second");
+    handIn(node, "second");
     runFor(Duration(20));
-    submitOnly("third"); // waits behind the two
-    EXPECT_TRUE(runUntil([&] { return outcomes.contains("third"); }, Duration(500)));
-    EXPECT_EQ(outcomes["third"], AcceptOutcome::Refused);
-    submitOnly("fourth");
-    EXPECT_TRUE(runUntil([&] { return outcomes.contains("fourth"); }, Duration(100)))
+    handIn(node, "third"); // waits behind the two
+    EXPECT_TRUE(runUntil([&] { return m_outcomes.contains("third"); }, Duration(500)));
+    EXPECT_EQ(m_outcomes["third"], AcceptOutcome::Refused);
+    handIn(node, "fourth");
+    EXPECT_TRUE(runUntil([&] { return m_outcomes.contains("fourth"); }, Duration(100)))
         << "it must not wait";
-    EXPECT_EQ(outcomes["fourth"], AcceptOutcome::Refused);
-    ASSERT_TRUE(runUntil([&] { return outcomes.contains("first"); }));
-    EXPECT_EQ(outcomes["first"], AcceptOutcome::Unknown) << "it may have been stored";
+    EXPECT_EQ(m_outcomes["fourth"], AcceptOutcome::Refused);
+    ASSERT_TRUE(runUntil([&] { return m_outcomes.contains("first"); }));
+    EXPECT_EQ(m_outcomes["first"], AcceptOutcome::Unknown) << "it may have been stored";
     node.log->silent = false;
     EXPECT_TRUE(runUntil([&] { return submit(node, "later") == AcceptOutcome::Accepted; }));
     for (const char *id : {"third", "fourth"})
@@ -101,12 +80,7 @@
     ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
     ASSERT_EQ(submit(follower(), "job", 2), AcceptOutcome::Accepted);
     ASSERT_TRUE(runUntil([this] { return m_workers.runningCount() == 2; }));
-    std::optional<AcceptOutcome> cancelled;
-    follower().instance->acceptor().cancel(
-        "job", m_clock.now() + Duration(2'000),
-        [&cancelled](AcceptOutcome it, const std::string &) { cancelled = it; });
-    ASSERT_TRUE(runUntil([&] { return cancelled.has_value(); }));
-    EXPECT_EQ(*cancelled, AcceptOutcome::Accepted);
+    EXPECT_EQ(cancel(follower(), "job"), AcceptOutcome::Accepted);
     EXPECT_TRUE(runUntil([this] { return m_workers.runningCount() == 0; }));
     EXPECT_EQ(submit(scheduler(), "job", 2), AcceptOutcome::Accepted);
     runFor(Duration(300));
@@ -118,17 +92,9 @@
 {
     addNode("a");
     ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
-    const auto cancel = [this](Node &node) {
-        std::optional<AcceptOutcome> outcome;
-        node.instance->acceptor().cancel(
-            "none", m_clock.now() + Duration(2'000),
-            [&outcome](AcceptOutcome it, const std::string &) { outcome = it; });
-        runUntil([&] { return outcome.has_value(); });
-        return outcome;
-    };
-    EXPECT_EQ(cancel(scheduler()), AcceptOutcome::NotFound);
+    EXPECT_EQ(cancel(scheduler(), "none"), AcceptOutcome::NotFound);
     m_nodes["a"].log->refuses = true;
-    EXPECT_EQ(cancel(m_nodes["a"]), AcceptOutcome::Unknown);
+    EXPECT_EQ(cancel(m_nodes["a"], "none"), AcceptOutcome::Unknown);
 }
 
 TEST_F(InstanceTest, AnOlderConfigurationVersionIsNeverApplied)
--- a/src/control/gateways.h
+++ b/src/control/gateways.h
@@ -103,7 +103,7 @@
 struct LookAnswer
 {
     RunReport report;
-    int64_t workerClockMs = 0;
+    int64_t workerTimeMs = 0;
 };
 
 // Errors of all calls: PermissionDenied if a higher epoch was seen there, Conflict if another
--- a/src/control/instance_testing.h
+++ b/src/control/instance_testing.h
@@ -125,8 +125,8 @@
         }
         throw std::logic_error("no follower");
     }
-    std::optional<AcceptOutcome> submit(Node &node, const std::string &id, int32_t tasks = 1,
-                                        Duration most = Duration(3'000))
+    // Hands a job in; its outcome appears in m_outcomes.
+    void handIn(Node &node, const std::string &id, int32_t tasks = 1)
     {
         work::Submission job;
         job.id = id;
@@ -137,12 +137,25 @@
         step.cpuMilli = 1'000;
         step.estimatedMs = 1'000;
         job.steps = {step};
-        auto outcome = std::make_shared<std::optional<AcceptOutcome>>();
+        m_outcomes.erase(id);
         node.instance->acceptor().submit(
             job, m_clock.now() + Duration(2'500),
-            [outcome](AcceptOutcome it, const std::string &) { *outcome = it; });
-        runUntil([outcome] { return outcome->has_value(); }, most);
-        return *outcome;
+            [this, id](AcceptOutcome it, const std::string &) { m_outcomes[id] = it; });
+    }
+    std::optional<AcceptOutcome> submit(Node &node, const std::string &id, int32_t tasks = 1)
+    {
+        handIn(node, id, tasks);
+        const bool answered = runUntil([&] { return m_outcomes.contains(id); });
+        return answered ? std::optional(m_outcomes[id]) : std::nullopt;
+    }
+    std::optional<AcceptOutcome> cancel(Node &node, const std::string &id)
+    {
+        std::optional<AcceptOutcome> outcome;
+        node.instance->acceptor().cancel(
+            id, m_clock.now() + Duration(2'000),
+            [&outcome](AcceptOutcome it, const std::string &) { outcome = it; });
+        runUntil([&] { return outcome.has_value(); });
+        return outcome;
     }
     bool reached(Node &node, const std::string &id, work::JobState::type state)
     {
@@ -153,6 +166,7 @@
     }
 
     Duration m_maxLease{1'000};
+    std::map<std::string, AcceptOutcome> m_outcomes; // of jobs, by id
     boost::asio::io_context m_io;
     testing::TestClock m_clock;
     testing::LogModel m_model;
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -183,7 +183,7 @@
                 look(entry, authority, acknowledged, wait - Duration(5), timeout, askedAt, done);
             });
         LookAnswer answer;
-        answer.workerClockMs = 1'000;
+        answer.workerTimeMs = 1'000;
         answer.report.askedAt = askedAt;
         answer.report.startedAtMs = worker.startedAtMs;
         for (const Run &run : worker.running)
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -92,7 +92,7 @@
         return out;
     const Instant now = m_clock.now();
     const Duration lease = std::min(WantedLease, m_options.maxLease);
-    out.leaseEndMs = link.clockMs + (now - link.clockAt).count() + lease.count();
+    out.leaseEndMs = link.workerMs + (now - link.clockAt).count() + lease.count();
     link.leaseLapsed = std::max(link.leaseLapsed, now + lapseTime(lease));
     link.lost = false;
     return out;
@@ -143,7 +143,7 @@
         return;
     }
     const Instant now = m_clock.now();
-    link->clockMs = answer->workerClockMs;
+    link->workerMs = answer->workerTimeMs;
     link->clockAt = now;
     const bool first = !link->reported;
     link->reported = true;
@@ -253,6 +253,19 @@
     });
 }
 
+// Ends a call that carries no answer but success. A failure of `what` leaves a line.
+bool WorkerLinks::succeeded(std::string_view what, const WorkerId &id, const TaskRef &task,
+                            const Result<void> &answer)
+{
+    callEnded(id);
+    if (answer)
+        return true;
+    logWarn(what, "task=" + task.toString() + " worker=" + id + " reason=\"" + answer.error().reason
+                      + "\"");
+    judgeError(id, answer.error());
+    return false;
+}
+
 void WorkerLinks::stop(const StopOrder &order)
 {
     if (!knows(order.worker))
@@ -261,16 +274,9 @@
         Link &link = *find(order.worker);
         m_gateway.stop(link.entry, authority(link, false), order, OrderTimeout,
                        [this, alive = m_alive, order](const Result<void> &answer) {
-                           if (!*alive)
-                               return;
-                           callEnded(order.worker);
-                           if (answer)
-                               return m_callbacks.stopConfirmed(order);
                            // The dispatcher repeats a stop that is not confirmed.
-                           logWarn("stop_failed", "task=" + order.task.toString()
-                                                      + " worker=" + order.worker + " reason=\""
-                                                      + answer.error().reason + "\"");
-                           judgeError(order.worker, answer.error());
+                           if (*alive && succeeded("stop_failed", order.worker, order.task, answer))
+                               m_callbacks.stopConfirmed(order);
                        });
     });
 }
@@ -283,15 +289,8 @@
         Link &link = *find(order.worker);
         m_gateway.pace(link.entry, authority(link, false), order, OrderTimeout,
                        [this, alive = m_alive, order](const Result<void> &answer) {
-                           if (!*alive)
-                               return;
-                           callEnded(order.worker);
-                           if (answer)
-                               return;
-                           logWarn("pace_failed", "task=" + order.task.toString()
-                                                      + " worker=" + order.worker + " reason=\""
-                                                      + answer.error().reason + "\"");
-                           judgeError(order.worker, answer.error());
+                           if (*alive)
+                               succeeded("pace_failed", order.worker, order.task, answer);
                        });
     });
 }
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace cardamompaddle {
 
@@ -78,7 +79,7 @@
         bool reported = false;
         bool lost = false; // nothing runs there: told to the scheduler
         bool reachable = false;
-        int64_t clockMs = 0; // of the worker, at clockAt
+        int64_t workerMs = 0; // of the worker, at clockAt
         Instant clockAt = Instant::min();
         Instant leaseLapsed; // by then everything there has surely lapsed
         std::shared_ptr<boost::asio::steady_timer> timer;
@@ -94,6 +95,8 @@
     WorkerAuthority authority(Link &link, bool extendLease);
     void enqueue(const WorkerId &id, std::function<void()> call);
     void callEnded(const WorkerId &id);
+    bool succeeded(std::string_view what, const WorkerId &id, const TaskRef &task,
+                   const Result<void> &answer);
     void judgeError(const WorkerId &id, const Error &error);
     void declareLost(Link &link, const std::string &why);
 
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -179,7 +179,7 @@
         if (step.spec->usesIdleCpu)
             score += (worker.servingTasks > 0 ? DisturbancePenalty : 0)
                      + worker.idleCpuTasks * PenaltyPerIdleCpuTask;
-        else if (step.spec->latencyTargetMs > 0 && worker.idleCpuTasks > 0)
+        else if (step.spec->latencyObjectiveMs > 0 && worker.idleCpuTasks > 0)
             score += DisturbancePenalty;
         if (task.failedOn == worker.entry.id)
             score += FailedHerePenalty;
--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -20,7 +20,7 @@
 
 bool serves(const Step &step)
 {
-    return step.spec->latencyTargetMs > 0;
+    return step.spec->latencyObjectiveMs > 0;
 }
 
 } // namespace
--- a/src/dispatch/dispatcher_runs_test.cc
+++ b/src/dispatch/dispatcher_runs_test.cc
@@ -192,7 +192,7 @@
     join(entry("w"));
     auto service = step(1);
     service.longRunning = true;
-    service.latencyTargetMs = 100;
+    service.latencyObjectiveMs = 100;
     auto filler = step(1);
     filler.usesIdleCpu = true;
     add("service", {service});
--- a/src/dispatch/dispatcher_workers.cc
+++ b/src/dispatch/dispatcher_workers.cc
@@ -172,7 +172,7 @@
         return;
     double worst = 0; // latency over target
     for (const Attempt *attempt : worker.attempts) {
-        const int64_t target = attempt->step->spec->latencyTargetMs;
+        const int64_t target = attempt->step->spec->latencyObjectiveMs;
         if (target > 0)
             worst =
                 std::max(worst, static_cast<double>(attempt->gauge) / static_cast<double>(target));
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -113,8 +113,8 @@
   this->image = val;
 }
 
-void StepSpec::__set_latencyTargetMs(const int64_t val) {
-  this->latencyTargetMs = val;
+void StepSpec::__set_latencyObjectiveMs(const int64_t val) {
+  this->latencyObjectiveMs = val;
 }
 
 void StepSpec::__set_usesIdleCpu(const bool val) {
@@ -286,8 +286,8 @@
         break;
       case 16:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->latencyTargetMs);
-          this->__isset.latencyTargetMs = true;
+          xfer += iprot->readI64(this->latencyObjectiveMs);
+          this->__isset.latencyObjectiveMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -393,8 +393,8 @@
   xfer += oprot->writeString(this->image);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("latencyTargetMs", ::apache::thrift::protocol::T_I64, 16);
-  xfer += oprot->writeI64(this->latencyTargetMs);
+  xfer += oprot->writeFieldBegin("latencyObjectiveMs", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->latencyObjectiveMs);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("usesIdleCpu", ::apache::thrift::protocol::T_BOOL, 17);
@@ -427,7 +427,7 @@
   swap(a.copiesAllowed, b.copiesAllowed);
   swap(a.longRunning, b.longRunning);
   swap(a.image, b.image);
-  swap(a.latencyTargetMs, b.latencyTargetMs);
+  swap(a.latencyObjectiveMs, b.latencyObjectiveMs);
   swap(a.usesIdleCpu, b.usesIdleCpu);
   swap(a.mayBeAway, b.mayBeAway);
   swap(a.__isset, b.__isset);
@@ -449,7 +449,7 @@
   copiesAllowed = other6.copiesAllowed;
   longRunning = other6.longRunning;
   image = other6.image;
-  latencyTargetMs = other6.latencyTargetMs;
+  latencyObjectiveMs = other6.latencyObjectiveMs;
   usesIdleCpu = other6.usesIdleCpu;
   mayBeAway = other6.mayBeAway;
   __isset = other6.__isset;
@@ -470,7 +470,7 @@
   copiesAllowed = other7.copiesAllowed;
   longRunning = other7.longRunning;
   image = std::move(other7.image);
-  latencyTargetMs = other7.latencyTargetMs;
+  latencyObjectiveMs = other7.latencyObjectiveMs;
   usesIdleCpu = other7.usesIdleCpu;
   mayBeAway = other7.mayBeAway;
   __isset = other7.__isset;
@@ -491,7 +491,7 @@
   copiesAllowed = other8.copiesAllowed;
   longRunning = other8.longRunning;
   image = other8.image;
-  latencyTargetMs = other8.latencyTargetMs;
+  latencyObjectiveMs = other8.latencyObjectiveMs;
   usesIdleCpu = other8.usesIdleCpu;
   mayBeAway = other8.mayBeAway;
   __isset = other8.__isset;
@@ -513,7 +513,7 @@
   copiesAllowed = other9.copiesAllowed;
   longRunning = other9.longRunning;
   image = std::move(other9.image);
-  latencyTargetMs = other9.latencyTargetMs;
+  latencyObjectiveMs = other9.latencyObjectiveMs;
   usesIdleCpu = other9.usesIdleCpu;
   mayBeAway = other9.mayBeAway;
   __isset = other9.__isset;
@@ -537,7 +537,7 @@
   out << ", " << "copiesAllowed=" << to_string(copiesAllowed);
   out << ", " << "longRunning=" << to_string(longRunning);
   out << ", " << "image=" << to_string(image);
-  out << ", " << "latencyTargetMs=" << to_string(latencyTargetMs);
+  out << ", " << "latencyObjectiveMs=" << to_string(latencyObjectiveMs);
   out << ", " << "usesIdleCpu=" << to_string(usesIdleCpu);
   out << ", " << "mayBeAway=" << to_string(mayBeAway);
   out << ")";
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -58,7 +58,7 @@
 class UsedWorker;
 
 typedef struct _StepSpec__isset {
-  _StepSpec__isset() : tasks(false), cpuMilli(false), memoryMb(false), accelerators(false), estimatedMs(false), after(false), checkpointing(false), gang(false), sameRack(false), requiredLabel(false), preferredRack(false), maxPerWorker(false), copiesAllowed(false), longRunning(false), image(false), latencyTargetMs(false), usesIdleCpu(false), mayBeAway(false) {}
+  _StepSpec__isset() : tasks(false), cpuMilli(false), memoryMb(false), accelerators(false), estimatedMs(false), after(false), checkpointing(false), gang(false), sameRack(false), requiredLabel(false), preferredRack(false), maxPerWorker(false), copiesAllowed(false), longRunning(false), image(false), latencyObjectiveMs(false), usesIdleCpu(false), mayBeAway(false) {}
   bool tasks :1;
   bool cpuMilli :1;
   bool memoryMb :1;
@@ -74,7 +74,7 @@
   bool copiesAllowed :1;
   bool longRunning :1;
   bool image :1;
-  bool latencyTargetMs :1;
+  bool latencyObjectiveMs :1;
   bool usesIdleCpu :1;
   bool mayBeAway :1;
 } _StepSpec__isset;
@@ -101,7 +101,7 @@
              copiesAllowed(0),
              longRunning(0),
              image(),
-             latencyTargetMs(0),
+             latencyObjectiveMs(0),
              usesIdleCpu(0),
              mayBeAway(0) {
   }
@@ -122,7 +122,7 @@
   bool copiesAllowed;
   bool longRunning;
   std::string image;
-  int64_t latencyTargetMs;
+  int64_t latencyObjectiveMs;
   bool usesIdleCpu;
   int32_t mayBeAway;
 
@@ -158,7 +158,7 @@
 
   void __set_image(const std::string& val);
 
-  void __set_latencyTargetMs(const int64_t val);
+  void __set_latencyObjectiveMs(const int64_t val);
 
   void __set_usesIdleCpu(const bool val);
 
@@ -196,7 +196,7 @@
       return false;
     if (!(image == rhs.image))
       return false;
-    if (!(latencyTargetMs == rhs.latencyTargetMs))
+    if (!(latencyObjectiveMs == rhs.latencyObjectiveMs))
       return false;
     if (!(usesIdleCpu == rhs.usesIdleCpu))
       return false;
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -21,7 +21,7 @@
   13: bool copiesAllowed;      // a second run of a task at the same time does no harm
   14: bool longRunning;        // runs until the job is cancelled; restarted however it ends
   15: string image;
-  16: i64 latencyTargetMs;     // of the users that a long-running task serves; 0: none
+  16: i64 latencyObjectiveMs;     // of the users that a long-running task serves; 0: none
   17: bool usesIdleCpu;        // its processors come from what other tasks leave unused
   18: i32 mayBeAway;           // tasks that the scheduler may take away at the same time
 }
