Write whole log lines only

Cause: flush() wrote as much of the buffer as the pipe took, so a write could end within a line, and what another process wrote next stood in its middle. MaxWriteBytes named the bound but was unused. Change: each write holds whole lines of at most MaxWriteBytes, which a pipe takes whole or not at all.

--- a/src/logging/bounded_appender.cc
+++ b/src/logging/bounded_appender.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <fcntl.h>
+#include <string_view>
 #include <unistd.h>
 
 namespace cardamompaddle {
@@ -12,7 +13,17 @@
 namespace {
 
 constexpr Duration RefillInterval{1'000};
-constexpr size_t MaxWriteBytes = 4'000; // below PIPE_BUF, so that a write is not split
+// Below PIPE_BUF: a pipe takes such a write whole or not at all.
+constexpr size_t MaxWriteBytes = 4'000;
+
+// Returns the length of the whole lines at the start of `text` that together fit into one write; at
+// least the first line.
+size_t wholeLines(std::string_view text)
+{
+    const size_t last = text.substr(0, MaxWriteBytes).rfind('\n');
+    const size_t end = last != std::string_view::npos ? last : text.find('\n');
+    return end == std::string_view::npos ? text.size() : end + 1;
+}
 
 } // namespace
 
@@ -58,8 +69,8 @@
         m_unreportedDrops = 0;
     }
     while (m_written < m_buffer.size()) {
-        const auto count =
-            ::write(m_options.descriptor, m_buffer.data() + m_written, m_buffer.size() - m_written);
+        const std::string_view unwritten = std::string_view(m_buffer).substr(m_written);
+        const auto count = ::write(m_options.descriptor, unwritten.data(), wholeLines(unwritten));
         if (count <= 0)
             break; // full or closed; the next flush tries again, and append() bounds the buffer
         m_written += static_cast<size_t>(count);
--- a/src/logging/bounded_appender_test.cc
+++ b/src/logging/bounded_appender_test.cc
@@ -77,5 +77,25 @@
     EXPECT_GT(appender.droppedLines(), 50U);
 }
 
+// Guards against a line that is cut where a write to a pipe ends, and is then mixed up with what
+// another writer of the pipe adds.
+TEST_F(BoundedAppenderTest, EachWriteHoldsWholeLines)
+{
+    // A pipe with O_DIRECT keeps the writes apart: each read returns one of them.
+    int packets[2] = {-1, -1};
+    ASSERT_EQ(::pipe2(packets, O_NONBLOCK | O_DIRECT), 0);
+    BoundedAppender appender({packets[1], 1 << 20, 1 << 20, "n1"});
+    for (int i = 0; i < 200; ++i)
+        log(appender, "event=line number=" + std::to_string(i));
+    appender.flush(m_now);
+    int writes = 0;
+    std::string buf(1 << 16, '\0');
+    for (ssize_t n = 0; (n = ::read(packets[0], buf.data(), buf.size())) > 0; ++writes)
+        EXPECT_EQ(buf[static_cast<size_t>(n) - 1], '\n');
+    EXPECT_GT(writes, 1);
+    ::close(packets[0]);
+    ::close(packets[1]);
+}
+
 } // namespace
 } // namespace cardamompaddle
