--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -48,6 +48,111 @@
   }
 }
 
+int _kWorkerCallKindValues[] = {
+  WorkerCallKind::Poll,
+  WorkerCallKind::Start,
+  WorkerCallKind::Stop,
+  WorkerCallKind::Throttle
+};
+const char* _kWorkerCallKindNames[] = {
+  "Poll",
+  "Start",
+  "Stop",
+  "Throttle"
+};
+const std::map<int, const char*> _WorkerCallKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kWorkerCallKindValues, _kWorkerCallKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const WorkerCallKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _WorkerCallKind_VALUES_TO_NAMES.find(val);
+  if (it != _WorkerCallKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const WorkerCallKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _WorkerCallKind_VALUES_TO_NAMES.find(val);
+  if (it != _WorkerCallKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kStartResultValues[] = {
+  StartResult::Started,
+  StartResult::NoRoom,
+  StartResult::StaleRun,
+  StartResult::NoApproval,
+  StartResult::WorkerUnavailable
+};
+const char* _kStartResultNames[] = {
+  "Started",
+  "NoRoom",
+  "StaleRun",
+  "NoApproval",
+  "WorkerUnavailable"
+};
+const std::map<int, const char*> _StartResult_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kStartResultValues, _kStartResultNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const StartResult::type& val) {
+  std::map<int, const char*>::const_iterator it = _StartResult_VALUES_TO_NAMES.find(val);
+  if (it != _StartResult_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const StartResult::type& val) {
+  std::map<int, const char*>::const_iterator it = _StartResult_VALUES_TO_NAMES.find(val);
+  if (it != _StartResult_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kRunEndValues[] = {
+  RunEnd::Succeeded,
+  RunEnd::Failed,
+  RunEnd::Stopped,
+  RunEnd::LeaseLapsed,
+  RunEnd::GangBroken,
+  RunEnd::GangIncomplete
+};
+const char* _kRunEndNames[] = {
+  "Succeeded",
+  "Failed",
+  "Stopped",
+  "LeaseLapsed",
+  "GangBroken",
+  "GangIncomplete"
+};
+const std::map<int, const char*> _RunEnd_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(6, _kRunEndValues, _kRunEndNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const RunEnd::type& val) {
+  std::map<int, const char*>::const_iterator it = _RunEnd_VALUES_TO_NAMES.find(val);
+  if (it != _RunEnd_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const RunEnd::type& val) {
+  std::map<int, const char*>::const_iterator it = _RunEnd_VALUES_TO_NAMES.find(val);
+  if (it != _RunEnd_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 StepSpec::~StepSpec() noexcept {
 }
@@ -1312,6 +1417,10 @@
 void Tenure::__set_handedOverAtMs(const int64_t val) {
   this->handedOverAtMs = val;
 }
+
+void Tenure::__set_successor(const std::string& val) {
+  this->successor = val;
+}
 std::ostream& operator<<(std::ostream& out, const Tenure& obj)
 {
   obj.printTo(out);
@@ -1388,6 +1497,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->successor);
+          this->__isset.successor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1429,6 +1546,10 @@
   xfer += oprot->writeI64(this->handedOverAtMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("successor", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->successor);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1442,6 +1563,7 @@
   swap(a.released, b.released);
   swap(a.startsRecorded, b.startsRecorded);
   swap(a.handedOverAtMs, b.handedOverAtMs);
+  swap(a.successor, b.successor);
   swap(a.__isset, b.__isset);
 }
 
@@ -1452,6 +1574,7 @@
   released = other63.released;
   startsRecorded = other63.startsRecorded;
   handedOverAtMs = other63.handedOverAtMs;
+  successor = other63.successor;
   __isset = other63.__isset;
 }
 Tenure::Tenure(Tenure&& other64) noexcept {
@@ -1461,6 +1584,7 @@
   released = other64.released;
   startsRecorded = other64.startsRecorded;
   handedOverAtMs = other64.handedOverAtMs;
+  successor = std::move(other64.successor);
   __isset = other64.__isset;
 }
 Tenure& Tenure::operator=(const Tenure& other65) {
@@ -1470,6 +1594,7 @@
   released = other65.released;
   startsRecorded = other65.startsRecorded;
   handedOverAtMs = other65.handedOverAtMs;
+  successor = other65.successor;
   __isset = other65.__isset;
   return *this;
 }
@@ -1480,6 +1605,7 @@
   released = other66.released;
   startsRecorded = other66.startsRecorded;
   handedOverAtMs = other66.handedOverAtMs;
+  successor = std::move(other66.successor);
   __isset = other66.__isset;
   return *this;
 }
@@ -1492,6 +1618,7 @@
   out << ", " << "released=" << to_string(released);
   out << ", " << "startsRecorded=" << to_string(startsRecorded);
   out << ", " << "handedOverAtMs=" << to_string(handedOverAtMs);
+  out << ", " << "successor=" << to_string(successor);
   out << ")";
 }
 
@@ -1507,6 +1634,14 @@
 void Member::__set_address(const std::string& val) {
   this->address = val;
 }
+
+void Member::__set_cpuMilli(const int64_t val) {
+  this->cpuMilli = val;
+}
+
+void Member::__set_availabilityZone(const std::string& val) {
+  this->availabilityZone = val;
+}
 std::ostream& operator<<(std::ostream& out, const Member& obj)
 {
   obj.printTo(out);
@@ -1551,6 +1686,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cpuMilli);
+          this->__isset.cpuMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->availabilityZone);
+          this->__isset.availabilityZone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1576,6 +1727,14 @@
   xfer += oprot->writeString(this->address);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("cpuMilli", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->cpuMilli);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("availabilityZone", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->availabilityZone);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1585,28 +1744,38 @@
   using ::std::swap;
   swap(a.name, b.name);
   swap(a.address, b.address);
+  swap(a.cpuMilli, b.cpuMilli);
+  swap(a.availabilityZone, b.availabilityZone);
   swap(a.__isset, b.__isset);
 }
 
 Member::Member(const Member& other67) {
   name = other67.name;
   address = other67.address;
+  cpuMilli = other67.cpuMilli;
+  availabilityZone = other67.availabilityZone;
   __isset = other67.__isset;
 }
 Member::Member(Member&& other68) noexcept {
   name = std::move(other68.name);
   address = std::move(other68.address);
+  cpuMilli = other68.cpuMilli;
+  availabilityZone = std::move(other68.availabilityZone);
   __isset = other68.__isset;
 }
 Member& Member::operator=(const Member& other69) {
   name = other69.name;
   address = other69.address;
+  cpuMilli = other69.cpuMilli;
+  availabilityZone = other69.availabilityZone;
   __isset = other69.__isset;
   return *this;
 }
 Member& Member::operator=(Member&& other70) noexcept {
   name = std::move(other70.name);
   address = std::move(other70.address);
+  cpuMilli = other70.cpuMilli;
+  availabilityZone = std::move(other70.availabilityZone);
   __isset = other70.__isset;
   return *this;
 }
@@ -1615,6 +1784,8 @@
   out << "Member(";
   out << "name=" << to_string(name);
   out << ", " << "address=" << to_string(address);
+  out << ", " << "cpuMilli=" << to_string(cpuMilli);
+  out << ", " << "availabilityZone=" << to_string(availabilityZone);
   out << ")";
 }
 
@@ -2377,6 +2548,10 @@
 void StoredRecords::__set_topicEnd(const int64_t val) {
   this->topicEnd = val;
 }
+
+void StoredRecords::__set_relayTo(const std::vector<std::string> & val) {
+  this->relayTo = val;
+}
 std::ostream& operator<<(std::ostream& out, const StoredRecords& obj)
 {
   obj.printTo(out);
@@ -2441,6 +2616,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->relayTo.clear();
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->relayTo.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
+            {
+              xfer += iprot->readString(this->relayTo[_i112]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.relayTo = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2465,10 +2660,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StoredRecord> ::const_iterator _iter108;
-    for (_iter108 = this->records.begin(); _iter108 != this->records.end(); ++_iter108)
+    std::vector<StoredRecord> ::const_iterator _iter113;
+    for (_iter113 = this->records.begin(); _iter113 != this->records.end(); ++_iter113)
     {
-      xfer += (*_iter108).write(oprot);
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2478,6 +2673,18 @@
   xfer += oprot->writeI64(this->topicEnd);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("relayTo", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->relayTo.size()));
+    std::vector<std::string> ::const_iterator _iter114;
+    for (_iter114 = this->relayTo.begin(); _iter114 != this->relayTo.end(); ++_iter114)
+    {
+      xfer += oprot->writeString((*_iter114));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2488,33 +2695,38 @@
   swap(a.topic, b.topic);
   swap(a.records, b.records);
   swap(a.topicEnd, b.topicEnd);
+  swap(a.relayTo, b.relayTo);
   swap(a.__isset, b.__isset);
 }
 
-StoredRecords::StoredRecords(const StoredRecords& other109) {
-  topic = other109.topic;
-  records = other109.records;
-  topicEnd = other109.topicEnd;
-  __isset = other109.__isset;
-}
-StoredRecords::StoredRecords(StoredRecords&& other110) noexcept {
-  topic = std::move(other110.topic);
-  records = std::move(other110.records);
-  topicEnd = other110.topicEnd;
-  __isset = other110.__isset;
-}
-StoredRecords& StoredRecords::operator=(const StoredRecords& other111) {
-  topic = other111.topic;
-  records = other111.records;
-  topicEnd = other111.topicEnd;
-  __isset = other111.__isset;
+StoredRecords::StoredRecords(const StoredRecords& other115) {
+  topic = other115.topic;
+  records = other115.records;
+  topicEnd = other115.topicEnd;
+  relayTo = other115.relayTo;
+  __isset = other115.__isset;
+}
+StoredRecords::StoredRecords(StoredRecords&& other116) noexcept {
+  topic = std::move(other116.topic);
+  records = std::move(other116.records);
+  topicEnd = other116.topicEnd;
+  relayTo = std::move(other116.relayTo);
+  __isset = other116.__isset;
+}
+StoredRecords& StoredRecords::operator=(const StoredRecords& other117) {
+  topic = other117.topic;
+  records = other117.records;
+  topicEnd = other117.topicEnd;
+  relayTo = other117.relayTo;
+  __isset = other117.__isset;
   return *this;
 }
-StoredRecords& StoredRecords::operator=(StoredRecords&& other112) noexcept {
-  topic = std::move(other112.topic);
-  records = std::move(other112.records);
-  topicEnd = other112.topicEnd;
-  __isset = other112.__isset;
+StoredRecords& StoredRecords::operator=(StoredRecords&& other118) noexcept {
+  topic = std::move(other118.topic);
+  records = std::move(other118.records);
+  topicEnd = other118.topicEnd;
+  relayTo = std::move(other118.relayTo);
+  __isset = other118.__isset;
   return *this;
 }
 void StoredRecords::printTo(std::ostream& out) const {
@@ -2523,6 +2735,7 @@
   out << "topic=" << to_string(topic);
   out << ", " << "records=" << to_string(records);
   out << ", " << "topicEnd=" << to_string(topicEnd);
+  out << ", " << "relayTo=" << to_string(relayTo);
   out << ")";
 }
 
@@ -2594,17 +2807,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size113;
-            ::apache::thrift::protocol::TType _ktype114;
-            ::apache::thrift::protocol::TType _vtype115;
-            xfer += iprot->readMapBegin(_ktype114, _vtype115, _size113);
-            uint32_t _i117;
-            for (_i117 = 0; _i117 < _size113; ++_i117)
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _ktype120;
+            ::apache::thrift::protocol::TType _vtype121;
+            xfer += iprot->readMapBegin(_ktype120, _vtype121, _size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
             {
-              std::string _key118;
-              xfer += iprot->readString(_key118);
-              std::string& _val119 = this->headers[_key118];
-              xfer += iprot->readString(_val119);
+              std::string _key124;
+              xfer += iprot->readString(_key124);
+              std::string& _val125 = this->headers[_key124];
+              xfer += iprot->readString(_val125);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2649,11 +2862,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter120;
-    for (_iter120 = this->headers.begin(); _iter120 != this->headers.end(); ++_iter120)
+    std::map<std::string, std::string> ::const_iterator _iter126;
+    for (_iter126 = this->headers.begin(); _iter126 != this->headers.end(); ++_iter126)
     {
-      xfer += oprot->writeString(_iter120->first);
-      xfer += oprot->writeString(_iter120->second);
+      xfer += oprot->writeString(_iter126->first);
+      xfer += oprot->writeString(_iter126->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2677,34 +2890,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CallerRequest::CallerRequest(const CallerRequest& other121) {
-  method = other121.method;
-  path = other121.path;
-  headers = other121.headers;
-  body = other121.body;
-  __isset = other121.__isset;
-}
-CallerRequest::CallerRequest(CallerRequest&& other122) noexcept {
-  method = std::move(other122.method);
-  path = std::move(other122.path);
-  headers = std::move(other122.headers);
-  body = std::move(other122.body);
-  __isset = other122.__isset;
-}
-CallerRequest& CallerRequest::operator=(const CallerRequest& other123) {
-  method = other123.method;
-  path = other123.path;
-  headers = other123.headers;
-  body = other123.body;
-  __isset = other123.__isset;
+CallerRequest::CallerRequest(const CallerRequest& other127) {
+  method = other127.method;
+  path = other127.path;
+  headers = other127.headers;
+  body = other127.body;
+  __isset = other127.__isset;
+}
+CallerRequest::CallerRequest(CallerRequest&& other128) noexcept {
+  method = std::move(other128.method);
+  path = std::move(other128.path);
+  headers = std::move(other128.headers);
+  body = std::move(other128.body);
+  __isset = other128.__isset;
+}
+CallerRequest& CallerRequest::operator=(const CallerRequest& other129) {
+  method = other129.method;
+  path = other129.path;
+  headers = other129.headers;
+  body = other129.body;
+  __isset = other129.__isset;
   return *this;
 }
-CallerRequest& CallerRequest::operator=(CallerRequest&& other124) noexcept {
-  method = std::move(other124.method);
-  path = std::move(other124.path);
-  headers = std::move(other124.headers);
-  body = std::move(other124.body);
-  __isset = other124.__isset;
+CallerRequest& CallerRequest::operator=(CallerRequest&& other130) noexcept {
+  method = std::move(other130.method);
+  path = std::move(other130.path);
+  headers = std::move(other130.headers);
+  body = std::move(other130.body);
+  __isset = other130.__isset;
   return *this;
 }
 void CallerRequest::printTo(std::ostream& out) const {
@@ -2827,30 +3040,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CallerResponse::CallerResponse(const CallerResponse& other125) {
-  status = other125.status;
-  body = other125.body;
-  retryAfterMs = other125.retryAfterMs;
-  __isset = other125.__isset;
+CallerResponse::CallerResponse(const CallerResponse& other131) {
+  status = other131.status;
+  body = other131.body;
+  retryAfterMs = other131.retryAfterMs;
+  __isset = other131.__isset;
 }
-CallerResponse::CallerResponse(CallerResponse&& other126) noexcept {
-  status = other126.status;
-  body = std::move(other126.body);
-  retryAfterMs = other126.retryAfterMs;
-  __isset = other126.__isset;
+CallerResponse::CallerResponse(CallerResponse&& other132) noexcept {
+  status = other132.status;
+  body = std::move(other132.body);
+  retryAfterMs = other132.retryAfterMs;
+  __isset = other132.__isset;
 }
-CallerResponse& CallerResponse::operator=(const CallerResponse& other127) {
-  status = other127.status;
-  body = other127.body;
-  retryAfterMs = other127.retryAfterMs;
-  __isset = other127.__isset;
+CallerResponse& CallerResponse::operator=(const CallerResponse& other133) {
+  status = other133.status;
+  body = other133.body;
+  retryAfterMs = other133.retryAfterMs;
+  __isset = other133.__isset;
   return *this;
 }
-CallerResponse& CallerResponse::operator=(CallerResponse&& other128) noexcept {
-  status = other128.status;
-  body = std::move(other128.body);
-  retryAfterMs = other128.retryAfterMs;
-  __isset = other128.__isset;
+CallerResponse& CallerResponse::operator=(CallerResponse&& other134) noexcept {
+  status = other134.status;
+  body = std::move(other134.body);
+  retryAfterMs = other134.retryAfterMs;
+  __isset = other134.__isset;
   return *this;
 }
 void CallerResponse::printTo(std::ostream& out) const {
@@ -2862,4 +3075,1547 @@
   out << ")";
 }
 
+
+WorkerCall::~WorkerCall() noexcept {
+}
+
+
+void WorkerCall::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void WorkerCall::__set_kind(const WorkerCallKind::type val) {
+  this->kind = val;
+}
+
+void WorkerCall::__set_worker(const std::string& val) {
+  this->worker = val;
+}
+
+void WorkerCall::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void WorkerCall::__set_leaseEndMs(const int64_t val) {
+  this->leaseEndMs = val;
+}
+
+void WorkerCall::__set_timeoutMs(const int64_t val) {
+  this->timeoutMs = val;
+}
+
+void WorkerCall::__set_waitMs(const int64_t val) {
+  this->waitMs = val;
+}
+
+void WorkerCall::__set_acknowledged(const int64_t val) {
+  this->acknowledged = val;
+}
+
+void WorkerCall::__set_task(const std::string& val) {
+  this->task = val;
+}
+
+void WorkerCall::__set_run(const int64_t val) {
+  this->run = val;
+}
+
+void WorkerCall::__set_speedPercent(const int32_t val) {
+  this->speedPercent = val;
+}
+
+void WorkerCall::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+
+void WorkerCall::__set_ticket(const std::string& val) {
+  this->ticket = val;
+}
+std::ostream& operator<<(std::ostream& out, const WorkerCall& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WorkerCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast135;
+          xfer += iprot->readI32(ecast135);
+          this->kind = static_cast<WorkerCallKind::type>(ecast135);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->worker);
+          this->__isset.worker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leaseEndMs);
+          this->__isset.leaseEndMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->timeoutMs);
+          this->__isset.timeoutMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waitMs);
+          this->__isset.waitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->acknowledged);
+          this->__isset.acknowledged = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->task);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->speedPercent);
+          this->__isset.speedPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->ticket);
+          this->__isset.ticket = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WorkerCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkerCall");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("worker", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->worker);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaseEndMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->leaseEndMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timeoutMs", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->timeoutMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitMs", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->waitMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("acknowledged", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->acknowledged);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->task);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("speedPercent", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->speedPercent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ticket", ::apache::thrift::protocol::T_STRING, 13);
+  xfer += oprot->writeString(this->ticket);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WorkerCall &a, WorkerCall &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.kind, b.kind);
+  swap(a.worker, b.worker);
+  swap(a.address, b.address);
+  swap(a.leaseEndMs, b.leaseEndMs);
+  swap(a.timeoutMs, b.timeoutMs);
+  swap(a.waitMs, b.waitMs);
+  swap(a.acknowledged, b.acknowledged);
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.speedPercent, b.speedPercent);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.ticket, b.ticket);
+  swap(a.__isset, b.__isset);
+}
+
+WorkerCall::WorkerCall(const WorkerCall& other136) {
+  id = other136.id;
+  kind = other136.kind;
+  worker = other136.worker;
+  address = other136.address;
+  leaseEndMs = other136.leaseEndMs;
+  timeoutMs = other136.timeoutMs;
+  waitMs = other136.waitMs;
+  acknowledged = other136.acknowledged;
+  task = other136.task;
+  run = other136.run;
+  speedPercent = other136.speedPercent;
+  checkpoint = other136.checkpoint;
+  ticket = other136.ticket;
+  __isset = other136.__isset;
+}
+WorkerCall::WorkerCall(WorkerCall&& other137) noexcept {
+  id = other137.id;
+  kind = other137.kind;
+  worker = std::move(other137.worker);
+  address = std::move(other137.address);
+  leaseEndMs = other137.leaseEndMs;
+  timeoutMs = other137.timeoutMs;
+  waitMs = other137.waitMs;
+  acknowledged = other137.acknowledged;
+  task = std::move(other137.task);
+  run = other137.run;
+  speedPercent = other137.speedPercent;
+  checkpoint = std::move(other137.checkpoint);
+  ticket = std::move(other137.ticket);
+  __isset = other137.__isset;
+}
+WorkerCall& WorkerCall::operator=(const WorkerCall& other138) {
+  id = other138.id;
+  kind = other138.kind;
+  worker = other138.worker;
+  address = other138.address;
+  leaseEndMs = other138.leaseEndMs;
+  timeoutMs = other138.timeoutMs;
+  waitMs = other138.waitMs;
+  acknowledged = other138.acknowledged;
+  task = other138.task;
+  run = other138.run;
+  speedPercent = other138.speedPercent;
+  checkpoint = other138.checkpoint;
+  ticket = other138.ticket;
+  __isset = other138.__isset;
+  return *this;
+}
+WorkerCall& WorkerCall::operator=(WorkerCall&& other139) noexcept {
+  id = other139.id;
+  kind = other139.kind;
+  worker = std::move(other139.worker);
+  address = std::move(other139.address);
+  leaseEndMs = other139.leaseEndMs;
+  timeoutMs = other139.timeoutMs;
+  waitMs = other139.waitMs;
+  acknowledged = other139.acknowledged;
+  task = std::move(other139.task);
+  run = other139.run;
+  speedPercent = other139.speedPercent;
+  checkpoint = std::move(other139.checkpoint);
+  ticket = std::move(other139.ticket);
+  __isset = other139.__isset;
+  return *this;
+}
+void WorkerCall::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkerCall(";
+  out << "id=" << to_string(id);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "worker=" << to_string(worker);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "leaseEndMs=" << to_string(leaseEndMs);
+  out << ", " << "timeoutMs=" << to_string(timeoutMs);
+  out << ", " << "waitMs=" << to_string(waitMs);
+  out << ", " << "acknowledged=" << to_string(acknowledged);
+  out << ", " << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "speedPercent=" << to_string(speedPercent);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "ticket=" << to_string(ticket);
+  out << ")";
+}
+
+
+WorkerCalls::~WorkerCalls() noexcept {
+}
+
+
+void WorkerCalls::__set_session(const std::string& val) {
+  this->session = val;
+}
+
+void WorkerCalls::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void WorkerCalls::__set_replyTo(const std::string& val) {
+  this->replyTo = val;
+}
+
+void WorkerCalls::__set_sentAtMs(const int64_t val) {
+  this->sentAtMs = val;
+}
+
+void WorkerCalls::__set_calls(const std::vector<WorkerCall> & val) {
+  this->calls = val;
+}
+
+void WorkerCalls::__set_payloads(const std::map<std::string, std::string> & val) {
+  this->payloads = val;
+}
+std::ostream& operator<<(std::ostream& out, const WorkerCalls& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WorkerCalls::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->session);
+          this->__isset.session = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->replyTo);
+          this->__isset.replyTo = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentAtMs);
+          this->__isset.sentAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->calls.clear();
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->calls.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
+            {
+              xfer += this->calls[_i144].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.calls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->payloads.clear();
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _ktype146;
+            ::apache::thrift::protocol::TType _vtype147;
+            xfer += iprot->readMapBegin(_ktype146, _vtype147, _size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
+            {
+              std::string _key150;
+              xfer += iprot->readString(_key150);
+              std::string& _val151 = this->payloads[_key150];
+              xfer += iprot->readBinary(_val151);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.payloads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WorkerCalls::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkerCalls");
+
+  xfer += oprot->writeFieldBegin("session", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->session);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replyTo", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->replyTo);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentAtMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sentAtMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->calls.size()));
+    std::vector<WorkerCall> ::const_iterator _iter152;
+    for (_iter152 = this->calls.begin(); _iter152 != this->calls.end(); ++_iter152)
+    {
+      xfer += (*_iter152).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("payloads", ::apache::thrift::protocol::T_MAP, 6);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->payloads.size()));
+    std::map<std::string, std::string> ::const_iterator _iter153;
+    for (_iter153 = this->payloads.begin(); _iter153 != this->payloads.end(); ++_iter153)
+    {
+      xfer += oprot->writeString(_iter153->first);
+      xfer += oprot->writeBinary(_iter153->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WorkerCalls &a, WorkerCalls &b) {
+  using ::std::swap;
+  swap(a.session, b.session);
+  swap(a.epoch, b.epoch);
+  swap(a.replyTo, b.replyTo);
+  swap(a.sentAtMs, b.sentAtMs);
+  swap(a.calls, b.calls);
+  swap(a.payloads, b.payloads);
+  swap(a.__isset, b.__isset);
+}
+
+WorkerCalls::WorkerCalls(const WorkerCalls& other154) {
+  session = other154.session;
+  epoch = other154.epoch;
+  replyTo = other154.replyTo;
+  sentAtMs = other154.sentAtMs;
+  calls = other154.calls;
+  payloads = other154.payloads;
+  __isset = other154.__isset;
+}
+WorkerCalls::WorkerCalls(WorkerCalls&& other155) noexcept {
+  session = std::move(other155.session);
+  epoch = other155.epoch;
+  replyTo = std::move(other155.replyTo);
+  sentAtMs = other155.sentAtMs;
+  calls = std::move(other155.calls);
+  payloads = std::move(other155.payloads);
+  __isset = other155.__isset;
+}
+WorkerCalls& WorkerCalls::operator=(const WorkerCalls& other156) {
+  session = other156.session;
+  epoch = other156.epoch;
+  replyTo = other156.replyTo;
+  sentAtMs = other156.sentAtMs;
+  calls = other156.calls;
+  payloads = other156.payloads;
+  __isset = other156.__isset;
+  return *this;
+}
+WorkerCalls& WorkerCalls::operator=(WorkerCalls&& other157) noexcept {
+  session = std::move(other157.session);
+  epoch = other157.epoch;
+  replyTo = std::move(other157.replyTo);
+  sentAtMs = other157.sentAtMs;
+  calls = std::move(other157.calls);
+  payloads = std::move(other157.payloads);
+  __isset = other157.__isset;
+  return *this;
+}
+void WorkerCalls::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkerCalls(";
+  out << "session=" << to_string(session);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "replyTo=" << to_string(replyTo);
+  out << ", " << "sentAtMs=" << to_string(sentAtMs);
+  out << ", " << "calls=" << to_string(calls);
+  out << ", " << "payloads=" << to_string(payloads);
+  out << ")";
+}
+
+
+WorkerCallsReceived::~WorkerCallsReceived() noexcept {
+}
+
+
+void WorkerCallsReceived::__set_incarnation(const std::string& val) {
+  this->incarnation = val;
+}
+std::ostream& operator<<(std::ostream& out, const WorkerCallsReceived& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WorkerCallsReceived::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WorkerCallsReceived::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkerCallsReceived");
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WorkerCallsReceived &a, WorkerCallsReceived &b) {
+  using ::std::swap;
+  swap(a.incarnation, b.incarnation);
+  swap(a.__isset, b.__isset);
+}
+
+WorkerCallsReceived::WorkerCallsReceived(const WorkerCallsReceived& other158) {
+  incarnation = other158.incarnation;
+  __isset = other158.__isset;
+}
+WorkerCallsReceived::WorkerCallsReceived(WorkerCallsReceived&& other159) noexcept {
+  incarnation = std::move(other159.incarnation);
+  __isset = other159.__isset;
+}
+WorkerCallsReceived& WorkerCallsReceived::operator=(const WorkerCallsReceived& other160) {
+  incarnation = other160.incarnation;
+  __isset = other160.__isset;
+  return *this;
+}
+WorkerCallsReceived& WorkerCallsReceived::operator=(WorkerCallsReceived&& other161) noexcept {
+  incarnation = std::move(other161.incarnation);
+  __isset = other161.__isset;
+  return *this;
+}
+void WorkerCallsReceived::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkerCallsReceived(";
+  out << "incarnation=" << to_string(incarnation);
+  out << ")";
+}
+
+
+ListedRun::~ListedRun() noexcept {
+}
+
+
+void ListedRun::__set_task(const std::string& val) {
+  this->task = val;
+}
+
+void ListedRun::__set_run(const int64_t val) {
+  this->run = val;
+}
+
+void ListedRun::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+
+void ListedRun::__set_percent(const int32_t val) {
+  this->percent = val;
+}
+
+void ListedRun::__set_loadMetric(const int64_t val) {
+  this->loadMetric = val;
+}
+std::ostream& operator<<(std::ostream& out, const ListedRun& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ListedRun::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->task);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->percent);
+          this->__isset.percent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->loadMetric);
+          this->__isset.loadMetric = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ListedRun::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ListedRun");
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->task);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("percent", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->percent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loadMetric", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->loadMetric);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ListedRun &a, ListedRun &b) {
+  using ::std::swap;
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.percent, b.percent);
+  swap(a.loadMetric, b.loadMetric);
+  swap(a.__isset, b.__isset);
+}
+
+ListedRun::ListedRun(const ListedRun& other162) {
+  task = other162.task;
+  run = other162.run;
+  checkpoint = other162.checkpoint;
+  percent = other162.percent;
+  loadMetric = other162.loadMetric;
+  __isset = other162.__isset;
+}
+ListedRun::ListedRun(ListedRun&& other163) noexcept {
+  task = std::move(other163.task);
+  run = other163.run;
+  checkpoint = std::move(other163.checkpoint);
+  percent = other163.percent;
+  loadMetric = other163.loadMetric;
+  __isset = other163.__isset;
+}
+ListedRun& ListedRun::operator=(const ListedRun& other164) {
+  task = other164.task;
+  run = other164.run;
+  checkpoint = other164.checkpoint;
+  percent = other164.percent;
+  loadMetric = other164.loadMetric;
+  __isset = other164.__isset;
+  return *this;
+}
+ListedRun& ListedRun::operator=(ListedRun&& other165) noexcept {
+  task = std::move(other165.task);
+  run = other165.run;
+  checkpoint = std::move(other165.checkpoint);
+  percent = other165.percent;
+  loadMetric = other165.loadMetric;
+  __isset = other165.__isset;
+  return *this;
+}
+void ListedRun::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ListedRun(";
+  out << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "percent=" << to_string(percent);
+  out << ", " << "loadMetric=" << to_string(loadMetric);
+  out << ")";
+}
+
+
+FinishedRun::~FinishedRun() noexcept {
+}
+
+
+void FinishedRun::__set_position(const int64_t val) {
+  this->position = val;
+}
+
+void FinishedRun::__set_task(const std::string& val) {
+  this->task = val;
+}
+
+void FinishedRun::__set_run(const int64_t val) {
+  this->run = val;
+}
+
+void FinishedRun::__set_outcome(const RunEnd::type val) {
+  this->outcome = val;
+}
+
+void FinishedRun::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+std::ostream& operator<<(std::ostream& out, const FinishedRun& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FinishedRun::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->position);
+          this->__isset.position = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->task);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast166;
+          xfer += iprot->readI32(ecast166);
+          this->outcome = static_cast<RunEnd::type>(ecast166);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FinishedRun::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FinishedRun");
+
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->position);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->task);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->outcome));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FinishedRun &a, FinishedRun &b) {
+  using ::std::swap;
+  swap(a.position, b.position);
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.outcome, b.outcome);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.__isset, b.__isset);
+}
+
+FinishedRun::FinishedRun(const FinishedRun& other167) {
+  position = other167.position;
+  task = other167.task;
+  run = other167.run;
+  outcome = other167.outcome;
+  checkpoint = other167.checkpoint;
+  __isset = other167.__isset;
+}
+FinishedRun::FinishedRun(FinishedRun&& other168) noexcept {
+  position = other168.position;
+  task = std::move(other168.task);
+  run = other168.run;
+  outcome = other168.outcome;
+  checkpoint = std::move(other168.checkpoint);
+  __isset = other168.__isset;
+}
+FinishedRun& FinishedRun::operator=(const FinishedRun& other169) {
+  position = other169.position;
+  task = other169.task;
+  run = other169.run;
+  outcome = other169.outcome;
+  checkpoint = other169.checkpoint;
+  __isset = other169.__isset;
+  return *this;
+}
+FinishedRun& FinishedRun::operator=(FinishedRun&& other170) noexcept {
+  position = other170.position;
+  task = std::move(other170.task);
+  run = other170.run;
+  outcome = other170.outcome;
+  checkpoint = std::move(other170.checkpoint);
+  __isset = other170.__isset;
+  return *this;
+}
+void FinishedRun::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FinishedRun(";
+  out << "position=" << to_string(position);
+  out << ", " << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ")";
+}
+
+
+WorkerAnswer::~WorkerAnswer() noexcept {
+}
+
+
+void WorkerAnswer::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void WorkerAnswer::__set_error(const std::string& val) {
+  this->error = val;
+}
+
+void WorkerAnswer::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+
+void WorkerAnswer::__set_startResult(const StartResult::type val) {
+  this->startResult = val;
+}
+
+void WorkerAnswer::__set_workerTimeMs(const int64_t val) {
+  this->workerTimeMs = val;
+}
+
+void WorkerAnswer::__set_startedAtMs(const int64_t val) {
+  this->startedAtMs = val;
+}
+
+void WorkerAnswer::__set_running(const std::vector<ListedRun> & val) {
+  this->running = val;
+}
+
+void WorkerAnswer::__set_finished(const std::vector<FinishedRun> & val) {
+  this->finished = val;
+}
+std::ostream& operator<<(std::ostream& out, const WorkerAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WorkerAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->error);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast171;
+          xfer += iprot->readI32(ecast171);
+          this->startResult = static_cast<StartResult::type>(ecast171);
+          this->__isset.startResult = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->workerTimeMs);
+          this->__isset.workerTimeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedAtMs);
+          this->__isset.startedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->running.clear();
+            uint32_t _size172;
+            ::apache::thrift::protocol::TType _etype175;
+            xfer += iprot->readListBegin(_etype175, _size172);
+            this->running.resize(_size172);
+            uint32_t _i176;
+            for (_i176 = 0; _i176 < _size172; ++_i176)
+            {
+              xfer += this->running[_i176].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->finished.clear();
+            uint32_t _size177;
+            ::apache::thrift::protocol::TType _etype180;
+            xfer += iprot->readListBegin(_etype180, _size177);
+            this->finished.resize(_size177);
+            uint32_t _i181;
+            for (_i181 = 0; _i181 < _size177; ++_i181)
+            {
+              xfer += this->finished[_i181].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.finished = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WorkerAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkerAnswer");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("error", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->error);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startResult", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->startResult));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("workerTimeMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->workerTimeMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedAtMs", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->startedAtMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
+    std::vector<ListedRun> ::const_iterator _iter182;
+    for (_iter182 = this->running.begin(); _iter182 != this->running.end(); ++_iter182)
+    {
+      xfer += (*_iter182).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("finished", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->finished.size()));
+    std::vector<FinishedRun> ::const_iterator _iter183;
+    for (_iter183 = this->finished.begin(); _iter183 != this->finished.end(); ++_iter183)
+    {
+      xfer += (*_iter183).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WorkerAnswer &a, WorkerAnswer &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.error, b.error);
+  swap(a.reason, b.reason);
+  swap(a.startResult, b.startResult);
+  swap(a.workerTimeMs, b.workerTimeMs);
+  swap(a.startedAtMs, b.startedAtMs);
+  swap(a.running, b.running);
+  swap(a.finished, b.finished);
+  swap(a.__isset, b.__isset);
+}
+
+WorkerAnswer::WorkerAnswer(const WorkerAnswer& other184) {
+  id = other184.id;
+  error = other184.error;
+  reason = other184.reason;
+  startResult = other184.startResult;
+  workerTimeMs = other184.workerTimeMs;
+  startedAtMs = other184.startedAtMs;
+  running = other184.running;
+  finished = other184.finished;
+  __isset = other184.__isset;
+}
+WorkerAnswer::WorkerAnswer(WorkerAnswer&& other185) noexcept {
+  id = other185.id;
+  error = std::move(other185.error);
+  reason = std::move(other185.reason);
+  startResult = other185.startResult;
+  workerTimeMs = other185.workerTimeMs;
+  startedAtMs = other185.startedAtMs;
+  running = std::move(other185.running);
+  finished = std::move(other185.finished);
+  __isset = other185.__isset;
+}
+WorkerAnswer& WorkerAnswer::operator=(const WorkerAnswer& other186) {
+  id = other186.id;
+  error = other186.error;
+  reason = other186.reason;
+  startResult = other186.startResult;
+  workerTimeMs = other186.workerTimeMs;
+  startedAtMs = other186.startedAtMs;
+  running = other186.running;
+  finished = other186.finished;
+  __isset = other186.__isset;
+  return *this;
+}
+WorkerAnswer& WorkerAnswer::operator=(WorkerAnswer&& other187) noexcept {
+  id = other187.id;
+  error = std::move(other187.error);
+  reason = std::move(other187.reason);
+  startResult = other187.startResult;
+  workerTimeMs = other187.workerTimeMs;
+  startedAtMs = other187.startedAtMs;
+  running = std::move(other187.running);
+  finished = std::move(other187.finished);
+  __isset = other187.__isset;
+  return *this;
+}
+void WorkerAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkerAnswer(";
+  out << "id=" << to_string(id);
+  out << ", " << "error=" << to_string(error);
+  out << ", " << "reason=" << to_string(reason);
+  out << ", " << "startResult=" << to_string(startResult);
+  out << ", " << "workerTimeMs=" << to_string(workerTimeMs);
+  out << ", " << "startedAtMs=" << to_string(startedAtMs);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "finished=" << to_string(finished);
+  out << ")";
+}
+
+
+WorkerAnswers::~WorkerAnswers() noexcept {
+}
+
+
+void WorkerAnswers::__set_session(const std::string& val) {
+  this->session = val;
+}
+
+void WorkerAnswers::__set_answers(const std::vector<WorkerAnswer> & val) {
+  this->answers = val;
+}
+std::ostream& operator<<(std::ostream& out, const WorkerAnswers& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WorkerAnswers::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->session);
+          this->__isset.session = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answers.clear();
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->answers.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
+            {
+              xfer += this->answers[_i192].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WorkerAnswers::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkerAnswers");
+
+  xfer += oprot->writeFieldBegin("session", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->session);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
+    std::vector<WorkerAnswer> ::const_iterator _iter193;
+    for (_iter193 = this->answers.begin(); _iter193 != this->answers.end(); ++_iter193)
+    {
+      xfer += (*_iter193).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WorkerAnswers &a, WorkerAnswers &b) {
+  using ::std::swap;
+  swap(a.session, b.session);
+  swap(a.answers, b.answers);
+  swap(a.__isset, b.__isset);
+}
+
+WorkerAnswers::WorkerAnswers(const WorkerAnswers& other194) {
+  session = other194.session;
+  answers = other194.answers;
+  __isset = other194.__isset;
+}
+WorkerAnswers::WorkerAnswers(WorkerAnswers&& other195) noexcept {
+  session = std::move(other195.session);
+  answers = std::move(other195.answers);
+  __isset = other195.__isset;
+}
+WorkerAnswers& WorkerAnswers::operator=(const WorkerAnswers& other196) {
+  session = other196.session;
+  answers = other196.answers;
+  __isset = other196.__isset;
+  return *this;
+}
+WorkerAnswers& WorkerAnswers::operator=(WorkerAnswers&& other197) noexcept {
+  session = std::move(other197.session);
+  answers = std::move(other197.answers);
+  __isset = other197.__isset;
+  return *this;
+}
+void WorkerAnswers::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkerAnswers(";
+  out << "session=" << to_string(session);
+  out << ", " << "answers=" << to_string(answers);
+  out << ")";
+}
+
 }} // namespace
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -37,6 +37,54 @@
 
 std::string to_string(const JobState::type& val);
 
+struct WorkerCallKind {
+  enum type {
+    Poll = 0,
+    Start = 1,
+    Stop = 2,
+    Throttle = 3
+  };
+};
+
+extern const std::map<int, const char*> _WorkerCallKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const WorkerCallKind::type& val);
+
+std::string to_string(const WorkerCallKind::type& val);
+
+struct StartResult {
+  enum type {
+    Started = 0,
+    NoRoom = 1,
+    StaleRun = 2,
+    NoApproval = 3,
+    WorkerUnavailable = 4
+  };
+};
+
+extern const std::map<int, const char*> _StartResult_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const StartResult::type& val);
+
+std::string to_string(const StartResult::type& val);
+
+struct RunEnd {
+  enum type {
+    Succeeded = 0,
+    Failed = 1,
+    Stopped = 2,
+    LeaseLapsed = 3,
+    GangBroken = 4,
+    GangIncomplete = 5
+  };
+};
+
+extern const std::map<int, const char*> _RunEnd_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const RunEnd::type& val);
+
+std::string to_string(const RunEnd::type& val);
+
 class StepSpec;
 
 class Submission;
@@ -65,6 +113,20 @@
 
 class CallerResponse;
 
+class WorkerCall;
+
+class WorkerCalls;
+
+class WorkerCallsReceived;
+
+class ListedRun;
+
+class FinishedRun;
+
+class WorkerAnswer;
+
+class WorkerAnswers;
+
 typedef struct _StepSpec__isset {
   _StepSpec__isset() : tasks(false), cpuMilli(false), memoryMb(false), accelerators(false), estimatedMs(false), after(false), checkpointing(false), gang(false), sameRack(false), requiredLabel(false), preferredRack(false), maxPerWorker(false), copiesAllowed(false), longRunning(false), image(false), latencyObjectiveMs(false), usesIdleCpu(false), mayBeAway(false) {}
   bool tasks :1;
@@ -461,13 +523,14 @@
 std::ostream& operator<<(std::ostream& out, const Progress& obj);
 
 typedef struct _Tenure__isset {
-  _Tenure__isset() : holder(false), address(false), epoch(false), released(false), startsRecorded(false), handedOverAtMs(false) {}
+  _Tenure__isset() : holder(false), address(false), epoch(false), released(false), startsRecorded(false), handedOverAtMs(false), successor(false) {}
   bool holder :1;
   bool address :1;
   bool epoch :1;
   bool released :1;
   bool startsRecorded :1;
   bool handedOverAtMs :1;
+  bool successor :1;
 } _Tenure__isset;
 
 class Tenure : public virtual ::apache::thrift::TBase {
@@ -483,7 +546,8 @@
            epoch(0),
            released(0),
            startsRecorded(0),
-           handedOverAtMs(0) {
+           handedOverAtMs(0),
+           successor() {
   }
 
   virtual ~Tenure() noexcept;
@@ -493,6 +557,7 @@
   bool released;
   bool startsRecorded;
   int64_t handedOverAtMs;
+  std::string successor;
 
   _Tenure__isset __isset;
 
@@ -508,6 +573,8 @@
 
   void __set_handedOverAtMs(const int64_t val);
 
+  void __set_successor(const std::string& val);
+
   bool operator == (const Tenure & rhs) const
   {
     if (!(holder == rhs.holder))
@@ -522,6 +589,8 @@
       return false;
     if (!(handedOverAtMs == rhs.handedOverAtMs))
       return false;
+    if (!(successor == rhs.successor))
+      return false;
     return true;
   }
   bool operator != (const Tenure &rhs) const {
@@ -541,9 +610,11 @@
 std::ostream& operator<<(std::ostream& out, const Tenure& obj);
 
 typedef struct _Member__isset {
-  _Member__isset() : name(false), address(false) {}
+  _Member__isset() : name(false), address(false), cpuMilli(false), availabilityZone(false) {}
   bool name :1;
   bool address :1;
+  bool cpuMilli :1;
+  bool availabilityZone :1;
 } _Member__isset;
 
 class Member : public virtual ::apache::thrift::TBase {
@@ -555,12 +626,16 @@
   Member& operator=(Member&&) noexcept;
   Member() noexcept
          : name(),
-           address() {
+           address(),
+           cpuMilli(0),
+           availabilityZone() {
   }
 
   virtual ~Member() noexcept;
   std::string name;
   std::string address;
+  int64_t cpuMilli;
+  std::string availabilityZone;
 
   _Member__isset __isset;
 
@@ -568,12 +643,20 @@
 
   void __set_address(const std::string& val);
 
+  void __set_cpuMilli(const int64_t val);
+
+  void __set_availabilityZone(const std::string& val);
+
   bool operator == (const Member & rhs) const
   {
     if (!(name == rhs.name))
       return false;
     if (!(address == rhs.address))
       return false;
+    if (!(cpuMilli == rhs.cpuMilli))
+      return false;
+    if (!(availabilityZone == rhs.availabilityZone))
+      return false;
     return true;
   }
   bool operator != (const Member &rhs) const {
@@ -879,10 +962,11 @@
 std::ostream& operator<<(std::ostream& out, const StoredRecord& obj);
 
 typedef struct _StoredRecords__isset {
-  _StoredRecords__isset() : topic(false), records(false), topicEnd(false) {}
+  _StoredRecords__isset() : topic(false), records(false), topicEnd(false), relayTo(false) {}
   bool topic :1;
   bool records :1;
   bool topicEnd :1;
+  bool relayTo :1;
 } _StoredRecords__isset;
 
 class StoredRecords : public virtual ::apache::thrift::TBase {
@@ -901,6 +985,7 @@
   std::string topic;
   std::vector<StoredRecord>  records;
   int64_t topicEnd;
+  std::vector<std::string>  relayTo;
 
   _StoredRecords__isset __isset;
 
@@ -910,6 +995,8 @@
 
   void __set_topicEnd(const int64_t val);
 
+  void __set_relayTo(const std::vector<std::string> & val);
+
   bool operator == (const StoredRecords & rhs) const
   {
     if (!(topic == rhs.topic))
@@ -918,6 +1005,8 @@
       return false;
     if (!(topicEnd == rhs.topicEnd))
       return false;
+    if (!(relayTo == rhs.relayTo))
+      return false;
     return true;
   }
   bool operator != (const StoredRecords &rhs) const {
@@ -1060,6 +1149,559 @@
 
 std::ostream& operator<<(std::ostream& out, const CallerResponse& obj);
 
+typedef struct _WorkerCall__isset {
+  _WorkerCall__isset() : id(false), kind(false), worker(false), address(false), leaseEndMs(false), timeoutMs(false), waitMs(false), acknowledged(false), task(false), run(false), speedPercent(false), checkpoint(false), ticket(false) {}
+  bool id :1;
+  bool kind :1;
+  bool worker :1;
+  bool address :1;
+  bool leaseEndMs :1;
+  bool timeoutMs :1;
+  bool waitMs :1;
+  bool acknowledged :1;
+  bool task :1;
+  bool run :1;
+  bool speedPercent :1;
+  bool checkpoint :1;
+  bool ticket :1;
+} _WorkerCall__isset;
+
+class WorkerCall : public virtual ::apache::thrift::TBase {
+ public:
+
+  WorkerCall(const WorkerCall&);
+  WorkerCall(WorkerCall&&) noexcept;
+  WorkerCall& operator=(const WorkerCall&);
+  WorkerCall& operator=(WorkerCall&&) noexcept;
+  WorkerCall() noexcept
+             : id(0),
+               kind(static_cast<WorkerCallKind::type>(0)),
+               worker(),
+               address(),
+               leaseEndMs(0),
+               timeoutMs(0),
+               waitMs(0),
+               acknowledged(0),
+               task(),
+               run(0),
+               speedPercent(0),
+               checkpoint(),
+               ticket() {
+  }
+
+  virtual ~WorkerCall() noexcept;
+  int64_t id;
+  /**
+   * 
+   * @see WorkerCallKind
+   */
+  WorkerCallKind::type kind;
+  std::string worker;
+  std::string address;
+  int64_t leaseEndMs;
+  int64_t timeoutMs;
+  int64_t waitMs;
+  int64_t acknowledged;
+  std::string task;
+  int64_t run;
+  int32_t speedPercent;
+  std::string checkpoint;
+  std::string ticket;
+
+  _WorkerCall__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_kind(const WorkerCallKind::type val);
+
+  void __set_worker(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_leaseEndMs(const int64_t val);
+
+  void __set_timeoutMs(const int64_t val);
+
+  void __set_waitMs(const int64_t val);
+
+  void __set_acknowledged(const int64_t val);
+
+  void __set_task(const std::string& val);
+
+  void __set_run(const int64_t val);
+
+  void __set_speedPercent(const int32_t val);
+
+  void __set_checkpoint(const std::string& val);
+
+  void __set_ticket(const std::string& val);
+
+  bool operator == (const WorkerCall & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(worker == rhs.worker))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(leaseEndMs == rhs.leaseEndMs))
+      return false;
+    if (!(timeoutMs == rhs.timeoutMs))
+      return false;
+    if (!(waitMs == rhs.waitMs))
+      return false;
+    if (!(acknowledged == rhs.acknowledged))
+      return false;
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(speedPercent == rhs.speedPercent))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    if (!(ticket == rhs.ticket))
+      return false;
+    return true;
+  }
+  bool operator != (const WorkerCall &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WorkerCall & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WorkerCall &a, WorkerCall &b);
+
+std::ostream& operator<<(std::ostream& out, const WorkerCall& obj);
+
+typedef struct _WorkerCalls__isset {
+  _WorkerCalls__isset() : session(false), epoch(false), replyTo(false), sentAtMs(false), calls(false), payloads(false) {}
+  bool session :1;
+  bool epoch :1;
+  bool replyTo :1;
+  bool sentAtMs :1;
+  bool calls :1;
+  bool payloads :1;
+} _WorkerCalls__isset;
+
+class WorkerCalls : public virtual ::apache::thrift::TBase {
+ public:
+
+  WorkerCalls(const WorkerCalls&);
+  WorkerCalls(WorkerCalls&&) noexcept;
+  WorkerCalls& operator=(const WorkerCalls&);
+  WorkerCalls& operator=(WorkerCalls&&) noexcept;
+  WorkerCalls() noexcept
+              : session(),
+                epoch(0),
+                replyTo(),
+                sentAtMs(0) {
+  }
+
+  virtual ~WorkerCalls() noexcept;
+  std::string session;
+  int64_t epoch;
+  std::string replyTo;
+  int64_t sentAtMs;
+  std::vector<WorkerCall>  calls;
+  std::map<std::string, std::string>  payloads;
+
+  _WorkerCalls__isset __isset;
+
+  void __set_session(const std::string& val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_replyTo(const std::string& val);
+
+  void __set_sentAtMs(const int64_t val);
+
+  void __set_calls(const std::vector<WorkerCall> & val);
+
+  void __set_payloads(const std::map<std::string, std::string> & val);
+
+  bool operator == (const WorkerCalls & rhs) const
+  {
+    if (!(session == rhs.session))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(replyTo == rhs.replyTo))
+      return false;
+    if (!(sentAtMs == rhs.sentAtMs))
+      return false;
+    if (!(calls == rhs.calls))
+      return false;
+    if (!(payloads == rhs.payloads))
+      return false;
+    return true;
+  }
+  bool operator != (const WorkerCalls &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WorkerCalls & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WorkerCalls &a, WorkerCalls &b);
+
+std::ostream& operator<<(std::ostream& out, const WorkerCalls& obj);
+
+typedef struct _WorkerCallsReceived__isset {
+  _WorkerCallsReceived__isset() : incarnation(false) {}
+  bool incarnation :1;
+} _WorkerCallsReceived__isset;
+
+class WorkerCallsReceived : public virtual ::apache::thrift::TBase {
+ public:
+
+  WorkerCallsReceived(const WorkerCallsReceived&);
+  WorkerCallsReceived(WorkerCallsReceived&&) noexcept;
+  WorkerCallsReceived& operator=(const WorkerCallsReceived&);
+  WorkerCallsReceived& operator=(WorkerCallsReceived&&) noexcept;
+  WorkerCallsReceived() noexcept
+                      : incarnation() {
+  }
+
+  virtual ~WorkerCallsReceived() noexcept;
+  std::string incarnation;
+
+  _WorkerCallsReceived__isset __isset;
+
+  void __set_incarnation(const std::string& val);
+
+  bool operator == (const WorkerCallsReceived & rhs) const
+  {
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    return true;
+  }
+  bool operator != (const WorkerCallsReceived &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WorkerCallsReceived & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WorkerCallsReceived &a, WorkerCallsReceived &b);
+
+std::ostream& operator<<(std::ostream& out, const WorkerCallsReceived& obj);
+
+typedef struct _ListedRun__isset {
+  _ListedRun__isset() : task(false), run(false), checkpoint(false), percent(false), loadMetric(false) {}
+  bool task :1;
+  bool run :1;
+  bool checkpoint :1;
+  bool percent :1;
+  bool loadMetric :1;
+} _ListedRun__isset;
+
+class ListedRun : public virtual ::apache::thrift::TBase {
+ public:
+
+  ListedRun(const ListedRun&);
+  ListedRun(ListedRun&&) noexcept;
+  ListedRun& operator=(const ListedRun&);
+  ListedRun& operator=(ListedRun&&) noexcept;
+  ListedRun() noexcept
+            : task(),
+              run(0),
+              checkpoint(),
+              percent(0),
+              loadMetric(0) {
+  }
+
+  virtual ~ListedRun() noexcept;
+  std::string task;
+  int64_t run;
+  std::string checkpoint;
+  int32_t percent;
+  int64_t loadMetric;
+
+  _ListedRun__isset __isset;
+
+  void __set_task(const std::string& val);
+
+  void __set_run(const int64_t val);
+
+  void __set_checkpoint(const std::string& val);
+
+  void __set_percent(const int32_t val);
+
+  void __set_loadMetric(const int64_t val);
+
+  bool operator == (const ListedRun & rhs) const
+  {
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    if (!(percent == rhs.percent))
+      return false;
+    if (!(loadMetric == rhs.loadMetric))
+      return false;
+    return true;
+  }
+  bool operator != (const ListedRun &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ListedRun & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ListedRun &a, ListedRun &b);
+
+std::ostream& operator<<(std::ostream& out, const ListedRun& obj);
+
+typedef struct _FinishedRun__isset {
+  _FinishedRun__isset() : position(false), task(false), run(false), outcome(false), checkpoint(false) {}
+  bool position :1;
+  bool task :1;
+  bool run :1;
+  bool outcome :1;
+  bool checkpoint :1;
+} _FinishedRun__isset;
+
+class FinishedRun : public virtual ::apache::thrift::TBase {
+ public:
+
+  FinishedRun(const FinishedRun&);
+  FinishedRun(FinishedRun&&) noexcept;
+  FinishedRun& operator=(const FinishedRun&);
+  FinishedRun& operator=(FinishedRun&&) noexcept;
+  FinishedRun() noexcept
+              : position(0),
+                task(),
+                run(0),
+                outcome(static_cast<RunEnd::type>(0)),
+                checkpoint() {
+  }
+
+  virtual ~FinishedRun() noexcept;
+  int64_t position;
+  std::string task;
+  int64_t run;
+  /**
+   * 
+   * @see RunEnd
+   */
+  RunEnd::type outcome;
+  std::string checkpoint;
+
+  _FinishedRun__isset __isset;
+
+  void __set_position(const int64_t val);
+
+  void __set_task(const std::string& val);
+
+  void __set_run(const int64_t val);
+
+  void __set_outcome(const RunEnd::type val);
+
+  void __set_checkpoint(const std::string& val);
+
+  bool operator == (const FinishedRun & rhs) const
+  {
+    if (!(position == rhs.position))
+      return false;
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    return true;
+  }
+  bool operator != (const FinishedRun &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FinishedRun & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FinishedRun &a, FinishedRun &b);
+
+std::ostream& operator<<(std::ostream& out, const FinishedRun& obj);
+
+typedef struct _WorkerAnswer__isset {
+  _WorkerAnswer__isset() : id(false), error(false), reason(false), startResult(false), workerTimeMs(false), startedAtMs(false), running(false), finished(false) {}
+  bool id :1;
+  bool error :1;
+  bool reason :1;
+  bool startResult :1;
+  bool workerTimeMs :1;
+  bool startedAtMs :1;
+  bool running :1;
+  bool finished :1;
+} _WorkerAnswer__isset;
+
+class WorkerAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  WorkerAnswer(const WorkerAnswer&);
+  WorkerAnswer(WorkerAnswer&&) noexcept;
+  WorkerAnswer& operator=(const WorkerAnswer&);
+  WorkerAnswer& operator=(WorkerAnswer&&) noexcept;
+  WorkerAnswer() noexcept
+               : id(0),
+                 error(),
+                 reason(),
+                 startResult(static_cast<StartResult::type>(0)),
+                 workerTimeMs(0),
+                 startedAtMs(0) {
+  }
+
+  virtual ~WorkerAnswer() noexcept;
+  int64_t id;
+  std::string error;
+  std::string reason;
+  /**
+   * 
+   * @see StartResult
+   */
+  StartResult::type startResult;
+  int64_t workerTimeMs;
+  int64_t startedAtMs;
+  std::vector<ListedRun>  running;
+  std::vector<FinishedRun>  finished;
+
+  _WorkerAnswer__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_error(const std::string& val);
+
+  void __set_reason(const std::string& val);
+
+  void __set_startResult(const StartResult::type val);
+
+  void __set_workerTimeMs(const int64_t val);
+
+  void __set_startedAtMs(const int64_t val);
+
+  void __set_running(const std::vector<ListedRun> & val);
+
+  void __set_finished(const std::vector<FinishedRun> & val);
+
+  bool operator == (const WorkerAnswer & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(error == rhs.error))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
+    if (!(startResult == rhs.startResult))
+      return false;
+    if (!(workerTimeMs == rhs.workerTimeMs))
+      return false;
+    if (!(startedAtMs == rhs.startedAtMs))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(finished == rhs.finished))
+      return false;
+    return true;
+  }
+  bool operator != (const WorkerAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WorkerAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WorkerAnswer &a, WorkerAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const WorkerAnswer& obj);
+
+typedef struct _WorkerAnswers__isset {
+  _WorkerAnswers__isset() : session(false), answers(false) {}
+  bool session :1;
+  bool answers :1;
+} _WorkerAnswers__isset;
+
+class WorkerAnswers : public virtual ::apache::thrift::TBase {
+ public:
+
+  WorkerAnswers(const WorkerAnswers&);
+  WorkerAnswers(WorkerAnswers&&) noexcept;
+  WorkerAnswers& operator=(const WorkerAnswers&);
+  WorkerAnswers& operator=(WorkerAnswers&&) noexcept;
+  WorkerAnswers() noexcept
+                : session() {
+  }
+
+  virtual ~WorkerAnswers() noexcept;
+  std::string session;
+  std::vector<WorkerAnswer>  answers;
+
+  _WorkerAnswers__isset __isset;
+
+  void __set_session(const std::string& val);
+
+  void __set_answers(const std::vector<WorkerAnswer> & val);
+
+  bool operator == (const WorkerAnswers & rhs) const
+  {
+    if (!(session == rhs.session))
+      return false;
+    if (!(answers == rhs.answers))
+      return false;
+    return true;
+  }
+  bool operator != (const WorkerAnswers &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WorkerAnswers & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WorkerAnswers &a, WorkerAnswers &b);
+
+std::ostream& operator<<(std::ostream& out, const WorkerAnswers& obj);
+
 }} // namespace
 
 #endif
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -69,10 +69,12 @@
   // Starts are sent only after their record is stored, so every run that may exist is recorded.
   5: bool startsRecorded;
   6: i64 handedOverAtMs;       // Unix time at which a holder last gave up for being too slow; 0: never
+  7: string successor;         // released tenure: the instance that should claim it first; may be empty
 }
 
-// An entry instance and the IP:PORT on which peers reach it.
-struct Member { 1: string name; 2: string address; }
+// An entry instance, the IP:PORT on which peers reach it, and the processor that its machine gives it
+// in thousandths of a core (0: unknown).
+struct Member { 1: string name; 2: string address; 3: i64 cpuMilli; 4: string availabilityZone; }
 
 // Asks an entry instance to call the policy service on the scheduler's behalf.
 struct ApprovalRequest { 1: string step; 2: list<string> workers; 3: i64 timeoutMs; }
@@ -83,11 +85,63 @@
 struct UsedWorker { 1: string id; 2: string address; }
 
 // Records of one topic of the log, as stored. `topicEnd` is the offset at which the topic ended
-// after them; 0 if unknown.
+// after them; 0 if unknown. The receiver sends them on to the peers in `relayTo` (IP:PORT).
 struct StoredRecord { 1: string key; 2: binary value; 3: bool removed; 4: i64 offset; }
-struct StoredRecords { 1: string topic; 2: list<StoredRecord> records; 3: i64 topicEnd; }
+struct StoredRecords {
+  1: string topic;
+  2: list<StoredRecord> records;
+  3: i64 topicEnd;
+  4: list<string> relayTo;
+}
 
 // A caller's request that an instance forwards to another one, and the response. Header names are
 // in lower case. `retryAfterMs` is 0 if there is none.
 struct CallerRequest { 1: string method; 2: string path; 3: map<string, string> headers; 4: binary body; }
 struct CallerResponse { 1: i32 status; 2: binary body; 3: i64 retryAfterMs; }
+
+// Calls to workers that the scheduler has another instance make, so that the work of exchanging
+// messages with all workers is spread over the instances.
+enum WorkerCallKind { Poll = 0, Start = 1, Stop = 2, Throttle = 3 }
+struct WorkerCall {
+  1: i64 id;                   // unique within the session; the answer carries it
+  2: WorkerCallKind kind;
+  3: string worker;            // the intended incarnation
+  4: string address;           // IP:PORT
+  5: i64 leaseEndMs;           // on the worker's clock; 0: the lease is not extended
+  6: i64 timeoutMs;            // from the sending of the batch; not sent to the worker after that
+  7: i64 waitMs;               // Poll: how long the worker holds the request
+  8: i64 acknowledged;         // Poll: position of finished runs that are stored
+  9: string task;              // all but Poll: "JOB.OCCURRENCE.STEP.INDEX"
+  10: i64 run;                 // all but Poll
+  11: i32 speedPercent;        // Throttle
+  12: string checkpoint;       // Start
+  13: string ticket;           // Start
+}
+struct WorkerCalls {
+  1: string session;           // of the scheduler's tenure; answers carry it
+  2: i64 epoch;                // of the tenure; fences all calls
+  3: string replyTo;           // IP:PORT of the scheduler
+  4: i64 sentAtMs;             // monotonic clock of the scheduler
+  5: list<WorkerCall> calls;   // empty: probes the instance
+  6: map<string, binary> payloads; // of the jobs whose tasks are started, by job
+}
+// The answer to WorkerCalls once they are read, before any of them is made. A changed incarnation
+// shows that the calls of earlier batches are lost.
+struct WorkerCallsReceived { 1: string incarnation; }
+enum StartResult { Started = 0, NoRoom = 1, StaleRun = 2, NoApproval = 3, WorkerUnavailable = 4 }
+enum RunEnd {
+  Succeeded = 0, Failed = 1, Stopped = 2, LeaseLapsed = 3, GangBroken = 4, GangIncomplete = 5
+}
+struct ListedRun { 1: string task; 2: i64 run; 3: string checkpoint; 4: i32 percent; 5: i64 loadMetric; }
+struct FinishedRun { 1: i64 position; 2: string task; 3: i64 run; 4: RunEnd outcome; 5: string checkpoint; }
+struct WorkerAnswer {
+  1: i64 id;
+  2: string error;             // name of the ErrorCode; empty: none
+  3: string reason;            // of an error
+  4: StartResult startResult;  // Start
+  5: i64 workerTimeMs;         // Poll: worker's clock when it answered
+  6: i64 startedAtMs;          // Poll: Unix time of the start of the worker's incarnation
+  7: list<ListedRun> running;  // Poll
+  8: list<FinishedRun> finished; // Poll
+}
+struct WorkerAnswers { 1: string session; 2: list<WorkerAnswer> answers; }
