Log the scheduler's load and who won a claim

The logs could not tell whether a late scheduler spends its time on exchanges with workers, on publishing or on deciding, nor which of several claimants holds the tenure, since the log answers all of them as stored. scheduler_load gives counts and times once a second; tenure_decided names the holder.

--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -386,7 +386,12 @@
             return;
         if (!workCurrent)
             return retryReadBack(tenure);
-        if (m_jobTable.tenure() != tenure) {
+        const work::Tenure &stored = m_jobTable.tenure();
+        const bool won = stored == tenure;
+        logInfo("tenure_decided",
+                "epoch=" + std::to_string(tenure.epoch) + " won=" + (won ? "true" : "false")
+                    + " holder=" + stored.holder + " stored_epoch=" + std::to_string(stored.epoch));
+        if (!won) {
             m_claiming = false;
             return;
         }
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -26,6 +26,7 @@
 constexpr Duration HeartbeatInterval{150}; // longest time without an append
 constexpr int TicksBetweenTenureRecords = 10; // the tenure record is stored again
 constexpr Duration RegistryPollInterval{300};
+constexpr Duration LoadLogInterval{1'000};
 // A process whose timers run this late, averaged over about half a second, is too slow to schedule.
 // A healthy process runs them about 1 ms late.
 constexpr double OverloadLagMs = 20;
@@ -60,10 +61,11 @@
                             m_context.workTopic),
       m_releaseTimer(m_context.io)
 {
-    m_startedAt = m_lastStoredAt = m_lastPublishedAt = m_context.clock.now();
+    m_startedAt = m_lastStoredAt = m_lastPublishedAt = m_loadLoggedAt = m_context.clock.now();
     WorkerLinks::Callbacks links;
     links.report = [this](const WorkerId &id, const RunReport &report) { onReport(id, report); };
     links.startAnswered = [this](const StartOrder &order, StartOutcome answer) {
+        const LoadMeter::Scope measured(m_load, LoadPart::Answer);
         m_dispatcher.startAnswered(order, answer, m_context.clock.now());
         if (answer != StartOutcome::Started)
             schedulePass();
@@ -211,6 +213,7 @@
 
 void Scheduler::onReport(const WorkerId &id, const RunReport &report)
 {
+    const LoadMeter::Scope measured(m_load, LoadPart::Report);
     m_dispatcher.workerReported(id, report, m_context.clock.now());
     // A restarted worker numbers its finished runs from the beginning again.
     for (auto *positions : {&m_storedPositions, &m_batchPositions}) {
@@ -266,6 +269,7 @@
     m_passArmed = false;
     if (m_onReleased)
         return;
+    const LoadMeter::Scope measured(m_load, LoadPart::Decide);
     const int64_t unixMs = m_context.unixClock();
     const Orders orders = m_dispatcher.decide(m_context.clock.now(), unixMs);
     for (const StopOrder &stop : orders.stops)
@@ -361,6 +365,7 @@
 
 void Scheduler::flush()
 {
+    const LoadMeter::Scope measured(m_load, LoadPart::Flush);
     std::vector<KeyedRecord> records;
     m_flushPending = false;
     m_batchPositions.clear();
@@ -404,6 +409,7 @@
     if (urgent.empty() && m_lastStoredAt - m_lastPublishedAt < HeartbeatInterval)
         return;
     m_lastPublishedAt = m_lastStoredAt;
+    const LoadMeter::Scope measured(m_load, LoadPart::Publish);
     m_recordsStored(urgent, records.empty() ? 0 : records.back().offset + 1);
 }
 
@@ -455,6 +461,7 @@
     // so that the former holder learns of its replacement.
     if (((now - m_startedAt) / TickInterval) % TicksBetweenTenureRecords == 0)
         m_tenureDirty = true;
+    logLoad(now);
     m_links->tick();
     m_jobGarbageCollector.collect(now, m_context.unixClock() - m_options.terminalRetention.count());
     if (!m_allReconciled)
@@ -469,6 +476,21 @@
     armTickTimer();
 }
 
+// Logs how the scheduler spent the last interval.
+void Scheduler::logLoad(Instant now)
+{
+    const Duration elapsed = now - m_loadLoggedAt;
+    if (elapsed < LoadLogInterval)
+        return;
+    m_loadLoggedAt = now;
+    logInfo("scheduler_load",
+            "epoch=" + std::to_string(m_options.tenure.epoch)
+                + " interval_ms=" + std::to_string(elapsed.count())
+                + " lag_ms=" + std::to_string(static_cast<int64_t>(m_averageLagMs))
+                + " append_ms=" + std::to_string(m_averageAppendTime.count())
+                + " workers=" + std::to_string(m_links->size()) + " " + m_load.take());
+}
+
 void Scheduler::armTickTimer()
 {
     m_tickDue = m_context.clock.now() + TickInterval;
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -11,6 +11,7 @@
 #include "control/gateways.h"
 #include "control/job_garbage_collector.h"
 #include "control/job_table.h"
+#include "control/load_meter.h"
 #include "control/log_follower.h"
 #include "control/worker_links.h"
 #include "dispatch/dispatcher.h"
@@ -111,6 +112,7 @@
     void addWorkerRecords(std::vector<KeyedRecord> &records);
     void tick();
     void armTickTimer();
+    void logLoad(Instant now);
     void finishRelease();
     void reportTenureLost(const std::string &reason);
 
@@ -147,6 +149,8 @@
     boost::asio::steady_timer m_tickTimer;
     Instant m_tickDue;
     double m_averageLagMs = 0; // lateness of ticks, as an exponential moving average
+    LoadMeter m_load;
+    Instant m_loadLoggedAt;
 
     std::vector<StartOrder> m_startsToRecord; // to be recorded in the next append
     std::vector<StartOrder> m_startsInBatch; // recorded by the append in flight, sent once stored
