Count unreported runs of the former scheduler against the team limits

Cause: after a takeover (epoch 3 at 20.2 s, workers_known at 25.2 s) a zone's workers had not reported. Their tasks wait for them, but what they may use was in no sum, so the team got its whole limit again on the other workers; at 25.05 s it had 164050 of 147157. Change: each decision first sums what may still run on unreconciled workers, by team, and the limit holds for it too. A run that has been adopted counts once; if the former scheduler did not record its starts, the waiting tasks of the jobs that may be running count.

--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -170,7 +170,10 @@
     const Resources *limit = limitOf(job);
     if (limit == nullptr)
         return true;
-    const Resources total = *job.teamUse + more;
+    const auto unreported = m_unreportedUse.find(job.spec->team);
+    const Resources total =
+        *job.teamUse + more
+        + (unreported == m_unreportedUse.end() ? Resources{} : unreported->second);
     return (limit->cpuMilli == 0 || total.cpuMilli <= limit->cpuMilli)
            && (limit->memoryMb == 0 || total.memoryMb <= limit->memoryMb)
            && (limit->accelerators == 0 || total.accelerators <= limit->accelerators);
@@ -369,6 +372,7 @@
 Orders Dispatcher::Impl::decide(Instant now, int64_t unixMs)
 {
     Orders out;
+    updateUnreportedUse(unixMs);
     updateDemand(now, unixMs);
     for (Step *step : stepsByUrgency(now, unixMs, false, Duration::zero())) {
         const WorkRoute &route = *routeOf(*step->job);
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -118,6 +118,9 @@
     int64_t nextRunNumber(int64_t lastRun) const;
     void collectStops(Instant now, Orders &out);
 
+    // dispatcher_takeover.cc
+    void updateUnreportedUse(int64_t unixMs);
+
     // dispatcher_urgency.cc
     int64_t objectiveMs(const Job &job, const WorkRoute &route) const;
     int64_t slackMs(const Step &step, const WorkRoute &route, int64_t unixMs) const;
@@ -135,6 +138,9 @@
     dispatch::JobSet m_dirty; // changed since takeProgress()
     std::set<WorkerId> m_unreconciled; // may have runs that no report has shown yet
     std::map<std::string, Resources> m_teamUse; // resources in use, by team
+    // What runs of an earlier scheduler that no report has shown may use, by team; updated by
+    // decide().
+    std::map<std::string, Resources> m_unreportedUse;
     // Team name and route priority.
     using TeamPriority = std::pair<std::string, int32_t>;
     std::map<TeamPriority, dispatch::RecentDemand> m_recentDemand;
