Count runs that are being stopped against their team after a takeover

Change: an orphaned run counts for its team until a report no longer lists it; the job is found in the job table if the dispatcher has forgotten it. A terminal job is kept while an unreported run may exist, and a cancelled job whose final progress is not stored is taken over. run_orphaned names such runs. Tests: both new ones fail with the counting taken out; dispatch_test 43 of 43.

--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -45,7 +45,11 @@
                      RecordsStoredCallback recordsStored)
     : m_context(std::move(context)), m_options(std::move(options)),
       m_onTenureLost(std::move(onTenureLost)), m_recordsStored(std::move(recordsStored)),
-      m_dispatcher({m_options.tenure.epoch, m_options.offRackFactor},
+      m_dispatcher({m_options.tenure.epoch, m_options.offRackFactor,
+                    [this](const std::string &id) {
+                        const JobEntry *entry = m_context.jobTable.find(id);
+                        return entry == nullptr ? nullptr : entry->submission;
+                    }},
                    [](const DispatchEvent &event) {
                        logInfo(event.name,
                                (event.job.empty() ? "" : "job=" + event.job + " ") + event.detail);
@@ -118,7 +122,10 @@
     }
     std::vector<const JobEntry *> open;
     for (const auto &[id, entry] : m_context.jobTable.entries()) {
-        if (entry.submission && entry.state() < work::JobState::Completed)
+        // The runs of a cancelled job are being stopped until its final progress is stored.
+        const bool isFinal = entry.progress && entry.progress->state >= work::JobState::Completed;
+        const bool mayHaveRuns = entry.cancelled && entry.progress && !isFinal;
+        if (entry.submission && (entry.state() < work::JobState::Completed || mayHaveRuns))
             open.push_back(&entry);
     }
     std::sort(open.begin(), open.end(),
@@ -126,8 +133,11 @@
     // If the former scheduler recorded its starts, only the tasks that it placed on unreconciled
     // workers have to wait. Otherwise any task of an open job may be running.
     const bool mayBeRunning = !m_unreconciled.empty() && !m_options.tenure.startsRecorded;
-    for (const JobEntry *entry : open)
+    for (const JobEntry *entry : open) {
         m_dispatcher.addJob(entry->submission, entry->progress.get(), mayBeRunning);
+        if (entry->cancelled)
+            m_dispatcher.cancelJob(entry->submission->id);
+    }
     m_dispatcher.setUnreconciledWorkers(m_unreconciled);
     logInfo("scheduling_began", "epoch=" + std::to_string(m_options.tenure.epoch)
                                     + " open_jobs=" + std::to_string(open.size())
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -41,6 +41,11 @@
 void Dispatcher::setUnreconciledWorkers(std::set<WorkerId> workers)
 {
     m_impl->m_unreconciled = std::move(workers);
+    // Terminal jobs were kept while runs of theirs could be on one of the workers.
+    for (const auto &[id, job] : m_impl->m_jobs) {
+        if (job->isTerminal() && job->active == 0)
+            m_impl->markDirty(*job);
+    }
 }
 
 bool Dispatcher::isStartCurrent(const StartOrder &order, Instant now) const
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -25,6 +25,10 @@
 {
     int64_t epoch = 1; // of the tenure; a later tenure uses higher run numbers
     double offRackFactor = 1; // multiplies the run time of a task off its preferred rack
+    // Finds an accepted job that addJob() was not called with or that is forgotten, so that its
+    // last runs are counted until they have finished. Returns null if there is none. May be null.
+    std::function<std::shared_ptr<const work::Submission>(const std::string &id)> findSubmission =
+        nullptr;
 };
 
 // A step that needs the approval of the policy service before it can start.
--- a/src/dispatch/dispatcher_jobs.cc
+++ b/src/dispatch/dispatcher_jobs.cc
@@ -36,6 +36,11 @@
         m_events({name, job, std::move(detail)});
 }
 
+Resources dispatch::resourcesOfTask(const work::StepSpec &spec)
+{
+    return {spec.usesIdleCpu ? 0 : spec.cpuMilli, spec.memoryMb, spec.accelerators, 0, 0};
+}
+
 void Dispatcher::Impl::addJob(std::shared_ptr<const work::Submission> spec,
                               const work::Progress *progress, bool mayBeRunning)
 {
@@ -56,8 +61,7 @@
             step->number = static_cast<int32_t>(number);
             step->tasks.resize(static_cast<size_t>(step->spec->tasks));
             step->waiting = step->spec->tasks;
-            step->taskResources = {step->spec->usesIdleCpu ? 0 : step->spec->cpuMilli,
-                                   step->spec->memoryMb, step->spec->accelerators, 0, 0};
+            step->taskResources = resourcesOfTask(*step->spec);
             job.steps.push_back(std::move(step));
         }
     }
@@ -241,7 +245,7 @@
 
 void Dispatcher::Impl::eraseIfDone(Job &job)
 {
-    if (job.isTerminal() && job.active == 0)
+    if (job.isTerminal() && job.active == 0 && !mayHaveUnreportedRuns(job))
         m_jobs.erase(std::string(job.spec->id));
 }
 
--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -234,6 +234,10 @@
             m_orphanStops.push_back({worker.entry.id, run.task, run.run});
         // Until it finishes, it uses capacity that is not accounted for.
         worker.hasOrphanedRuns = true;
+        countOrphanedRun(worker, run.task);
+        emitEvent("run_orphaned", run.task.step.job,
+                  "task=" + run.task.toString() + " run=" + std::to_string(run.run)
+                      + " worker=" + worker.entry.id);
         return nullptr;
     }
     Attempt &adopted = createAttempt(*step, run.task.index, run.run, worker, now);
--- a/src/dispatch/dispatcher_takeover_test.cc
+++ b/src/dispatch/dispatcher_takeover_test.cc
@@ -63,4 +63,72 @@
     EXPECT_EQ(startAll().size(), 1U) << "the second step of the older job can't be running yet";
 }
 
+// Guards against exceeding the limit while the runs of a job that was cancelled during a takeover
+// are being stopped: they belong to no attempt of the new scheduler.
+TEST_F(DispatcherTest, RunsOfACancelledJobCountUntilTheyHaveFinished)
+{
+    m_limit = {3'000, 0, 0, 0, 0};
+    setCatalog();
+    join(entry("w"));
+    m_dispatcher.setUnreconciledWorkers({"v"});
+    const work::Progress progress = placedOn("old", "v");
+    add("old", {step(2)}, &progress);
+    m_dispatcher.cancelJob("old");
+    m_dispatcher.takeProgress();
+    add("new", {step(4)});
+    EXPECT_EQ(startAll().size(), 1U) << "not reported yet";
+    join(entry("v"), {{{{"old", 0, 0}, 0}, 1, "", 10, 0}, {{{"old", 0, 0}, 1}, 1, "", 10, 0}});
+    m_dispatcher.setUnreconciledWorkers({});
+    m_dispatcher.takeProgress();
+    const Orders orders = decide();
+    EXPECT_EQ(orders.stops.size(), 2U);
+    EXPECT_TRUE(orders.starts.empty()) << "reported and being stopped";
+    report("v", {});
+    EXPECT_EQ(decide().starts.size(), 2U) << "finished";
+}
+
+// Guards against not counting the runs of a job that this scheduler does not know, because it had
+// ended before the takeover.
+TEST(DispatcherTakeoverTest, RunsOfAForgottenJobCountUntilTheyHaveFinished)
+{
+    auto forgotten = std::make_shared<work::Submission>();
+    forgotten->id = "old";
+    forgotten->team = "t";
+    forgotten->steps = {step(2)};
+    Dispatcher dispatcher(
+        {1, 1, [&](const std::string &id) { return id == "old" ? forgotten : nullptr; }}, nullptr);
+    auto catalog = std::make_shared<Catalog>();
+    WorkRoute route;
+    route.name = "r";
+    route.pool = "p";
+    route.maxAttempts = 3;
+    catalog->routes["r"] = route;
+    Team team;
+    team.name = "t";
+    team.limit = {3'000, 0, 0, 0, 0};
+    catalog->teams["t"] = team;
+    dispatcher.setCatalog(catalog);
+    const Instant now = instantFromMs(100'000);
+    for (const WorkerId id : {"v", "w"}) {
+        WorkerEntry entry;
+        entry.id = id;
+        entry.pool = "p";
+        entry.capacity = {8'000, 10'000, 0, 0, 0};
+        dispatcher.setWorker(entry);
+        RunReport report;
+        report.requestedAt = now;
+        if (id == "v")
+            report.running = {{{{"old", 0, 0}, 0}, 1, "", 10, 0},
+                              {{{"old", 0, 0}, 1}, 1, "", 10, 0}};
+        dispatcher.workerReported(id, report, now);
+        dispatcher.setReachable(id, true);
+    }
+    auto job = std::make_shared<work::Submission>(*forgotten);
+    job->id = "new";
+    job->route = "r";
+    job->steps = {step(4)};
+    dispatcher.addJob(job, nullptr, false);
+    EXPECT_EQ(dispatcher.decide(now, UnixNow).starts.size(), 1U);
+}
+
 } // namespace cardamompaddle
--- a/src/dispatch/dispatcher_workers.cc
+++ b/src/dispatch/dispatcher_workers.cc
@@ -82,8 +82,10 @@
     m_total -= it->second->entry.capacity;
     emitEvent("worker_left", "",
               "worker=" + id + " runs=" + std::to_string(it->second->attempts.size()));
-    if (it->second->attempts.empty())
+    if (it->second->attempts.empty()) {
+        releaseOrphanedUse(*it->second);
         m_workers.erase(it);
+    }
 }
 
 void Dispatcher::Impl::workerLost(const WorkerId &id)
@@ -92,6 +94,7 @@
     if (it == m_workers.end())
         return;
     requeueAllRuns(*it->second, "lease_lapsed");
+    releaseOrphanedUse(*it->second);
     it->second->reported = false;
     it->second->reachable = false;
     if (!it->second->listed)
@@ -145,6 +148,7 @@
                       + " runs=" + std::to_string(report.running.size()));
     worker.reported = true;
     worker.hasOrphanedRuns = false;
+    releaseOrphanedUse(worker);
     for (const EndedRun &end : report.ended) {
         if (end.position > worker.endPosition)
             handleFinishedRun(worker, end, now);
@@ -159,8 +163,10 @@
     stopStalledRuns(worker, now);
     detectSlowWorker(worker, now);
     throttleIdleCpuTasks(worker, now);
-    if (!worker.listed && worker.attempts.empty())
+    if (!worker.listed && worker.attempts.empty()) {
+        releaseOrphanedUse(worker);
         m_workers.erase(id);
+    }
 }
 
 void Dispatcher::Impl::stopStalledRuns(Worker &worker, Instant now)
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -120,6 +120,9 @@
 
     // dispatcher_takeover.cc
     void updateUnreportedUse(int64_t unixMs);
+    bool mayHaveUnreportedRuns(const Job &job) const;
+    void countOrphanedRun(Worker &worker, const TaskRef &ref);
+    void releaseOrphanedUse(Worker &worker);
 
     // dispatcher_urgency.cc
     int64_t objectiveMs(const Job &job, const WorkRoute &route) const;
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace cardamompaddle::dispatch {
@@ -21,6 +22,9 @@
 // time to reach the worker.
 inline constexpr Duration ApprovalMargin{200};
 
+// Returns what one task of the step requires.
+Resources resourcesOfTask(const work::StepSpec &spec);
+
 enum class AttemptPhase : uint8_t {
     Ordered, // the start order has no answer yet
     Running,
@@ -153,6 +157,8 @@
     bool reported = false; // a report has shown its runs
     bool reachable = false;
     bool hasOrphanedRuns = false; // the last report listed orphaned runs
+    // What the orphaned runs use, counted in the use of their teams until the next report.
+    std::vector<std::pair<Resources *, Resources>> orphanedUse;
     Resources used;
     int64_t incarnationStartedAtMs = 0; // from the last report; Unix time
     int64_t endPosition = 0; // see Dispatcher::endPosition()
