Publish through relays, so that publishing costs about sqrt(n) calls

The scheduler sent each publication to every other instance by itself: 39 or 40 HTTP calls for each final state, some 25 times a second, on a machine of 0.12 to 0.5 core. Callers saw late starts and ends.

Above eight peers, PublicationTree splits them into about sqrt(n) groups (by availability zone, then address). The head, the member with most processor, gets the publication with the rest of its group in relayTo and passes it on, never further. A head that has not answered for 0.18 s is bypassed at the next publication, a failed one at once: what it did not pass on goes to its group directly. A failed peer is no head until a direct call succeeds, and is tried after 1, 2, 4, 4 ... s.

A relay that was frozen could pass on old publications as signs of life. Messages of the scheduler carry its epoch and monotonic time; PublicationClock subtracts the smallest difference of the clocks seen in that tenure and dates older ones back. Ages up to 0.25 s count as new, as slow machines did before.

Pending records are kept by address and topic: an instance that relays work records to a peer to which it sends jobs would have sent both under the topic of the later one.

publish_load counts calls, failures and bypassed relays once a second.

Each rule was taken out on a scratch copy, and the tests failed: no groups (40 calls, as before): FortyPeersCostSevenCalls and 7 more; late relays not bypassed: TheGroupOfAFrozenHead; failed ones not bypassed: TheGroupOfAFailedHead; steady backoff: AGonePeerIsCalledEverMoreSeldom, AFailedPeerIsProbed; receipt as sign of life: OldRelayedPublicationsAreNoSignOfLife; one queue for all topics: KeepsTheTopics; relays that pass nothing on: AFinalStateReachesAll. No mutation but the one without groups fails AFrozenRelayCausesNoClaim: the read before a claim also prevents it.

--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -235,18 +235,33 @@
 
 void Instance::recordsStored(const work::StoredRecords &records)
 {
+    if (!records.relayTo.empty())
+        m_publisher.relay(records);
     std::vector<KeyedRecord> out;
     out.reserve(records.records.size());
     for (const work::StoredRecord &record : records.records)
         out.push_back({record.key, record.value, record.removed, record.offset});
     if (records.topic == m_context.scheduler.jobsTopic)
         return m_jobs->applyReceived(out);
-    // Only the scheduler publishes records of the work topic.
-    m_schedulerActiveAt = m_publishReceivedAt = m_context.scheduler.clock.now();
+    onSchedulerPublished(records);
     m_publishedEnd = std::max(m_publishedEnd, records.topicEnd);
     m_work->applyReceived(out);
 }
 
+// Only the scheduler publishes records of the work topic. A relay may have been suspended before it
+// passed them on.
+void Instance::onSchedulerPublished(const work::StoredRecords &records)
+{
+    const Instant now = m_context.scheduler.clock.now();
+    const auto at = records.epoch == 0
+                        ? std::optional(now)
+                        : m_publicationClock.publishedAt(records.epoch, records.publishedAtMs, now);
+    if (!at)
+        return;
+    m_schedulerActiveAt = std::max(m_schedulerActiveAt, *at);
+    m_publishReceivedAt = std::max(m_publishReceivedAt, *at);
+}
+
 void Instance::onJobsStored(const std::vector<KeyedRecord> &records)
 {
     m_jobs->applyReceived(records);
@@ -255,14 +270,16 @@
         m_publisher.send(tenure.address, m_context.scheduler.jobsTopic, records, 0);
 }
 
-// Publishes to all peers the records that the scheduler has stored.
-void Instance::onProgressStored(const std::vector<KeyedRecord> &records, int64_t end)
+// Publishes to all peers the records that the scheduler of tenure `epoch` has stored.
+void Instance::onProgressStored(int64_t epoch, const std::vector<KeyedRecord> &records, int64_t end)
 {
     m_work->applyReceived(records);
+    std::vector<PublicationPeer> peers;
     for (const auto &[name, member] : m_jobTable.members()) {
         if (name != m_options.name)
-            m_publisher.send(member.address, m_context.scheduler.workTopic, records, end);
+            peers.push_back({member.address, member.cpuMilli, member.availabilityZone});
     }
+    m_publisher.publish(peers, epoch, m_context.scheduler.workTopic, records, end);
 }
 
 void Instance::tick()
@@ -430,8 +447,8 @@
     m_scheduler = std::make_unique<Scheduler>(
         m_context.scheduler, options, FirstSequenceAfterClaim,
         [this](const std::string &reason) { onTenureLost(reason); },
-        [this](const std::vector<KeyedRecord> &records, int64_t end) {
-            onProgressStored(records, end);
+        [this, epoch = tenure.epoch](const std::vector<KeyedRecord> &records, int64_t end) {
+            onProgressStored(epoch, records, end);
         });
     m_scheduler->setCatalog(m_catalog);
     applyZones();
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "control/job_submitter.h"
+#include "control/publication_clock.h"
 #include "control/record_publisher.h"
 #include "control/scheduler.h"
 
@@ -75,7 +76,8 @@
     // Calls the policy service on behalf of the scheduler of another instance.
     void approve(const work::ApprovalRequest &request,
                  std::function<void(work::ApprovalAnswer)> done);
-    // Applies records that another instance has stored and published.
+    // Applies records that another instance has stored and published, and relays them to the peers
+    // that they name. They are a sign of life of the scheduler at the time it published them.
     void recordsStored(const work::StoredRecords &records);
     // Makes isReady() false, releases the tenure if it is held here, and then calls `done`.
     void stop(std::function<void()> done);
@@ -87,8 +89,9 @@
     void onOperatorsLoaded(const std::set<std::string> &keys);
     void applyZones();
     void announce();
-    void onProgressStored(const std::vector<KeyedRecord> &records, int64_t end);
+    void onProgressStored(int64_t epoch, const std::vector<KeyedRecord> &records, int64_t end);
     void onJobsStored(const std::vector<KeyedRecord> &records);
+    void onSchedulerPublished(const work::StoredRecords &records);
     Duration claimTimeout() const;
     void checkTenure();
     void claim();
@@ -118,7 +121,9 @@
     // Last activity of the scheduler: a record in the log, or records or a heartbeat published to
     // this instance.
     Instant m_schedulerActiveAt;
-    Instant m_publishReceivedAt = Instant::min(); // when the scheduler last published to this one
+    // When the scheduler published what this instance has last received from it.
+    Instant m_publishReceivedAt = Instant::min();
+    PublicationClock m_publicationClock;
     int64_t m_publishedEnd = 0; // highest end of the work topic that the scheduler has published
     // Last refresh of the work topic because the scheduler had stopped publishing.
     Instant m_inactivityRefreshAt = Instant::min();
--- a/src/control/record_publisher.cc
+++ b/src/control/record_publisher.cc
@@ -9,9 +9,51 @@
 
 namespace {
 
-constexpr Duration FailureBackoff{1'000};
 // Records beyond this number are dropped; the peer reads them from the log.
 constexpr size_t MaxPendingRecords = 500;
+// A relay that has not answered for this time is bypassed. Less than the interval between two
+// heartbeats, so that its group gets the next one in time.
+constexpr Duration RelayAnswerTimeout{180};
+constexpr Duration LoadLogInterval{1'000};
+
+work::StoredRecords encode(const std::string &topic, const std::vector<KeyedRecord> &records,
+                           int64_t end)
+{
+    work::StoredRecords out;
+    out.topic = topic;
+    out.topicEnd = end;
+    out.records.reserve(records.size());
+    for (const KeyedRecord &record : records) {
+        work::StoredRecord stored;
+        stored.key = record.key;
+        stored.value = record.value;
+        stored.removed = record.removed;
+        stored.offset = record.offset;
+        out.records.push_back(std::move(stored));
+    }
+    return out;
+}
+
+// Appends a message for the same topic. Receivers of either get both.
+void merge(work::StoredRecords &into, const work::StoredRecords &from)
+{
+    into.topic = from.topic;
+    into.topicEnd = std::max(into.topicEnd, from.topicEnd);
+    if (from.epoch > into.epoch)
+        into.publishedAtMs = 0;
+    if (from.epoch >= into.epoch) {
+        into.epoch = from.epoch;
+        into.publishedAtMs = std::max(into.publishedAtMs, from.publishedAtMs);
+    }
+    const size_t room = MaxPendingRecords - std::min(MaxPendingRecords, into.records.size());
+    const size_t taken = std::min(room, from.records.size());
+    into.records.insert(into.records.end(), from.records.begin(),
+                        from.records.begin() + static_cast<std::ptrdiff_t>(taken));
+    for (const std::string &address : from.relayTo) {
+        if (std::find(into.relayTo.begin(), into.relayTo.end(), address) == into.relayTo.end())
+            into.relayTo.push_back(address);
+    }
+}
 
 } // namespace
 
@@ -27,47 +69,115 @@
 void RecordPublisher::send(const std::string &address, const std::string &topic,
                            const std::vector<KeyedRecord> &records, int64_t end)
 {
-    Peer &peer = m_peersByAddress[address];
-    if (m_clock.now() < peer.backoffUntil)
-        return;
-    peer.pending.topic = topic;
-    peer.pending.topicEnd = std::max(peer.pending.topicEnd, end);
-    for (const KeyedRecord &record : records) {
-        if (peer.pending.records.size() >= MaxPendingRecords)
-            break;
-        work::StoredRecord out;
-        out.key = record.key;
-        out.value = record.value;
-        out.removed = record.removed;
-        out.offset = record.offset;
-        peer.pending.records.push_back(std::move(out));
+    enqueue(address, encode(topic, records, end));
+}
+
+void RecordPublisher::publish(const std::vector<PublicationPeer> &peers, int64_t epoch,
+                              const std::string &topic, const std::vector<KeyedRecord> &records,
+                              int64_t end)
+{
+    const Instant now = m_clock.now();
+    bypassLateRelays();
+    work::StoredRecords message = encode(topic, records, end);
+    message.epoch = epoch;
+    message.publishedAtMs = toMs(now);
+    for (PublicationRoute &route : m_tree.routes(peers, now)) {
+        message.relayTo = std::move(route.relayTo);
+        enqueue(route.address, message);
     }
-    peer.hasPending = true;
-    if (!peer.callInFlight)
-        call(address, peer);
+    logLoad();
+}
+
+void RecordPublisher::relay(work::StoredRecords publication)
+{
+    const std::vector<std::string> addresses = std::exchange(publication.relayTo, {});
+    for (const std::string &address : addresses)
+        enqueue(address, publication);
+}
+
+void RecordPublisher::enqueue(const std::string &address, const work::StoredRecords &message)
+{
+    if (m_tree.isBackingOff(address, m_clock.now()))
+        return;
+    const Target target{address, message.topic};
+    Queue &queue = m_queues[target];
+    merge(queue.pending, message);
+    queue.hasPending = true;
+    if (!queue.callInFlight)
+        call(target, queue);
 }
 
-void RecordPublisher::call(const std::string &address, Peer &peer)
+void RecordPublisher::call(const Target &target, Queue &queue)
 {
-    peer.callInFlight = true;
-    peer.hasPending = false;
-    const work::StoredRecords records = std::exchange(peer.pending, {});
-    m_peers.recordsStored(address, records,
-                          [this, alive = m_alive, address](const Result<void> &answer) {
-                              if (!*alive)
-                                  return;
-                              Peer &called = m_peersByAddress[address];
-                              called.callInFlight = false;
-                              if (!answer) {
-                                  logWarn("feed_failed", "peer=" + address + " reason=\""
-                                                             + answer.error().reason + "\"");
-                                  called.backoffUntil = m_clock.now() + FailureBackoff;
-                                  called.hasPending = false;
-                                  called.pending = {};
-                              }
-                              if (called.hasPending)
-                                  call(address, called);
+    queue.callInFlight = true;
+    queue.sentAt = m_clock.now();
+    queue.hasPending = false;
+    const work::StoredRecords message = std::exchange(queue.pending, {});
+    queue.relayed = message.relayTo.empty() ? work::StoredRecords{} : message;
+    ++m_calls;
+    m_peers.recordsStored(target.first, message,
+                          [this, alive = m_alive, target](const Result<void> &answer) {
+                              if (*alive)
+                                  onAnswer(target, answer);
                           });
 }
 
+void RecordPublisher::onAnswer(const Target &target, const Result<void> &answer)
+{
+    const std::string &address = target.first;
+    Queue &queue = m_queues[target];
+    queue.callInFlight = false;
+    if (answer) {
+        m_tree.callSucceeded(address, m_clock.now());
+        queue.relayed = {};
+    } else {
+        logWarn("feed_failed", "peer=" + address
+                                   + " relayed_to=" + std::to_string(queue.relayed.relayTo.size())
+                                   + " reason=\"" + answer.error().reason + "\"");
+        ++m_failedCalls;
+        m_tree.callFailed(address, m_clock.now());
+        bypassRelay(queue);
+        queue.hasPending = false;
+        queue.pending = {};
+    }
+    if (queue.hasPending)
+        call(target, queue);
+}
+
+void RecordPublisher::bypassRelay(Queue &queue)
+{
+    work::StoredRecords message = std::exchange(queue.relayed, {});
+    if (queue.hasPending && !queue.pending.relayTo.empty())
+        merge(message, queue.pending);
+    if (message.relayTo.empty())
+        return;
+    ++m_bypassedRelays;
+    queue.pending.relayTo.clear(); // what is pending goes to the called peer alone
+    relay(std::move(message));
+}
+
+void RecordPublisher::bypassLateRelays()
+{
+    const Instant now = m_clock.now();
+    for (auto &[target, queue] : m_queues) {
+        const bool waits = queue.callInFlight && !queue.relayed.relayTo.empty();
+        if (!waits || now - queue.sentAt < RelayAnswerTimeout)
+            continue;
+        m_tree.headTimedOut(target.first);
+        bypassRelay(queue);
+    }
+}
+
+// Logs the number of calls of the last interval.
+void RecordPublisher::logLoad()
+{
+    const Instant now = m_clock.now();
+    if (m_loadLoggedAt != Instant::min() && now - m_loadLoggedAt < LoadLogInterval)
+        return;
+    m_loadLoggedAt = now;
+    logInfo("publish_load", "calls=" + std::to_string(std::exchange(m_calls, 0)) + " failed="
+                                + std::to_string(std::exchange(m_failedCalls, 0)) + " bypassed="
+                                + std::to_string(std::exchange(m_bypassedRelays, 0)));
+}
+
 } // namespace cardamompaddle
--- a/src/control/record_publisher.h
+++ b/src/control/record_publisher.h
@@ -1,15 +1,18 @@
 // Publishes the records that this instance has stored to its peers, ahead of their next read of the
-// log. Best effort: a peer that misses published records reads them from the log.
+// log, and relays what others have published. Best effort: a peer that misses published records
+// reads them from the log.
 //
 // Not thread-safe: use it only on the event loop's thread.
 #pragma once
 
 #include "control/gateways.h"
+#include "control/publication_tree.h"
 #include "platform/worker.h"
 
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cardamompaddle {
@@ -28,22 +31,41 @@
     // for the next one; after a failed call, records are dropped for a backoff time.
     void send(const std::string &address, const std::string &topic,
               const std::vector<KeyedRecord> &records, int64_t end);
+    // Sends the scheduler's records of the tenure `epoch` to all peers, through relays if there are
+    // many. What a relay does not take in time is sent to its group directly.
+    void publish(const std::vector<PublicationPeer> &peers, int64_t epoch, const std::string &topic,
+                 const std::vector<KeyedRecord> &records, int64_t end);
+    // Sends a received publication on to the peers that it names.
+    void relay(work::StoredRecords publication);
 
 private:
-    struct Peer
+    using Target = std::pair<std::string, std::string>; // address and topic
+    struct Queue
     {
         bool callInFlight = false;
+        Instant sentAt = Instant::min();
+        work::StoredRecords relayed; // message of the call in flight if it is to be relayed
         bool hasPending = false; // `pending` is to be sent after the call in flight
         work::StoredRecords pending;
-        Instant backoffUntil = Instant::min();
     };
 
+    void enqueue(const std::string &address, const work::StoredRecords &message);
     // Sends the pending records.
-    void call(const std::string &address, Peer &peer);
+    void call(const Target &target, Queue &queue);
+    void onAnswer(const Target &target, const Result<void> &answer);
+    // Sends what waits for the answer of a relay to the rest of its group directly.
+    void bypassRelay(Queue &queue);
+    void bypassLateRelays();
+    void logLoad();
 
     const Clock &m_clock;
     PeerGateway &m_peers;
-    std::map<std::string, Peer> m_peersByAddress;
+    PublicationTree m_tree;
+    std::map<Target, Queue> m_queues;
+    int64_t m_calls = 0; // since m_loadLoggedAt
+    int64_t m_failedCalls = 0;
+    int64_t m_bypassedRelays = 0;
+    Instant m_loadLoggedAt = Instant::min();
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // false: callbacks are dropped
 };
 
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -334,6 +334,12 @@
     void recordsStored(const std::string &address, const work::StoredRecords &records,
                        std::function<void(Result<void>)> done) override
     {
+        if (unresponsivePeers.contains(address)) {
+            auto timer = std::make_shared<boost::asio::steady_timer>(m_io, Duration(600));
+            return timer->async_wait([timer, done = std::move(done)](const auto &) {
+                done(Error{ErrorCode::OutcomeUnknown, "no answer"});
+            });
+        }
         const auto it = receivers.find(address);
         boost::asio::post(m_io, [receive = it == receivers.end() ? nullptr : it->second, records,
                                  done = std::move(done)] {
@@ -359,6 +365,7 @@
     std::optional<work::CallerResponse> forwardResponse; // empty: forwarded requests time out
     // Handlers of records that other instances have stored, by peer address.
     std::map<std::string, std::function<void(const work::StoredRecords &)>> receivers;
+    std::set<std::string> unresponsivePeers; // addresses at which published records get no answer
 
 private:
     static std::vector<work::Approval> approvalsFor(const std::vector<WorkerId> &workers)
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -2552,6 +2552,14 @@
 void StoredRecords::__set_relayTo(const std::vector<std::string> & val) {
   this->relayTo = val;
 }
+
+void StoredRecords::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void StoredRecords::__set_publishedAtMs(const int64_t val) {
+  this->publishedAtMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const StoredRecords& obj)
 {
   obj.printTo(out);
@@ -2636,6 +2644,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->publishedAtMs);
+          this->__isset.publishedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2685,6 +2709,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("publishedAtMs", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->publishedAtMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2696,6 +2728,8 @@
   swap(a.records, b.records);
   swap(a.topicEnd, b.topicEnd);
   swap(a.relayTo, b.relayTo);
+  swap(a.epoch, b.epoch);
+  swap(a.publishedAtMs, b.publishedAtMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -2704,6 +2738,8 @@
   records = other115.records;
   topicEnd = other115.topicEnd;
   relayTo = other115.relayTo;
+  epoch = other115.epoch;
+  publishedAtMs = other115.publishedAtMs;
   __isset = other115.__isset;
 }
 StoredRecords::StoredRecords(StoredRecords&& other116) noexcept {
@@ -2711,6 +2747,8 @@
   records = std::move(other116.records);
   topicEnd = other116.topicEnd;
   relayTo = std::move(other116.relayTo);
+  epoch = other116.epoch;
+  publishedAtMs = other116.publishedAtMs;
   __isset = other116.__isset;
 }
 StoredRecords& StoredRecords::operator=(const StoredRecords& other117) {
@@ -2718,6 +2756,8 @@
   records = other117.records;
   topicEnd = other117.topicEnd;
   relayTo = other117.relayTo;
+  epoch = other117.epoch;
+  publishedAtMs = other117.publishedAtMs;
   __isset = other117.__isset;
   return *this;
 }
@@ -2726,6 +2766,8 @@
   records = std::move(other118.records);
   topicEnd = other118.topicEnd;
   relayTo = std::move(other118.relayTo);
+  epoch = other118.epoch;
+  publishedAtMs = other118.publishedAtMs;
   __isset = other118.__isset;
   return *this;
 }
@@ -2736,6 +2778,8 @@
   out << ", " << "records=" << to_string(records);
   out << ", " << "topicEnd=" << to_string(topicEnd);
   out << ", " << "relayTo=" << to_string(relayTo);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "publishedAtMs=" << to_string(publishedAtMs);
   out << ")";
 }
 
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -962,11 +962,13 @@
 std::ostream& operator<<(std::ostream& out, const StoredRecord& obj);
 
 typedef struct _StoredRecords__isset {
-  _StoredRecords__isset() : topic(false), records(false), topicEnd(false), relayTo(false) {}
+  _StoredRecords__isset() : topic(false), records(false), topicEnd(false), relayTo(false), epoch(false), publishedAtMs(false) {}
   bool topic :1;
   bool records :1;
   bool topicEnd :1;
   bool relayTo :1;
+  bool epoch :1;
+  bool publishedAtMs :1;
 } _StoredRecords__isset;
 
 class StoredRecords : public virtual ::apache::thrift::TBase {
@@ -978,7 +980,9 @@
   StoredRecords& operator=(StoredRecords&&) noexcept;
   StoredRecords() noexcept
                 : topic(),
-                  topicEnd(0) {
+                  topicEnd(0),
+                  epoch(0),
+                  publishedAtMs(0) {
   }
 
   virtual ~StoredRecords() noexcept;
@@ -986,6 +990,8 @@
   std::vector<StoredRecord>  records;
   int64_t topicEnd;
   std::vector<std::string>  relayTo;
+  int64_t epoch;
+  int64_t publishedAtMs;
 
   _StoredRecords__isset __isset;
 
@@ -997,6 +1003,10 @@
 
   void __set_relayTo(const std::vector<std::string> & val);
 
+  void __set_epoch(const int64_t val);
+
+  void __set_publishedAtMs(const int64_t val);
+
   bool operator == (const StoredRecords & rhs) const
   {
     if (!(topic == rhs.topic))
@@ -1007,6 +1017,10 @@
       return false;
     if (!(relayTo == rhs.relayTo))
       return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(publishedAtMs == rhs.publishedAtMs))
+      return false;
     return true;
   }
   bool operator != (const StoredRecords &rhs) const {
