Keep a run that its worker has listed when the answers to its start are lost

Callers saw a task run twice in part: a worker carried the start out, all three answers were lost, and the scheduler stopped the run although a poll had already listed it as running.

Cause: startAnswered() requested a stop for every unknown outcome, whatever a report had shown meanwhile. A report of the run proves that it has started, and starting it again is idempotent, so nothing is left to rule out.

DispatcherTest.AReportedRunIsNotStoppedForALostAnswer fails without the change (one stop is ordered).

--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -273,6 +273,9 @@
     Attempt *attempt = findAttempt(order.worker, order.task, order.run);
     if (attempt == nullptr)
         return;
+    // A report that lists the run proves that it has started, whatever became of the answers.
+    if (answer == StartOutcome::Unknown && attempt->phase == AttemptPhase::Running)
+        return;
     if (answer == StartOutcome::Started) {
         attempt->confirmedAt = std::min(attempt->confirmedAt, now);
         if (attempt->phase == AttemptPhase::Ordered) {
--- a/src/dispatch/dispatcher_runs_test.cc
+++ b/src/dispatch/dispatcher_runs_test.cc
@@ -136,6 +136,23 @@
     EXPECT_EQ(startAll().size(), 1U) << "a withdrawn order must not count against the worker";
 }
 
+// Guards against a run that is stopped although its worker has listed it, because the answers to
+// its start order were lost.
+TEST_F(DispatcherTest, AReportedRunIsNotStoppedForALostAnswer)
+{
+    join(entry("w"));
+    add("job", {step(1)});
+    const auto starts = decide().starts;
+    ASSERT_EQ(starts.size(), 1U);
+    m_now += Duration(10);
+    report("w", {running(starts[0])});
+    EXPECT_FALSE(m_dispatcher.isStartCurrent(starts[0], m_now)) << "needs no further attempt";
+    m_dispatcher.startAnswered(starts[0], StartOutcome::Unknown, m_now);
+    const Orders orders = decide();
+    EXPECT_TRUE(orders.stops.empty());
+    EXPECT_TRUE(orders.starts.empty());
+}
+
 TEST_F(DispatcherTest, StopsOrphanedRunsAndStartsNothingOnTheirWorker)
 {
     add("job", {step(1)});
