Judge a start order by its worker, zone, route and age as well

An order was current as long as its attempt had no answer and its approval was valid.

isStartCurrent() now shares acceptsStarts() with the placement rule, and refuses orders older than MaxStartOrderAge (1.5 s: a log append and the three attempts of 0.9 s).

DispatcherTest.WithdrawsAnUnsentStartWhoseWorkerTakesNoMoreStarts, WithdrawsAnUnsentStartWhoseRouteWasDropped and AnOldStartOrderIsNotSent fail with the former rule.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -46,10 +46,7 @@
 bool Dispatcher::isStartCurrent(const StartOrder &order, Instant now) const
 {
     const dispatch::Attempt *attempt = m_impl->findAttempt(order.worker, order.task, order.run);
-    if (attempt == nullptr || attempt->phase != dispatch::AttemptPhase::Ordered)
-        return false;
-    const auto approval = attempt->step->approvals.find(order.worker);
-    return approval == attempt->step->approvals.end() || approval->second.expires > now;
+    return attempt != nullptr && m_impl->mayStillStart(*attempt, now);
 }
 
 void Dispatcher::setWorker(const WorkerEntry &entry)
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -21,6 +21,11 @@
 
 namespace cardamompaddle {
 
+// A start order that was decided longer ago is not sent, because what it was based on may have
+// changed unnoticed, for example while the process was suspended. Covers a log append and all
+// attempts to send the order.
+inline constexpr Duration MaxStartOrderAge{1'500};
+
 struct DispatchOptions
 {
     int64_t epoch = 1; // of the tenure; a later tenure uses higher run numbers
@@ -89,7 +94,8 @@
     void workerReported(const WorkerId &id, const RunReport &report, Instant now);
     // Handles the outcome of a start order.
     void startAnswered(const StartOrder &order, StartOutcome answer, Instant now);
-    // Returns whether the run is still to be started and its approval, if it needs one, is valid.
+    // Returns whether the order may still be sent: its run is still to be started there, and the
+    // order is not older than MaxStartOrderAge. Ask right before each attempt to send it.
     bool isStartCurrent(const StartOrder &order, Instant now) const;
     // Handles a worker's confirmation of a stop order: the run can no longer start, and finishes
     // soon if it has started.
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -140,14 +140,19 @@
     return (worker.used + step.taskResources).fitsIn(worker.entry.capacity);
 }
 
+bool Dispatcher::Impl::acceptsStarts(const Worker &worker, const WorkRoute &route) const
+{
+    return worker.listed && !worker.entry.draining && worker.entry.pool == route.pool
+           && !m_zonesOut.contains(worker.entry.availabilityZone);
+}
+
 // Returns whether the worker may run tasks of the step, capacity and approvals aside.
 bool Dispatcher::Impl::isEligible(const Worker &worker, const Step &step, const WorkRoute &route,
                                   Instant now) const
 {
     const work::StepSpec &spec = *step.spec;
-    if (!worker.listed || !worker.reported || !worker.reachable || worker.entry.draining
-        || worker.hasOrphanedRuns || worker.avoidUntil > now || worker.entry.pool != route.pool
-        || m_zonesOut.contains(worker.entry.availabilityZone))
+    if (!worker.reported || !worker.reachable || worker.hasOrphanedRuns || worker.avoidUntil > now
+        || !acceptsStarts(worker, route))
         return false;
     if (!spec.requiredLabel.empty() && !worker.entry.labels.contains(spec.requiredLabel))
         return false;
--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -50,6 +50,17 @@
     return matches ? attempt : nullptr;
 }
 
+bool Dispatcher::Impl::mayStillStart(const Attempt &attempt, Instant now) const
+{
+    const Step &step = *attempt.step;
+    const WorkRoute *route = routeOf(*step.job);
+    if (attempt.phase != AttemptPhase::Ordered || now - attempt.orderedAt > MaxStartOrderAge
+        || step.job->isTerminal() || route == nullptr || !acceptsStarts(*attempt.worker, *route))
+        return false;
+    const auto approval = step.approvals.find(attempt.worker->entry.id);
+    return approval == step.approvals.end() || approval->second.expires > now;
+}
+
 void Dispatcher::Impl::requeueAllRuns(Worker &worker, std::string_view why)
 {
     for (Attempt *attempt : AttemptSet(worker.attempts)) {
--- a/src/dispatch/dispatcher_runs_test.cc
+++ b/src/dispatch/dispatcher_runs_test.cc
@@ -1,5 +1,8 @@
 #include "dispatch/dispatcher_testing.h"
 
+#include <functional>
+#include <map>
+
 namespace cardamompaddle {
 namespace {
 
@@ -136,6 +139,66 @@
     EXPECT_EQ(startAll().size(), 1U) << "a withdrawn order must not count against the worker";
 }
 
+// Guards against a task that starts on a worker that has begun to drain or has left, or in a zone
+// that was taken out, after its start was decided. The task has to run elsewhere, once.
+TEST_F(DispatcherTest, WithdrawsAnUnsentStartWhoseWorkerTakesNoMoreStarts)
+{
+    WorkerEntry draining = entry("w", 1'000);
+    draining.draining = true;
+    WorkerEntry elsewhere = entry("v", 1'000);
+    elsewhere.availabilityZone = "z2";
+    const std::map<std::string, std::function<void()>> changes = {
+        {"drain", [&] { m_dispatcher.setWorker(draining); }},
+        {"left", [&] { m_dispatcher.removeWorker("w"); }},
+        {"zone", [&] { m_dispatcher.setZonesOut({"z1"}); }},
+    };
+    for (const auto &[name, change] : changes) {
+        join(entry("w", 1'000));
+        add(name, {step(1)});
+        const auto starts = decide().starts;
+        ASSERT_EQ(starts.size(), 1U) << name;
+        ASSERT_EQ(starts[0].worker, "w") << name;
+        EXPECT_TRUE(m_dispatcher.isStartCurrent(starts[0], m_now)) << name;
+        change();
+        EXPECT_FALSE(m_dispatcher.isStartCurrent(starts[0], m_now)) << name;
+        m_dispatcher.startAnswered(starts[0], StartOutcome::Withdrawn, m_now);
+        join(elsewhere);
+        const auto again = startAll();
+        ASSERT_EQ(again.size(), 1U) << name;
+        EXPECT_EQ(again[0].worker, "v") << name;
+        EXPECT_TRUE(startAll().empty()) << name;
+        report("v", {}, {ended(again[0], RunOutcome::Succeeded)});
+        EXPECT_EQ(state(name), work::JobState::Completed) << name;
+        m_dispatcher.removeWorker("v");
+        m_dispatcher.removeWorker("w");
+        m_dispatcher.setZonesOut({});
+        m_positions.clear();
+    }
+}
+
+// Guards against a task that starts on a worker to which the configuration no longer sends it.
+TEST_F(DispatcherTest, WithdrawsAnUnsentStartWhoseRouteWasDropped)
+{
+    join(entry("w"));
+    add("job", {step(1)});
+    const auto starts = decide().starts;
+    ASSERT_EQ(starts.size(), 1U);
+    m_dispatcher.setCatalog(std::make_shared<Catalog>());
+    EXPECT_FALSE(m_dispatcher.isStartCurrent(starts[0], m_now));
+}
+
+// Guards against orders that a suspended process sends when it resumes, although their jobs or
+// workers may have changed meanwhile.
+TEST_F(DispatcherTest, AnOldStartOrderIsNotSent)
+{
+    join(entry("w"));
+    add("job", {step(1)});
+    const auto starts = decide().starts;
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_TRUE(m_dispatcher.isStartCurrent(starts[0], m_now + MaxStartOrderAge));
+    EXPECT_FALSE(m_dispatcher.isStartCurrent(starts[0], m_now + MaxStartOrderAge + Duration(1)));
+}
+
 // Guards against a run that is stopped although its worker has listed it, because the answers to
 // its start order were lost.
 TEST_F(DispatcherTest, AReportedRunIsNotStoppedForALostAnswer)
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -64,6 +64,8 @@
     static TaskRef taskRefOf(const Attempt &attempt);
     Task *findTask(const TaskRef &ref, Step *&step); // null if it does not exist
     Attempt *findAttempt(const WorkerId &worker, const TaskRef &ref, int64_t run);
+    // Returns whether the start order of the attempt may still be sent.
+    bool mayStillStart(const Attempt &attempt, Instant now) const;
     Attempt &createAttempt(Step &step, int32_t index, int64_t run, Worker &worker, Instant now);
     void removeAttempt(Attempt &attempt); // destroys the attempt
     // Removes an attempt whose run did not succeed. Stops the other members of a gang.
@@ -99,6 +101,8 @@
     bool mayBeRunningUnreported(const Task &task) const;
     std::vector<Step *> stepsByUrgency(Instant now, int64_t unixMs, bool includeDueSoon,
                                        Duration lead);
+    // Returns whether work of the route may start on the worker by its registry entry.
+    bool acceptsStarts(const Worker &worker, const WorkRoute &route) const;
     bool isEligible(const Worker &worker, const Step &step, const WorkRoute &route,
                     Instant now) const;
     bool hasRoom(const Worker &worker, const Step &step) const;
