Judge a start order again before each attempt to send it

A start waited for its log record, then behind six calls to its worker, and was repeated up to three times within 0.9 s. Only when the record was stored did the scheduler ask whether the run was still wanted; with a slow log it did not ask at all.

WorkerLinks asks startWanted right before each attempt, with the clock read then. An order that is no longer wanted is Withdrawn if nothing was sent, and Unknown after an unanswered attempt, so that a stop rules out a late start. The queue of a link runs in a loop, since withdrawn orders end at once. The scheduler's own check goes.

Checked and left as it is: - Stops: one names a run number that is never used again, and a worker refuses only runs up to that number, so a late stop ends nothing newer. - Checkpoints: all members of a gang are ordered in one decision and repeated attempts send the same order; a report changes only the task, run and worker that it names; an order's checkpoint may be older than one reported since, but is always one of its task. Specification: the order holds the submission of its job, which addJob() never replaces.

--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -64,6 +64,9 @@
     m_startedAt = m_lastStoredAt = m_lastPublishedAt = m_loadLoggedAt = m_context.clock.now();
     WorkerLinks::Callbacks links;
     links.report = [this](const WorkerId &id, const RunReport &report) { onReport(id, report); };
+    links.startWanted = [this](const StartOrder &order) {
+        return m_dispatcher.isStartCurrent(order, m_context.clock.now());
+    };
     links.startAnswered = [this](const StartOrder &order, StartOutcome answer) {
         const LoadMeter::Scope measured(m_load, LoadPart::Answer);
         m_dispatcher.startAnswered(order, answer, m_context.clock.now());
@@ -290,16 +293,6 @@
     armEventTimer();
 }
 
-// Sends a start whose record is stored, unless it has become obsolete.
-void Scheduler::sendStart(const StartOrder &order)
-{
-    const Instant now = m_context.clock.now();
-    if (m_dispatcher.isStartCurrent(order, now))
-        return m_links->start(order);
-    m_dispatcher.startAnswered(order, StartOutcome::Withdrawn, now);
-    schedulePass();
-}
-
 // Stops recording starts before they are sent while the log is slow, and resumes once it is fast.
 //
 // A start may go out without a record only after a tenure with `startsRecorded` false is stored.
@@ -436,7 +429,7 @@
     updateStartRecording(m_lastStoredAt - m_batchSentAt);
     if (!m_onReleased) {
         for (const StartOrder &start : std::exchange(m_startsInBatch, {}))
-            sendStart(start);
+            m_links->start(start);
     }
     std::swap(m_storedPositions, m_batchPositions);
     for (const WorkerId &id : m_batchUsedWorkers) {
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -102,7 +102,6 @@
     void schedulePass();
     void runPass();
     void armEventTimer();
-    void sendStart(const StartOrder &order);
     void updateStartRecording(Duration appendTime);
     void setStartsRecorded(bool recorded);
     void scheduleFlush(Duration wait);
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -230,12 +230,21 @@
 {
     Link *link = find(id);
     link->queue.push_back(std::move(call));
-    if (link->inFlight < MaxCallsPerWorker) {
-        ++link->inFlight;
-        const auto next = std::move(link->queue.front());
-        link->queue.pop_front();
+    runQueue(*link);
+}
+
+void WorkerLinks::runQueue(Link &link)
+{
+    // A call that ends at once comes back here; the outer loop goes on with the next one.
+    if (std::exchange(link.queueRunning, true))
+        return;
+    while (!link.queue.empty() && link.inFlight < MaxCallsPerWorker) {
+        ++link.inFlight;
+        const auto next = std::move(link.queue.front());
+        link.queue.pop_front();
         next();
     }
+    link.queueRunning = false;
 }
 
 void WorkerLinks::onCallDone(const WorkerId &id)
@@ -243,13 +252,8 @@
     Link *link = find(id);
     if (link == nullptr)
         return;
-    if (link->queue.empty()) {
-        --link->inFlight;
-        return;
-    }
-    const auto next = std::move(link->queue.front());
-    link->queue.pop_front();
-    next();
+    --link->inFlight;
+    runQueue(*link);
 }
 
 void WorkerLinks::start(const StartOrder &order)
@@ -261,6 +265,13 @@
 
 void WorkerLinks::sendStart(const StartOrder &order, size_t priorAttempts)
 {
+    if (!m_callbacks.startWanted(order)) {
+        onCallDone(order.worker);
+        // An unanswered attempt may still be carried out.
+        const StartOutcome outcome =
+            priorAttempts == 0 ? StartOutcome::Withdrawn : StartOutcome::Unknown;
+        return m_callbacks.startAnswered(order, outcome);
+    }
     Link &link = *find(order.worker);
     m_gateway.start(
         link.entry, makeFence(link, true), order, StartTimeouts[priorAttempts],
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -30,6 +30,8 @@
     struct Callbacks
     {
         std::function<void(const WorkerId &, const RunReport &)> report;
+        // Whether a start order is still wanted; asked right before each attempt to send it.
+        std::function<bool(const StartOrder &)> startWanted;
         std::function<void(const StartOrder &, StartOutcome)> startAnswered;
         std::function<void(const StopOrder &)> stopConfirmed;
         std::function<void(const WorkerId &, bool)> reachable;
@@ -87,6 +89,7 @@
         Instant leaseExpiry; // every lease on the worker has expired by then
         std::shared_ptr<boost::asio::steady_timer> timer; // of the next poll
         std::deque<std::function<void()>> queue; // calls over the concurrency limit
+        bool queueRunning = false; // runQueue() is active for the link
         int inFlight = 0;
     };
 
@@ -98,9 +101,11 @@
     // Builds the fence of a call. With `extendLease` it asks for a longer lease, if that is safe.
     CommandFence makeFence(Link &link, bool extendLease);
     // Runs `call` once fewer than the permitted number of calls to the worker are in flight. Each
-    // call must end with onCallDone().
+    // call must end with onCallDone(), at once or later.
     void enqueue(const WorkerId &id, std::function<void()> call);
+    static void runQueue(Link &link);
     void onCallDone(const WorkerId &id);
+    // Sends a start order if it is still wanted. `priorAttempts` of it had no answer.
     void sendStart(const StartOrder &order, size_t priorAttempts);
     void onStartAnswer(const StartOrder &order, size_t priorAttempts,
                        const Result<StartOutcome> &answer);
--- a/src/control/worker_links_test.cc
+++ b/src/control/worker_links_test.cc
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+#include <map>
 #include <optional>
 
 namespace cardamompaddle {
@@ -21,8 +23,11 @@
     {
         WorkerLinks::Callbacks callbacks;
         callbacks.report = [](const WorkerId &, const RunReport &) {};
-        callbacks.startAnswered = [this](const StartOrder &, StartOutcome outcome) {
+        callbacks.startWanted = [this](const StartOrder &) { return m_wanted(); };
+        callbacks.startAnswered = [this](const StartOrder &order, StartOutcome outcome) {
             m_outcome = outcome;
+            if (m_answered)
+                m_answered(order, outcome);
         };
         callbacks.stopConfirmed = [](const StopOrder &) {};
         callbacks.reachable = [](const WorkerId &, bool) {};
@@ -38,23 +43,29 @@
         run(Duration(50));
     }
     void run(Duration time) { m_io.run_for(time); }
-    // Sends one start order and waits for its outcome.
-    StartOutcome startOne()
+    static StartOrder startOrder(int32_t index)
     {
         StartOrder order;
         order.worker = "w";
-        order.task = {{"job", 0, 0}, 0};
+        order.task = {{"job", 0, 0}, index};
         order.run = 1;
-        m_links->start(order);
+        return order;
+    }
+    // Sends one start order and waits for its outcome.
+    StartOutcome startOne()
+    {
+        m_links->start(startOrder(0));
         for (int i = 0; i < 200 && !m_outcome; ++i)
             run(Duration(10));
-        return m_outcome.value_or(StartOutcome::Withdrawn);
+        return m_outcome.value_or(StartOutcome::WorkerUnavailable);
     }
 
     boost::asio::io_context m_io;
     testing::TestClock m_clock;
     TestWorkers m_workers{m_io};
     std::optional<StartOutcome> m_outcome;
+    std::function<bool()> m_wanted = [] { return true; };
+    std::function<void(const StartOrder &, StartOutcome)> m_answered;
     std::optional<WorkerLinks> m_links;
 };
 
@@ -89,6 +100,51 @@
     EXPECT_EQ(startOne(), StartOutcome::Unknown);
 }
 
+// Guards against a task that starts although its job was cancelled, or its worker began to drain,
+// while the start order waited for other calls to the worker.
+TEST_F(WorkerLinksTest, AStartThatIsNoLongerWantedWhenItsTurnComesIsNotSent)
+{
+    m_workers.workers["w"].unansweredStarts = 6;
+    m_workers.workers["w"].delaysUnansweredStarts = true;
+    std::map<int, StartOutcome> outcomes;
+    m_answered = [&](const StartOrder &order, StartOutcome it) { outcomes[order.task.index] = it; };
+    for (int i = 0; i < 7; ++i)
+        m_links->start(startOrder(i));
+    run(Duration(50));
+    EXPECT_EQ(m_workers.startCalls, 6) << "the last one waits for its turn";
+    m_wanted = [] { return false; };
+    run(Duration(500));
+    EXPECT_EQ(m_workers.startCalls, 6);
+    EXPECT_EQ(m_workers.starts, 0);
+    ASSERT_EQ(outcomes.size(), 7U);
+    EXPECT_EQ(outcomes[6], StartOutcome::Withdrawn) << "nothing was sent";
+    EXPECT_EQ(outcomes[0], StartOutcome::Unknown) << "its first attempt may be carried out late";
+}
+
+// Guards against an unanswered start that is repeated after its job was cancelled.
+TEST_F(WorkerLinksTest, AnUnansweredStartThatIsNoLongerWantedIsNotRepeated)
+{
+    m_workers.workers["w"].unansweredStarts = 1;
+    m_workers.workers["w"].delaysUnansweredStarts = true;
+    m_wanted = [this] { return m_workers.startCalls == 0; };
+    EXPECT_EQ(startOne(), StartOutcome::Unknown);
+    EXPECT_EQ(m_workers.startCalls, 1);
+    EXPECT_EQ(m_workers.starts, 0);
+}
+
+// Guards against a call stack that grows with the number of withdrawn start orders, and against
+// withdrawn orders that keep a place among the calls in flight.
+TEST_F(WorkerLinksTest, ManyWithdrawnStartsLeaveRoomForLaterOnes)
+{
+    m_wanted = [] { return false; };
+    for (int i = 0; i < 20'000; ++i)
+        m_links->start(startOrder(i));
+    EXPECT_EQ(m_workers.startCalls, 0);
+    m_wanted = [] { return true; };
+    m_outcome.reset();
+    EXPECT_EQ(startOne(), StartOutcome::Started);
+}
+
 // Guards against tasks that run twice: a former scheduler in a zone that is partitioned off
 // together with its workers keeps extending their leases, while its successor expects them to
 // expire.
