--- /dev/null
+++ b/src/bench/dispatcher_bench.cc
@@ -0,0 +1,331 @@
+// Measures the processor time that a Dispatcher takes for a steady load, on one thread.
+//
+// Each benchmark plays jobs as they arrive, runs that end, reports of all workers and one pass
+// every PassInterval. It reports processor time in milliseconds for each simulated second.
+#include "dispatch/dispatcher.h"
+
+#include <benchmark/benchmark.h>
+
+#include <algorithm>
+#include <ctime>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cardamompaddle {
+namespace {
+
+constexpr Duration Step{4}; // of the simulated time: one pass
+constexpr Duration FlushInterval{24};
+constexpr Duration WarmUp{4'000};
+constexpr Duration Measured{4'000};
+constexpr int WorkersPerRack = 12;
+constexpr int BaseWorkers = 350; // the arrival rates below are for this many workers
+constexpr double QuickPerSecond = 28;
+constexpr double SavedPerSecond = 4;
+constexpr double GangShare = 0.08;
+constexpr int Teams = 20;
+constexpr int64_t UnixEpochMs = 1'000'000;
+
+double threadMillis()
+{
+    timespec at{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &at);
+    return static_cast<double>(at.tv_sec) * 1e3 + static_cast<double>(at.tv_nsec) / 1e6;
+}
+
+// Adds the processor time of its lifetime to a sum.
+class CpuTimer
+{
+public:
+    explicit CpuTimer(double &sum) : m_sum(sum), m_start(threadMillis()) { }
+    ~CpuTimer() { m_sum += threadMillis() - m_start; }
+    CpuTimer(const CpuTimer &) = delete;
+    CpuTimer &operator=(const CpuTimer &) = delete;
+
+private:
+    double &m_sum;
+    double m_start;
+};
+
+// Processor time in ms.
+struct Costs
+{
+    double decide = 0;
+    double nextEvent = 0;
+    double approvals = 0;
+    double reports = 0;
+    double progress = 0;
+};
+
+// A fleet with generated work. `load` scales the arrival rates. Not thread-safe.
+class Fleet
+{
+public:
+    Fleet(int workers, double load) : m_workers(static_cast<size_t>(workers)), m_load(load)
+    {
+        m_dispatcher.setCatalog(makeCatalog());
+        for (int i = 0; i < workers; ++i) {
+            m_dispatcher.setWorker(makeWorker(i));
+            report(i);
+            m_dispatcher.setReachable(workerId(i), true);
+        }
+        for (int i = 0; i < workers / 30; ++i)
+            add("watch", makeStep(20, 9'000, 17'000, 0), false);
+    }
+
+    void run(Duration time)
+    {
+        const Instant end = m_now + time;
+        while (m_now < end)
+            advance();
+    }
+
+    Costs costs;
+    int64_t starts = 0;
+    // Of all starts in their order; equal for versions that decide equally.
+    uint32_t checksum = 0;
+    size_t openJobs() const { return m_openJobs; }
+
+private:
+    struct Run
+    {
+        TaskRef task;
+        int64_t run = 0;
+        Instant startedAt;
+        Duration length{0}; // 0: runs on
+    };
+    struct SimulatedWorker
+    {
+        std::vector<Run> running;
+        int64_t lastPosition = 0;
+    };
+
+    static std::string workerId(int number) { return "w" + std::to_string(number); }
+    static std::shared_ptr<const Catalog> makeCatalog()
+    {
+        auto catalog = std::make_shared<Catalog>();
+        const auto addRoute = [&](const char *name, int32_t priority, double decisionMs,
+                                  double perWorkerMs) {
+            WorkRoute route;
+            route.name = name;
+            route.pool = "p";
+            route.priority = priority;
+            route.maxAttempts = 4;
+            route.slowdownFactor = 2;
+            route.latencyTarget = Duration(1'000);
+            route.approval = ApprovalPolicy{Duration(static_cast<int64_t>(decisionMs)), perWorkerMs,
+                                            Duration(2'000)};
+            catalog->routes[name] = route;
+        };
+        addRoute("quick", 0, 29, 0.41);
+        addRoute("saved", 2, 400, 5.7);
+        addRoute("watch", 1, 450, 6.5);
+        for (int i = 0; i < Teams; ++i) {
+            Team team;
+            team.name = "t" + std::to_string(i);
+            team.limit = {2'000'000, 0, 0, 0, 0};
+            catalog->teams[team.name] = team;
+        }
+        return catalog;
+    }
+    WorkerEntry makeWorker(int number)
+    {
+        WorkerEntry out;
+        out.id = workerId(number);
+        out.pool = "p";
+        out.availabilityZone = "z" + std::to_string(number % 5);
+        out.labels = {"kind-a", "rack" + std::to_string(number / WorkersPerRack)};
+        const int64_t quarters = std::vector<int64_t>{4, 4, 2, 8}[m_random() % 4];
+        out.capacity = {8'000 * quarters, 16'384 * quarters, 0, 0, 0};
+        return out;
+    }
+    static work::StepSpec makeStep(int32_t tasks, int64_t cpuMilli, int64_t memoryMb,
+                                   int64_t estimatedMs)
+    {
+        work::StepSpec out;
+        out.tasks = tasks;
+        out.cpuMilli = cpuMilli;
+        out.memoryMb = memoryMb;
+        out.estimatedMs = estimatedMs;
+        out.longRunning = estimatedMs == 0;
+        return out;
+    }
+    void add(const std::string &route, const work::StepSpec &step, bool secondStep)
+    {
+        auto job = std::make_shared<work::Submission>();
+        job->id = "job" + std::to_string(++m_jobCount);
+        job->route = route;
+        job->team = "t" + std::to_string(m_random() % Teams);
+        job->acceptedAtMs = unixMs();
+        job->steps = {step};
+        if (secondStep) {
+            job->steps.push_back(step);
+            job->steps.back().after = {0};
+        }
+        m_dispatcher.addJob(job, nullptr, false);
+        ++m_openJobs;
+    }
+    void addArrivals()
+    {
+        const double seconds = static_cast<double>(Step.count()) / 1e3 * m_load
+                               * static_cast<double>(m_workers.size()) / BaseWorkers;
+        m_quickDue += QuickPerSecond * seconds;
+        m_savedDue += SavedPerSecond * seconds;
+        for (; m_quickDue >= 1; --m_quickDue)
+            add("quick", makeStep(between(2, 18), between(2'000, 7'000), 7'800, 1'000),
+                m_random() % 2 == 0);
+        for (; m_savedDue >= 1; --m_savedDue) {
+            work::StepSpec step = makeStep(between(6, 22), between(5'000, 13'000), 9'200, 6'000);
+            step.checkpointing = true;
+            step.gang = static_cast<double>(m_random() % 1'000) < GangShare * 1'000;
+            step.sameRack = step.gang;
+            add("saved", step, m_random() % 2 == 0);
+        }
+    }
+    int32_t between(int32_t least, int32_t most)
+    {
+        return least + static_cast<int32_t>(m_random() % static_cast<uint64_t>(most - least + 1));
+    }
+    int64_t unixMs() const { return UnixEpochMs + m_now.time_since_epoch().count(); }
+
+    void advance()
+    {
+        m_now += Step;
+        addArrivals();
+        for (size_t i = 0; i < m_workers.size(); ++i) {
+            const auto &running = m_workers[i].running;
+            const bool ended = std::any_of(running.begin(), running.end(),
+                                           [this](const Run &it) { return isOver(it); });
+            // An idle poll returns after about a second.
+            if (ended || (m_now.time_since_epoch() / Step) % 250 == static_cast<int64_t>(i) % 250)
+                report(static_cast<int>(i));
+        }
+        decide();
+        askApprovals();
+        if (m_now - m_flushedAt >= FlushInterval) {
+            m_flushedAt = m_now;
+            const CpuTimer timer(costs.progress);
+            for (const work::Progress &it : m_dispatcher.takeProgress())
+                m_openJobs -= it.state >= work::JobState::Completed ? 1 : 0;
+        }
+    }
+    bool isOver(const Run &run) const
+    {
+        return run.length > Duration::zero() && m_now - run.startedAt >= run.length;
+    }
+    void report(int number)
+    {
+        SimulatedWorker &worker = m_workers[static_cast<size_t>(number)];
+        RunReport out;
+        out.requestedAt = m_now;
+        out.startedAtMs = 1;
+        for (const Run &run : worker.running) {
+            if (isOver(run)) {
+                out.ended.push_back(
+                    {++worker.lastPosition, run.task, run.run, RunOutcome::Succeeded, ""});
+                continue;
+            }
+            const int64_t percent =
+                run.length == Duration::zero() ? 100 : (m_now - run.startedAt) * 100 / run.length;
+            out.running.push_back({run.task, run.run, "", static_cast<int32_t>(percent), 0});
+        }
+        std::erase_if(worker.running, [this](const Run &it) { return isOver(it); });
+        const CpuTimer timer(costs.reports);
+        m_dispatcher.workerReported(workerId(number), out, m_now);
+    }
+    void decide()
+    {
+        Orders orders;
+        {
+            const CpuTimer timer(costs.decide);
+            orders = m_dispatcher.decide(m_now, unixMs());
+        }
+        {
+            const CpuTimer timer(costs.nextEvent);
+            benchmark::DoNotOptimize(m_dispatcher.nextEvent(m_now, unixMs()));
+        }
+        starts += static_cast<int64_t>(orders.starts.size());
+        for (const StartOrder &order : orders.starts) {
+            for (const char it : order.worker + order.task.toString())
+                checksum = checksum * 31 + static_cast<unsigned char>(it);
+            const Duration mean(
+                order.job->steps[static_cast<size_t>(order.task.step.step)].estimatedMs);
+            const auto number = static_cast<size_t>(std::stoi(order.worker.substr(1)));
+            m_workers[number].running.push_back({order.task, order.run, m_now, mean});
+            const CpuTimer timer(costs.reports);
+            m_dispatcher.startAnswered(order, StartOutcome::Started, m_now);
+        }
+    }
+    // Answers one call of the policy service in each simulated step. It approves 7 of 10 workers.
+    void askApprovals()
+    {
+        const CpuTimer timer(costs.approvals);
+        const auto pending = m_dispatcher.nextPendingApproval(m_now, unixMs(), Duration(10'000));
+        if (!pending)
+            return;
+        std::vector<work::Approval> answer;
+        for (const WorkerId &id : pending->workers) {
+            work::Approval approval;
+            approval.worker = id;
+            approval.ticket = "ticket";
+            if (m_random() % 10 < 7)
+                answer.push_back(approval);
+        }
+        m_dispatcher.approvalRequested(pending->step);
+        m_dispatcher.approvalAnswered(*pending, &answer, m_now, m_now);
+    }
+
+    std::mt19937_64 m_random{1};
+    std::vector<SimulatedWorker> m_workers;
+    double m_load = 1;
+    double m_quickDue = 0;
+    double m_savedDue = 0;
+    int64_t m_jobCount = 0;
+    size_t m_openJobs = 0;
+    Instant m_now = instantFromMs(100'000);
+    Instant m_flushedAt = m_now;
+    Dispatcher m_dispatcher{{1, 2.0}, nullptr};
+};
+
+// Arguments: workers, and load in percent of the steady arrival rates.
+void steadyLoad(benchmark::State &state)
+{
+    Costs costs;
+    double seconds = 0;
+    int64_t starts = 0;
+    size_t openJobs = 0;
+    uint32_t checksum = 0;
+    for (auto it : state) {
+        Fleet fleet(static_cast<int>(state.range(0)), static_cast<double>(state.range(1)) / 100);
+        fleet.run(WarmUp);
+        fleet.costs = {};
+        fleet.starts = 0;
+        fleet.run(Measured);
+        costs = fleet.costs;
+        starts = fleet.starts;
+        openJobs = fleet.openJobs();
+        checksum = fleet.checksum;
+        seconds = static_cast<double>(Measured.count()) / 1e3;
+    }
+    state.counters["decide_ms_per_s"] = costs.decide / seconds;
+    state.counters["next_event_ms_per_s"] = costs.nextEvent / seconds;
+    state.counters["approvals_ms_per_s"] = costs.approvals / seconds;
+    state.counters["reports_ms_per_s"] = costs.reports / seconds;
+    state.counters["progress_ms_per_s"] = costs.progress / seconds;
+    state.counters["starts_per_s"] = static_cast<double>(starts) / seconds;
+    state.counters["checksum"] = checksum;
+    state.counters["open_jobs"] = static_cast<double>(openJobs);
+}
+BENCHMARK(steadyLoad)
+    ->ArgNames({"workers", "load"})
+    ->ArgsProduct({{48, 350, 2'000}, {100, 250}})
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
+} // namespace
+} // namespace cardamompaddle
+
+BENCHMARK_MAIN();
