Look up a step's workers once for each pass

With 350 workers and more the scheduler spent most of its processor time on passes: for each task it looked up every approved worker by name and judged labels, zone and approval again, and a gang for one rack tried every label of the fleet with every worker.

A pass now collects the workers that may take a step once and, for each of its tasks, only checks what the pass itself changes (room, maxPerWorker). A gang for one rack tries the labels of these workers, each with the workers that have it. The number of tasks that are being stopped is kept for each step, so updateDemand() visits no tasks.

--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -156,12 +156,15 @@
         return false;
     if (!spec.requiredLabel.empty() && !worker.entry.labels.contains(spec.requiredLabel))
         return false;
-    if (spec.maxPerWorker > 0) {
-        const auto active = step.perWorker.find(worker.entry.id);
-        if (active != step.perWorker.end() && active->second >= spec.maxPerWorker)
-            return false;
-    }
-    return true;
+    return !reachedMaxPerWorker(worker, step);
+}
+
+bool Dispatcher::Impl::reachedMaxPerWorker(const Worker &worker, const Step &step)
+{
+    if (step.spec->maxPerWorker <= 0)
+        return false;
+    const auto active = step.perWorker.find(worker.entry.id);
+    return active != step.perWorker.end() && active->second >= step.spec->maxPerWorker;
 }
 
 const Resources *Dispatcher::Impl::limitOf(const Job &job) const
@@ -181,52 +184,72 @@
            && (limit->accelerators == 0 || total.accelerators <= limit->accelerators);
 }
 
-// Returns the best worker for one task, or null if there is none. If `rack` is set, considers only
-// workers with that label.
-Worker *Dispatcher::Impl::chooseWorker(const Step &step, const WorkRoute &route, const Task &task,
-                                       Instant now, const std::string *rack)
+// Returns the workers on which tasks of the step may start in this pass, ordered by ID. Room and
+// StepSpec::maxPerWorker change within a pass; chooseWorker() checks them again.
+std::vector<Worker *> Dispatcher::Impl::candidatesFor(const Step &step, const WorkRoute &route,
+                                                      Instant now)
 {
-    Worker *best = nullptr;
-    double bestScore = 0;
+    std::vector<Worker *> out;
     const auto consider = [&](Worker &worker) {
-        if (!hasRoom(worker, step) || !isEligible(worker, step, route, now)
-            || (rack != nullptr && !worker.entry.labels.contains(*rack)))
-            return;
-        const Resources &capacity = worker.entry.capacity;
-        const Resources left = capacity - worker.used - step.taskResources;
-        const double freeShare =
-            fraction(left.cpuMilli, capacity.cpuMilli) + fraction(left.memoryMb, capacity.memoryMb);
-        double score = worker.slowdown * (1 + FreeShareWeight * freeShare);
-        if (worker.slowUntil > now)
-            score += SlowWorkerPenalty;
-        const std::string &preferredRack = step.spec->preferredRack;
-        if (!preferredRack.empty() && !worker.entry.labels.contains(preferredRack))
-            score *= m_options.offRackFactor;
-        if (step.spec->usesIdleCpu)
-            score += (worker.servingTasks > 0 ? InterferencePenalty : 0)
-                     + worker.idleCpuTasks * PenaltyPerIdleCpuTask;
-        else if (step.spec->latencyObjectiveMs > 0 && worker.idleCpuTasks > 0)
-            score += InterferencePenalty;
-        if (task.lastFailedOn == worker.entry.id)
-            score += PreviousFailurePenalty;
-        if (best == nullptr || score < bestScore) {
-            best = &worker;
-            bestScore = score;
-        }
+        if (hasRoom(worker, step) && isEligible(worker, step, route, now))
+            out.push_back(&worker);
     };
     if (!route.approval) {
         for (const auto &[id, worker] : m_workers)
             consider(*worker);
-        return best;
+        return out;
     }
     for (const auto &[id, approval] : step.approvals) {
-        const auto it = m_workers.find(id);
-        if (it != m_workers.end() && approval.expires >= now + ApprovalMargin)
+        if (approval.expires < now + ApprovalMargin)
+            continue;
+        if (const auto it = m_workers.find(id); it != m_workers.end())
             consider(*it->second);
     }
+    return out;
+}
+
+// Returns the best of the candidates for one task, or null if none has room.
+Worker *Dispatcher::Impl::chooseWorker(const Step &step, const Task &task,
+                                       const std::vector<Worker *> &candidates, Instant now) const
+{
+    Worker *best = nullptr;
+    double bestScore = 0;
+    for (Worker *worker : candidates) {
+        if (!hasRoom(*worker, step) || reachedMaxPerWorker(*worker, step))
+            continue;
+        const double score = placementScore(*worker, step, task, now);
+        if (best == nullptr || score < bestScore) {
+            best = worker;
+            bestScore = score;
+        }
+    }
     return best;
 }
 
+// Returns the score of a worker for one task; the lowest is the best.
+double Dispatcher::Impl::placementScore(const Worker &worker, const Step &step, const Task &task,
+                                        Instant now) const
+{
+    const Resources &capacity = worker.entry.capacity;
+    const Resources left = capacity - worker.used - step.taskResources;
+    const double freeShare =
+        fraction(left.cpuMilli, capacity.cpuMilli) + fraction(left.memoryMb, capacity.memoryMb);
+    double score = worker.slowdown * (1 + FreeShareWeight * freeShare);
+    if (worker.slowUntil > now)
+        score += SlowWorkerPenalty;
+    const std::string &preferredRack = step.spec->preferredRack;
+    if (!preferredRack.empty() && !worker.entry.labels.contains(preferredRack))
+        score *= m_options.offRackFactor;
+    if (step.spec->usesIdleCpu)
+        score += (worker.servingTasks > 0 ? InterferencePenalty : 0)
+                 + worker.idleCpuTasks * PenaltyPerIdleCpuTask;
+    else if (step.spec->latencyObjectiveMs > 0 && worker.idleCpuTasks > 0)
+        score += InterferencePenalty;
+    if (task.lastFailedOn == worker.entry.id)
+        score += PreviousFailurePenalty;
+    return score;
+}
+
 // Returns the number of the next run of a task. It exceeds the number of any run under an earlier
 // epoch.
 int64_t Dispatcher::Impl::nextRunNumber(int64_t lastRun) const
@@ -263,6 +286,7 @@
 void Dispatcher::Impl::placeIndependent(Step &step, const WorkRoute &route, Instant now,
                                         int64_t unixMs, Orders &out)
 {
+    std::optional<std::vector<Worker *>> candidates; // set by the first task that needs them
     for (size_t i = 0; i < step.tasks.size() && step.waiting > 0; ++i) {
         const Task &task = step.tasks[i];
         if (task.state != TaskState::Waiting || task.notBefore > now
@@ -275,7 +299,9 @@
             preemptLessUrgent(step, route, unixMs);
             return setWaitReason(step, WaitReason::TeamLimit);
         }
-        Worker *worker = chooseWorker(step, route, task, now, nullptr);
+        if (!candidates)
+            candidates = candidatesFor(step, route, now);
+        Worker *worker = chooseWorker(step, task, *candidates, now);
         if (worker == nullptr)
             return setWaitReason(step, reasonForNoWorker(step, route, now));
         startRun(step, static_cast<int32_t>(i), nextRunNumber(task.lastRun), *worker, now, out);
@@ -307,13 +333,13 @@
 
 // Finds a worker for every member of the gang; returns false if not all of them fit. While it
 // searches, it counts each chosen place as used; on return the accounting is unchanged.
-bool Dispatcher::Impl::findGangPlacement(Step &step, const WorkRoute &route, Instant now,
-                                         const std::string *rack, std::vector<Worker *> &places)
+bool Dispatcher::Impl::findGangPlacement(Step &step, const std::vector<Worker *> &candidates,
+                                         Instant now, std::vector<Worker *> &places) const
 {
     places.clear();
     for (const Task &task : step.tasks) {
         const bool blocked = task.notBefore > now || mayBeRunningUnreported(task);
-        Worker *worker = blocked ? nullptr : chooseWorker(step, route, task, now, rack);
+        Worker *worker = blocked ? nullptr : chooseWorker(step, task, candidates, now);
         if (worker == nullptr)
             break;
         worker->used += step.taskResources;
@@ -341,14 +367,18 @@
     }
     std::vector<Worker *> places;
     bool found = false;
+    const std::vector<Worker *> candidates = candidatesFor(step, route, now);
     if (step.spec->sameRack) {
-        std::set<std::string> labels;
-        for (const auto &[id, worker] : m_workers)
-            labels.insert(worker->entry.labels.begin(), worker->entry.labels.end());
-        for (const std::string &label : labels)
-            found = found || findGangPlacement(step, route, now, &label, places);
+        std::map<std::string_view, std::vector<Worker *>> byLabel;
+        for (Worker *worker : candidates) {
+            for (const std::string &label : worker->entry.labels)
+                byLabel[label].push_back(worker);
+        }
+        found = std::any_of(byLabel.begin(), byLabel.end(), [&](const auto &it) {
+            return findGangPlacement(step, it.second, now, places);
+        });
     }
-    if (!found && !findGangPlacement(step, route, now, nullptr, places))
+    if (!found && !findGangPlacement(step, candidates, now, places))
         return setWaitReason(step, reasonForNoWorker(step, route, now));
     setWaitReason(step, WaitReason::None);
     int64_t lastRun = 0;
--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -110,6 +110,8 @@
     Task &task = step.tasks[static_cast<size_t>(attempt.index)];
     --step.active;
     --step.job->active;
+    if (attempt.phase == AttemptPhase::Stopping)
+        --step.stopping;
     if (--step.perWorker[worker.entry.id] == 0)
         step.perWorker.erase(worker.entry.id);
     worker.used -= step.taskResources;
@@ -148,6 +150,8 @@
 {
     if (attempt.phase == AttemptPhase::Running)
         attempt.confirmedAt = Instant::max();
+    if (attempt.phase != AttemptPhase::Stopping)
+        ++attempt.step->stopping;
     attempt.phase = AttemptPhase::Stopping;
     m_pendingStops.insert(&attempt);
 }
--- a/src/dispatch/dispatcher_urgency.cc
+++ b/src/dispatch/dispatcher_urgency.cc
@@ -96,10 +96,8 @@
             continue;
         const TeamPriority key{job->spec->team, route->priority};
         for (const auto &step : job->steps) {
-            for (const Task &task : step->tasks) {
-                if (task.attempt && task.attempt->phase == AttemptPhase::Stopping)
-                    m_stoppingUse[key.first] += step->taskResources;
-            }
+            if (step->stopping > 0)
+                m_stoppingUse[key.first] += step->taskResources * step->stopping;
             if (step->spec->longRunning)
                 continue;
             const bool mayStart = mayStartNow(*step) && isReady(*step, unixMs);
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -108,16 +108,20 @@
     bool hasRoom(const Worker &worker, const Step &step) const;
     bool withinLimit(const Job &job, const Resources &more) const;
     const Resources *limitOf(const Job &job) const;
-    Worker *chooseWorker(const Step &step, const WorkRoute &route, const Task &task, Instant now,
-                         const std::string *rack);
+    static bool reachedMaxPerWorker(const Worker &worker, const Step &step);
+    std::vector<Worker *> candidatesFor(const Step &step, const WorkRoute &route, Instant now);
+    Worker *chooseWorker(const Step &step, const Task &task,
+                         const std::vector<Worker *> &candidates, Instant now) const;
+    double placementScore(const Worker &worker, const Step &step, const Task &task,
+                          Instant now) const;
     dispatch::WaitReason reasonForNoWorker(const Step &step, const WorkRoute &route,
                                            Instant now) const;
     void setWaitReason(Step &step, dispatch::WaitReason reason);
     void placeIndependent(Step &step, const WorkRoute &route, Instant now, int64_t unixMs,
                           Orders &out);
     void placeGang(Step &step, const WorkRoute &route, Instant now, int64_t unixMs, Orders &out);
-    bool findGangPlacement(Step &step, const WorkRoute &route, Instant now, const std::string *rack,
-                           std::vector<Worker *> &places);
+    bool findGangPlacement(Step &step, const std::vector<Worker *> &candidates, Instant now,
+                           std::vector<Worker *> &places) const;
     void startRun(Step &step, int32_t index, int64_t run, Worker &worker, Instant now, Orders &out);
     int64_t nextRunNumber(int64_t lastRun) const;
     void collectStops(Instant now, Orders &out);
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -104,6 +104,7 @@
     std::vector<Task> tasks;
     int32_t waiting = 0;
     int32_t active = 0;
+    int32_t stopping = 0; // of the active tasks, those whose run is being stopped
     int32_t succeeded = 0;
     int64_t longestRunMs = 0; // of runs that succeeded under this scheduler; 0 if none has
     WaitReason waitReason = WaitReason::None;
