Let passes take at most a third of the scheduler's time

The delay after a pass is now twice the time that it took, at least 4 and at most 40 ms. Decisions need no more passes: each one sees everything that arrived before it.

--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -14,7 +14,11 @@
 
 namespace {
 
-constexpr Duration PassDelay{4}; // batches events into one scheduling pass
+constexpr Duration MinPassDelay{4}; // batches events into one scheduling pass
+constexpr Duration MaxPassDelay{40};
+// The delay after a pass is this multiple of its time, so that passes take at most a third of the
+// scheduler's time.
+constexpr int PassDelayFactor = 2;
 constexpr Duration FlushDelay{25}; // batches changes of progress into one append
 constexpr Duration StartFlushDelay{12}; // batches starts into one append
 // When appends take SlowAppendTime on average, waiting for them would delay starts too much. Starts
@@ -50,8 +54,8 @@
                        logInfo(event.name,
                                (event.job.empty() ? "" : "job=" + event.job + " ") + event.detail);
                    }),
-      m_passTimer(m_context.io), m_eventTimer(m_context.io), m_flushTimer(m_context.io),
-      m_tickTimer(m_context.io),
+      m_passTimer(m_context.io), m_passDelay(MinPassDelay), m_eventTimer(m_context.io),
+      m_flushTimer(m_context.io), m_tickTimer(m_context.io),
       m_writer(m_context.io, m_context.log, m_context.workTopic,
                {SchedulerWriter, m_options.tenure.epoch, nextSequence},
                [this](const std::string &reason) {
@@ -260,7 +264,7 @@
     if (m_passArmed || m_onReleased)
         return;
     m_passArmed = true;
-    m_passTimer.expires_after(PassDelay);
+    m_passTimer.expires_after(m_passDelay);
     m_passTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
         if (!ec && *alive)
             runPass();
@@ -274,7 +278,8 @@
         return;
     const LoadMeter::Scope measured(m_load, LoadPart::Decide);
     const int64_t unixMs = m_context.unixClock();
-    const Orders orders = m_dispatcher.decide(m_context.clock.now(), unixMs);
+    const Instant begin = m_context.clock.now();
+    const Orders orders = m_dispatcher.decide(begin, unixMs);
     for (const StopOrder &stop : orders.stops)
         m_links->stop(stop);
     for (const ThrottleOrder &throttle : orders.throttles)
@@ -291,6 +296,8 @@
     if (m_dispatcher.hasProgress())
         scheduleFlush(FlushDelay);
     armEventTimer();
+    m_passDelay =
+        std::clamp((m_context.clock.now() - begin) * PassDelayFactor, MinPassDelay, MaxPassDelay);
 }
 
 // Stops recording starts before they are sent while the log is slow, and resumes once it is fast.
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -140,6 +140,7 @@
     std::map<WorkerId, int64_t> m_storedPositions;
 
     boost::asio::steady_timer m_passTimer;
+    Duration m_passDelay; // before the next pass
     bool m_passArmed = false;
     boost::asio::steady_timer m_eventTimer;
     boost::asio::steady_timer m_flushTimer;
