--- a/src/bench/dispatcher_bench.cc
+++ b/src/bench/dispatcher_bench.cc
@@ -298,7 +298,7 @@
     int64_t starts = 0;
     size_t openJobs = 0;
     uint32_t checksum = 0;
-    for (auto it : state) {
+    while (state.KeepRunning()) {
         Fleet fleet(static_cast<int>(state.range(0)), static_cast<double>(state.range(1)) / 100);
         fleet.run(WarmUp);
         fleet.costs = {};
--- a/src/dispatch/dispatcher_place_test.cc
+++ b/src/dispatch/dispatcher_place_test.cc
@@ -36,8 +36,8 @@
     void addWorkers()
     {
         for (int i = 0; i < 24; ++i) {
-            WorkerEntry worker = entry("w" + std::to_string(i), 1'000 * between(1, 8));
-            worker.capacity.memoryMb = 100 * between(2, 20);
+            WorkerEntry worker = entry("w" + std::to_string(i), int64_t{1'000} * between(1, 8));
+            worker.capacity.memoryMb = int64_t{100} * between(2, 20);
             worker.labels = {"kind" + std::to_string(i % 2), "rack" + std::to_string(i % Racks)};
             worker.availabilityZone = i % 7 == 0 ? "out" : "in";
             worker.draining = i % 11 == 0;
@@ -49,8 +49,8 @@
     void addJob(const std::string &id)
     {
         KnownJob &job = m_jobs[id];
-        job.spec = step(between(1, 6), 500 * between(1, 4));
-        job.spec.memoryMb = 100 * between(1, 4);
+        job.spec = step(between(1, 6), int64_t{500} * between(1, 4));
+        job.spec.memoryMb = int64_t{100} * between(1, 4);
         job.spec.estimatedMs = 0; // no run changes a worker's speed
         job.spec.gang = between(0, 3) == 0;
         job.spec.sameRack = job.spec.gang && between(0, 1) == 0;
@@ -131,7 +131,7 @@
     std::vector<WorkerId> expectedGang(KnownJob &job)
     {
         for (const std::string label : {"kind0", "kind1", "rack0", "rack1", "rack2"}) {
-            const auto places = job.spec.sameRack ? scanGang(job, &label) : std::vector<WorkerId>();
+            auto places = job.spec.sameRack ? scanGang(job, &label) : std::vector<WorkerId>();
             if (!places.empty())
                 return places;
         }
