--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -50,6 +50,17 @@
     return matches ? attempt : nullptr;
 }
 
+bool Dispatcher::Impl::mayStillStart(const Attempt &attempt, Instant now) const
+{
+    const Step &step = *attempt.step;
+    const WorkRoute *route = routeOf(*step.job);
+    if (attempt.phase != AttemptPhase::Ordered || now - attempt.orderedAt > MaxStartOrderAge
+        || step.job->isTerminal() || route == nullptr || !acceptsStarts(*attempt.worker, *route))
+        return false;
+    const auto approval = step.approvals.find(attempt.worker->entry.id);
+    return approval == step.approvals.end() || approval->second.expires > now;
+}
+
 void Dispatcher::Impl::requeueAllRuns(Worker &worker, std::string_view why)
 {
     for (Attempt *attempt : AttemptSet(worker.attempts)) {
@@ -99,6 +110,8 @@
     Task &task = step.tasks[static_cast<size_t>(attempt.index)];
     --step.active;
     --step.job->active;
+    if (attempt.phase == AttemptPhase::Stopping)
+        --step.stopping;
     if (--step.perWorker[worker.entry.id] == 0)
         step.perWorker.erase(worker.entry.id);
     worker.used -= step.taskResources;
@@ -137,6 +150,8 @@
 {
     if (attempt.phase == AttemptPhase::Running)
         attempt.confirmedAt = Instant::max();
+    if (attempt.phase != AttemptPhase::Stopping)
+        ++attempt.step->stopping;
     attempt.phase = AttemptPhase::Stopping;
     m_pendingStops.insert(&attempt);
 }
@@ -277,6 +292,9 @@
     Attempt *attempt = findAttempt(order.worker, order.task, order.run);
     if (attempt == nullptr)
         return;
+    // A report that lists the run proves that it has started, whatever became of the answers.
+    if (answer == StartOutcome::Unknown && attempt->phase == AttemptPhase::Running)
+        return;
     if (answer == StartOutcome::Started) {
         attempt->confirmedAt = std::min(attempt->confirmedAt, now);
         if (attempt->phase == AttemptPhase::Ordered) {
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -64,6 +64,8 @@
     static TaskRef taskRefOf(const Attempt &attempt);
     Task *findTask(const TaskRef &ref, Step *&step); // null if it does not exist
     Attempt *findAttempt(const WorkerId &worker, const TaskRef &ref, int64_t run);
+    // Returns whether the start order of the attempt may still be sent.
+    bool mayStillStart(const Attempt &attempt, Instant now) const;
     Attempt &createAttempt(Step &step, int32_t index, int64_t run, Worker &worker, Instant now);
     void removeAttempt(Attempt &attempt); // destroys the attempt
     // Removes an attempt whose run did not succeed. Stops the other members of a gang.
@@ -99,21 +101,27 @@
     bool mayBeRunningUnreported(const Task &task) const;
     std::vector<Step *> stepsByUrgency(Instant now, int64_t unixMs, bool includeDueSoon,
                                        Duration lead);
+    // Returns whether work of the route may start on the worker by its registry entry.
+    bool acceptsStarts(const Worker &worker, const WorkRoute &route) const;
     bool isEligible(const Worker &worker, const Step &step, const WorkRoute &route,
                     Instant now) const;
     bool hasRoom(const Worker &worker, const Step &step) const;
     bool withinLimit(const Job &job, const Resources &more) const;
     const Resources *limitOf(const Job &job) const;
-    Worker *chooseWorker(const Step &step, const WorkRoute &route, const Task &task, Instant now,
-                         const std::string *rack);
+    static bool reachedMaxPerWorker(const Worker &worker, const Step &step);
+    std::vector<Worker *> candidatesFor(const Step &step, const WorkRoute &route, Instant now);
+    Worker *chooseWorker(const Step &step, const Task &task,
+                         const std::vector<Worker *> &candidates, Instant now) const;
+    double placementScore(const Worker &worker, const Step &step, const Task &task,
+                          Instant now) const;
     dispatch::WaitReason reasonForNoWorker(const Step &step, const WorkRoute &route,
                                            Instant now) const;
     void setWaitReason(Step &step, dispatch::WaitReason reason);
     void placeIndependent(Step &step, const WorkRoute &route, Instant now, int64_t unixMs,
                           Orders &out);
     void placeGang(Step &step, const WorkRoute &route, Instant now, int64_t unixMs, Orders &out);
-    bool findGangPlacement(Step &step, const WorkRoute &route, Instant now, const std::string *rack,
-                           std::vector<Worker *> &places);
+    bool findGangPlacement(Step &step, const std::vector<Worker *> &candidates, Instant now,
+                           std::vector<Worker *> &places) const;
     void startRun(Step &step, int32_t index, int64_t run, Worker &worker, Instant now, Orders &out);
     int64_t nextRunNumber(int64_t lastRun) const;
     void collectStops(Instant now, Orders &out);
