Keep the tenure on the instances with the largest processor

On each release about 30 instances append a claim of the same epoch within 0.15 s. Cause: any instance claims after a random delay shorter than a claim takes, 31 of 41 machines have 0.12 core, and an overloaded holder releases the tenure to nobody in particular, so mostly to a machine that is no better. A member record was stored again only if the address had changed. Change: tenure_policy decides, without I/O and clock. Instances wait 0.25 s for each larger processor among the members (at most 0.5 s) and 50 ms for each equal instance that goes before them in an order that depends on the epoch (at most 0.2 s; the last holder goes last). The first tenure waits 0.3 s for the announcements. An overloaded holder hands over to a larger processor (5 s between hand-overs) or after 20 s to an equal one, else it keeps the tenure. The released record names the successor, which claims at once while the others wait 0.3 s more. PeerProbe sends a heartbeat to a few candidates and takes the best that answers within 0.15 s, so a lost member is not named; scheduling goes on meanwhile. A planned stop names a successor in the same way. Ticks come early if a claim is due, so that the stagger holds. m_backoffUntil and ClaimDelayAfterHandOver are gone: the former holder ranks last and the successor is named. m_hasHeldTenure stays; it counts only for a tenure that was not released. stop() now calls `done` also if the tenure is lost, or a hand-over ends, while it waits; both dropped the callback before. Why it works: every larger instance claims before any smaller one, and a claim is stored before the next rank reads the log.

--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -18,15 +18,11 @@
 constexpr Duration SchedulerPollInterval{400}; // of the jobs topic
 constexpr Duration FollowerPollInterval{800};
 constexpr Duration FollowerReadWait{1'500}; // how long the log holds a read at the end of a topic
-// A scheduler stores a record several times a second. Its tenure is claimed once it has been
-// inactive for this time plus ClaimReadTimeFactor times the duration of a read.
-constexpr Duration InactivityBeforeClaim{500};
+// The tenure is claimed after ClaimWait::total() plus this multiple of the duration of a read.
 constexpr int ClaimReadTimeFactor = 4;
 // When the scheduler has published nothing for this time, the log is read once. Otherwise a later
 // read of records that it stored earlier would be mistaken for new activity.
 constexpr Duration InactivityBeforeRead{200};
-constexpr int64_t ClaimJitterMs = 160;
-constexpr int64_t FirstClaimJitterMs = 120;
 // After an outage of the log the current scheduler has this long to store its first record.
 constexpr Duration OutageGracePeriod{1'200};
 constexpr Duration ClaimAppendTimeout{1'500};
@@ -40,10 +36,8 @@
 constexpr Duration MaxAgeToBeCurrent{2'600};
 constexpr Duration MaxAgeToBeReady{3'500};
 constexpr Duration ReleaseTimeout{1'500};
-// After handing the tenure over because it was overloaded, an instance delays its own claims for
-// BackoffAfterHandOver, so that another instance takes the tenure.
-constexpr Duration BackoffAfterHandOver{10'000};
-constexpr Duration ClaimDelayAfterHandOver{1'500};
+// An overloaded holder without a suitable successor looks for one again after this time.
+constexpr Duration HandOverRetryDelay{1'000};
 
 // Logs NAME_lost when a topic becomes unavailable and NAME_back when it is available again.
 std::function<void(bool, const std::string &)> logAvailability(const std::string &name)
@@ -58,8 +52,9 @@
 Instance::Instance(const ContextFactory &context, InstanceOptions options)
     : m_context(context(m_jobTable)), m_options(std::move(options)),
       m_publisher(m_context.scheduler.clock, m_context.scheduler.peers),
-      m_tickTimer(m_context.scheduler.io), m_claimTimer(m_context.scheduler.io),
-      m_random(std::random_device{}())
+      m_successorProbe(m_context.scheduler.io, m_context.scheduler.peers,
+                       m_context.scheduler.workTopic),
+      m_tickTimer(m_context.scheduler.io), m_claimTimer(m_context.scheduler.io)
 {
     SchedulerContext &scheduler = m_context.scheduler;
     LogFollower::Callbacks work;
@@ -100,7 +95,7 @@
 
 void Instance::start()
 {
-    m_claimDelay = Duration(static_cast<int64_t>(m_random() % FirstClaimJitterMs));
+    updateClaimWait();
     m_operators->start();
     m_jobs->start();
     m_work->start();
@@ -148,17 +143,16 @@
         return;
     }
     const Instant now = m_context.scheduler.clock.now();
-    if (*change == JobTable::Change::Tenure) {
-        const work::Tenure &tenure = m_jobTable.tenure();
-        const auto jitter = static_cast<int64_t>(m_random() % ClaimJitterMs);
-        m_claimDelay =
-            tenure.released ? Duration(jitter / 4) : InactivityBeforeClaim + Duration(jitter);
-    }
+    if (*change == JobTable::Change::Tenure || *change == JobTable::Change::Member)
+        updateClaimWait();
     // Only a scheduler stores these kinds of record. One from before the published end of the topic
     // is old and shows no activity since then.
     if (*change == JobTable::Change::Tenure || *change == JobTable::Change::Progressed
         || *change == JobTable::Change::UsedWorker)
         m_schedulerActiveAt = record.offset < m_publishedEnd ? m_schedulerActiveAt : now;
+    const bool released = *change == JobTable::Change::Tenure && m_jobTable.tenure().released;
+    if (released && !m_scheduler)
+        armTick(std::clamp(claimTimeout(), Duration::zero(), TickInterval));
     if (m_scheduler)
         m_scheduler->jobTableChanged(*change, id);
 }
@@ -177,6 +171,9 @@
         return;
     }
     if (decoded->catalog && (!m_catalog || decoded->catalog->version > m_catalog->version)) {
+        // Claims need a configuration, so the first one starts the wait for other claimants.
+        if (!m_catalog)
+            m_schedulerActiveAt = m_context.scheduler.clock.now();
         m_catalog = decoded->catalog;
         logInfo("configuration_applied", "version=" + std::to_string(m_catalog->version)
                                              + " offset=" + std::to_string(record.offset));
@@ -208,18 +205,25 @@
         m_scheduler->setZonesOut(zones);
 }
 
-// Stores the member record with the peer address of this instance, unless it is in the log already.
+work::Member Instance::ownMember() const
+{
+    work::Member out;
+    out.name = m_options.name;
+    out.address = m_options.peerAddress;
+    out.cpuMilli = m_options.cpuMilli;
+    out.availabilityZone = m_options.availabilityZone;
+    return out;
+}
+
+// Stores the member record of this instance, unless it is in the log already.
 void Instance::announce()
 {
     const auto stored = m_jobTable.members().find(m_options.name);
-    const bool announced =
-        stored != m_jobTable.members().end() && stored->second.address == m_options.peerAddress;
+    const work::Member member = ownMember();
+    const bool announced = stored != m_jobTable.members().end() && stored->second == member;
     if (announced || m_announcing || m_stopping)
         return;
     m_announcing = true;
-    work::Member member;
-    member.name = m_options.name;
-    member.address = m_options.peerAddress;
     AppendRequest request;
     request.topic = m_context.scheduler.workTopic;
     request.records.push_back({work_key::member(m_options.name), encodeRecord(member), false, 0});
@@ -278,41 +282,49 @@
         logInfo(now ? "ready" : "not_ready",
                 "jobs_age_ms=" + age(*m_jobs) + " configuration_age_ms=" + age(*m_operators));
     }
-    m_tickTimer.expires_after(TickInterval);
+    // A claim that is due before the next regular tick is not delayed until then, so that the
+    // stagger of claims holds.
+    const Instant now = m_context.scheduler.clock.now();
+    const Duration untilClaim = m_schedulerActiveAt + claimTimeout() - now;
+    const bool early = !m_scheduler && untilClaim > Duration::zero();
+    armTick(early ? std::min(untilClaim, TickInterval) : TickInterval);
+}
+
+// Sets the time of the next tick. Replaces an earlier call.
+void Instance::armTick(Duration wait)
+{
+    m_tickTimer.expires_after(wait);
     m_tickTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
         if (!ec && *alive)
             tick();
     });
 }
 
-// How long the scheduler has to be inactive before this instance claims the tenure. Grows with the
-// duration of a read, because a slow log delays the scheduler's records too.
+// Must be called when the members or the tenure have changed.
+void Instance::updateClaimWait()
+{
+    m_claimWait =
+        claimWait(ownMember(), m_hasHeldTenure, m_jobTable.members(), m_jobTable.tenure());
+}
+
+// Grows with the duration of a read, because a slow log delays the scheduler's records too.
 Duration Instance::claimTimeout() const
 {
-    const work::Tenure &tenure = m_jobTable.tenure();
-    const bool held = tenure.epoch > 0 && !tenure.released;
-    // The tenure of an earlier incarnation of this process, which has ended.
-    const bool ownEarlierTenure = tenure.holder == m_options.name
-                                  && tenure.address == m_options.peerAddress && !m_hasHeldTenure;
-    if (ownEarlierTenure)
-        return Duration::zero();
-    const Instant now = m_context.scheduler.clock.now();
-    const Duration backoff = now < m_backoffUntil ? ClaimDelayAfterHandOver : Duration::zero();
-    return m_claimDelay + backoff
-           + (held ? m_claimReadTime * ClaimReadTimeFactor : Duration::zero());
+    const bool held = m_jobTable.tenure().epoch > 0 && m_claimWait.inactivity > Duration::zero();
+    return m_claimWait.total() + (held ? m_claimReadTime * ClaimReadTimeFactor : Duration::zero());
 }
 
 void Instance::checkTenure()
 {
+    const Instant now = m_context.scheduler.clock.now();
     if (m_scheduler) {
         const work::Tenure &stored = m_jobTable.tenure();
         if (stored.holder != m_options.name || stored.address != m_options.peerAddress)
             onTenureLost("the log names another holder");
-        else if (m_scheduler->isOverloaded() && !m_handingOver && !m_stopping)
-            handOver();
+        else if (m_scheduler->isOverloaded() && !m_releasing && now >= m_nextHandOverAt)
+            handOver(now);
         return;
     }
-    const Instant now = m_context.scheduler.clock.now();
     if (m_publishReceivedAt > m_inactivityRefreshAt
         && now - m_publishReceivedAt >= InactivityBeforeRead) {
         m_inactivityRefreshAt = now;
@@ -357,18 +369,21 @@
     // Of several claimants that have read up to the same end, only one can append there.
     request.expectedEnd = m_work->nextOffset();
     request.writer = {SchedulerWriter, tenure.epoch, 0};
-    m_context.scheduler.log.append(std::move(request), ClaimAppendTimeout,
-                                   [this, alive = m_alive, tenure](const AppendResult &answer) {
-                                       if (*alive)
-                                           onClaimed(tenure, answer);
-                                   });
+    m_context.scheduler.log.append(
+        std::move(request), ClaimAppendTimeout,
+        [this, alive = m_alive, tenure, wait = m_claimWait](const AppendResult &answer) {
+            if (*alive)
+                onClaimed(tenure, wait, answer);
+        });
 }
 
-void Instance::onClaimed(const work::Tenure &tenure, const AppendResult &answer)
+void Instance::onClaimed(const work::Tenure &tenure, const ClaimWait &wait,
+                         const AppendResult &answer)
 {
     logInfo("tenure_claim", "epoch=" + std::to_string(tenure.epoch)
                                 + " outcome=" + std::string(appendOutcomeName(answer.outcome))
-                                + " reason=\"" + answer.reason + "\"");
+                                + " cpu_milli=" + std::to_string(m_options.cpuMilli) + " "
+                                + wait.toString() + " reason=\"" + answer.reason + "\"");
     if (answer.outcome == AppendOutcome::Stored)
         return readClaimBack(tenure);
     m_claiming = false;
@@ -427,6 +442,7 @@
     options.terminalRetention = m_options.terminalRetention;
     m_jobs->setPollInterval(SchedulerPollInterval);
     m_hasHeldTenure = true;
+    updateClaimWait();
     m_scheduler = std::make_unique<Scheduler>(
         m_context.scheduler, options, FirstSequenceAfterClaim,
         [this](const std::string &reason) { onTenureLost(reason); },
@@ -441,10 +457,7 @@
 void Instance::onTenureLost(const std::string &reason)
 {
     logWarn("tenure_lost", "reason=\"" + reason + "\"");
-    m_scheduler.reset();
-    m_handingOver = false;
-    m_jobs->setPollInterval(FollowerPollInterval);
-    m_schedulerActiveAt = m_context.scheduler.clock.now();
+    onReleased();
 }
 
 void Instance::approve(const work::ApprovalRequest &request,
@@ -463,29 +476,76 @@
         });
 }
 
-// Releases the tenure to another instance because this process is too slow to schedule.
-void Instance::handOver()
+// Releases the tenure to a better instance, if there is one, because this process is too slow to
+// schedule.
+void Instance::handOver(Instant now)
 {
-    m_handingOver = true;
-    m_backoffUntil = m_context.scheduler.clock.now() + BackoffAfterHandOver;
-    m_scheduler->handOver(ReleaseTimeout, [this, alive = m_alive] {
-        if (!*alive || !m_scheduler)
-            return;
-        m_handingOver = false;
-        m_scheduler.reset();
-        m_jobs->setPollInterval(FollowerPollInterval);
+    m_nextHandOverAt = now + HandOverRetryDelay;
+    const Duration sinceHandOver(m_context.scheduler.unixClock()
+                                 - m_jobTable.tenure().handedOverAtMs);
+    auto candidates =
+        handOverCandidates(ownMember(), m_jobTable.members(), sinceHandOver, ++m_handOverAttempts);
+    if (candidates.empty())
+        return;
+    m_releasing = true;
+    m_successorProbe.findAlive(
+        std::move(candidates),
+        [this](const std::optional<work::Member> &successor) { onHandOverProbed(successor); });
+}
+
+void Instance::onHandOverProbed(const std::optional<work::Member> &successor)
+{
+    if (!m_scheduler)
+        return;
+    if (m_stopping)
+        return releaseAndStop();
+    if (!successor) {
+        logInfo("successor_not_found", "epoch=" + std::to_string(m_jobTable.tenure().epoch));
+        m_releasing = false;
+        return;
+    }
+    m_scheduler->handOver(*successor, ReleaseTimeout, [this, alive = m_alive] {
+        if (*alive)
+            onReleased();
     });
 }
 
+// Ends the tenure of this instance, which is released or lost.
+void Instance::onReleased()
+{
+    m_scheduler.reset();
+    m_releasing = false;
+    m_jobs->setPollInterval(FollowerPollInterval);
+    m_schedulerActiveAt = m_context.scheduler.clock.now();
+    if (m_onStopped)
+        std::exchange(m_onStopped, nullptr)();
+}
+
 void Instance::stop(std::function<void()> done)
 {
     m_stopping = true;
     if (!m_scheduler)
         return done();
-    m_scheduler->release(ReleaseTimeout, [this, done = std::move(done)] {
-        m_scheduler.reset();
-        done();
-    });
+    m_onStopped = std::move(done);
+    // A hand-over in progress ends the tenure too.
+    if (!std::exchange(m_releasing, true))
+        releaseAndStop();
+}
+
+void Instance::releaseAndStop()
+{
+    auto candidates = stopCandidates(ownMember(), m_jobTable.members(),
+                                     static_cast<uint64_t>(m_jobTable.tenure().epoch));
+    m_successorProbe.findAlive(std::move(candidates),
+                               [this](const std::optional<work::Member> &successor) {
+                                   if (!m_scheduler)
+                                       return;
+                                   m_scheduler->release(successor ? successor->name : "",
+                                                        ReleaseTimeout, [this, alive = m_alive] {
+                                                            if (*alive)
+                                                                onReleased();
+                                                        });
+                               });
 }
 
 } // namespace cardamompaddle
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -8,13 +8,15 @@
 #pragma once
 
 #include "control/job_submitter.h"
+#include "control/peer_probe.h"
 #include "control/record_publisher.h"
 #include "control/scheduler.h"
+#include "control/tenure_policy.h"
 
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -44,6 +46,8 @@
     Duration maxLease{10'000};
     double offRackFactor = 1;
     Duration terminalRetention{120'000};
+    int64_t cpuMilli = 0; // processor of the machine in thousandths of a core; 0: unknown
+    std::string availabilityZone;
 };
 
 class Instance
@@ -89,16 +93,23 @@
     void announce();
     void onProgressStored(const std::vector<KeyedRecord> &records, int64_t end);
     void onJobsStored(const std::vector<KeyedRecord> &records);
+    work::Member ownMember() const;
+    void updateClaimWait();
+    // Time for which the scheduler has to be inactive before this instance claims the tenure.
     Duration claimTimeout() const;
     void checkTenure();
     void claim();
-    void onClaimed(const work::Tenure &tenure, const AppendResult &answer);
+    void onClaimed(const work::Tenure &tenure, const ClaimWait &wait, const AppendResult &answer);
     void readClaimBack(const work::Tenure &tenure);
     void retryReadBack(const work::Tenure &tenure);
     void beginScheduling(const work::Tenure &tenure);
     void onTenureLost(const std::string &reason);
-    void handOver();
+    void handOver(Instant now);
+    void onHandOverProbed(const std::optional<work::Member> &successor);
+    void releaseAndStop();
+    void onReleased();
     void tick();
+    void armTick(Duration wait);
 
     JobTable m_jobTable;
     InstanceContext m_context;
@@ -108,13 +119,13 @@
     std::unique_ptr<LogFollower> m_jobs;
     std::unique_ptr<LogFollower> m_operators;
     RecordPublisher m_publisher;
+    PeerProbe m_successorProbe;
     std::unique_ptr<JobSubmitter> m_submitter;
     std::unique_ptr<Scheduler> m_scheduler;
     std::shared_ptr<const Catalog> m_catalog;
     std::map<std::string, std::string> m_zonesOut; // availability zone by record key
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_claimTimer;
-    std::mt19937_64 m_random;
     // Last activity of the scheduler: a record in the log, or records or a heartbeat published to
     // this instance.
     Instant m_schedulerActiveAt;
@@ -122,12 +133,14 @@
     int64_t m_publishedEnd = 0; // highest end of the work topic that the scheduler has published
     // Last refresh of the work topic because the scheduler had stopped publishing.
     Instant m_inactivityRefreshAt = Instant::min();
-    Duration m_claimDelay{0}; // base part of claimTimeout(), with random jitter
+    ClaimWait m_claimWait;
     Duration m_claimReadTime{0}; // duration of the last refresh before a claim
     bool m_hasHeldTenure = false; // this process has held the tenure since it started
     bool m_claiming = false;
-    bool m_handingOver = false;
-    Instant m_backoffUntil = Instant::min(); // claims are delayed until then, after a hand-over
+    bool m_releasing = false; // a successor is being looked for, or the tenure is being released
+    Instant m_nextHandOverAt = Instant::min(); // earliest next search for a successor
+    uint64_t m_handOverAttempts = 0;
+    std::function<void()> m_onStopped; // set once stop() was called while holding the tenure
     bool m_announcing = false;
     bool m_stopping = false;
     bool m_wasReady = false;
--- a/src/control/instance_testing.h
+++ b/src/control/instance_testing.h
@@ -69,7 +69,7 @@
         m_model.put(RegistryTopic, "w1", "ready");
         m_model.put(RegistryTopic, "w2", "ready");
     }
-    Node &addNode(const std::string &name)
+    Node &addNode(const std::string &name, int64_t cpuMilli = 0)
     {
         Node &node = m_nodes[name];
         m_logs.push_back(std::make_unique<testing::TestLog>(m_io, m_model));
@@ -78,6 +78,7 @@
         options.name = name;
         options.peerAddress = name + ":1";
         options.maxLease = m_maxLease;
+        options.cpuMilli = cpuMilli;
         node.instance = std::make_unique<Instance>(
             [this, &node](const JobTable &jobTable) {
                 SchedulerContext context{
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -33,8 +33,6 @@
 constexpr Duration MaxCountedLag{60}; // limits the effect of a single long pause
 constexpr double LagAverageWeight = 0.2; // of the latest tick in the average
 constexpr Duration MinTenureBeforeHandOver{2'000};
-// Limits how often the tenure moves when all instances are slow.
-constexpr Duration MinHandOverInterval{10'000};
 // A scheduler that was replaced is fenced or learns of its successor within this time.
 constexpr Duration FormerSchedulerFencingTime{1'000};
 
@@ -507,23 +505,27 @@
 
 bool Scheduler::isOverloaded() const
 {
-    const int64_t since = m_context.unixClock() - m_options.tenure.handedOverAtMs;
-    return m_averageLagMs >= OverloadLagMs && since >= MinHandOverInterval.count()
+    return m_averageLagMs >= OverloadLagMs
            && m_context.clock.now() - m_startedAt >= MinTenureBeforeHandOver;
 }
 
-void Scheduler::handOver(Duration maxWait, std::function<void()> done)
+void Scheduler::handOver(const work::Member &successor, Duration maxWait,
+                         std::function<void()> done)
 {
     m_options.tenure.handedOverAtMs = m_context.unixClock();
-    logWarn("tenure_handed_over", "epoch=" + std::to_string(m_options.tenure.epoch) + " lag_ms="
-                                      + std::to_string(static_cast<int64_t>(m_averageLagMs)));
-    release(maxWait, std::move(done));
+    logWarn("tenure_handed_over",
+            "epoch=" + std::to_string(m_options.tenure.epoch)
+                + " lag_ms=" + std::to_string(static_cast<int64_t>(m_averageLagMs)) + " successor="
+                + successor.name + " successor_cpu_milli=" + std::to_string(successor.cpuMilli));
+    release(successor.name, maxWait, std::move(done));
 }
 
-void Scheduler::release(Duration maxWait, std::function<void()> done)
+void Scheduler::release(const std::string &successor, Duration maxWait, std::function<void()> done)
 {
     m_onReleased = std::move(done);
-    logInfo("tenure_releasing", "epoch=" + std::to_string(m_options.tenure.epoch));
+    m_options.tenure.successor = successor;
+    logInfo("tenure_releasing",
+            "epoch=" + std::to_string(m_options.tenure.epoch) + " successor=" + successor);
     scheduleFlush(Duration::zero());
     m_releaseTimer.expires_after(maxWait);
     m_releaseTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -81,17 +81,16 @@
     void setCatalog(std::shared_ptr<const Catalog> catalog);
     void setZonesOut(std::set<std::string> zones);
     // Whether the timers of this process have been running late for long enough that another
-    // instance should schedule. Always false soon after the start of the tenure, and soon after a
-    // previous holder handed the tenure over for the same reason.
+    // instance should schedule. Always false soon after the start of the tenure.
     bool isOverloaded() const;
     // Releases the tenure as release() does, and records that the holder was overloaded.
-    void handOver(Duration maxWait, std::function<void()> done);
+    void handOver(const work::Member &successor, Duration maxWait, std::function<void()> done);
     // Must be called after a record has changed the job table, with the results of
     // JobTable::apply().
     void jobTableChanged(JobTable::Change change, const std::string &id);
-    // Stores pending records and a released tenure. `done` is called once they are stored, or after
-    // `maxWait` if that takes longer.
-    void release(Duration maxWait, std::function<void()> done);
+    // Stores pending records and a released tenure, which names the successor (may be empty).
+    // `done` is called once they are stored, or after `maxWait` if that takes longer.
+    void release(const std::string &successor, Duration maxWait, std::function<void()> done);
 
 private:
     void onWorkerRecord(const KeyedRecord &record);
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -91,6 +91,10 @@
     void append(AppendRequest request, Duration timeout, AppendDone done) override
     {
         ++appendCalls;
+        const bool isClaim = request.writer && request.expectedEnd;
+        claimCalls += isClaim ? 1 : 0;
+        if (isClaim && claimsFail)
+            return later(Duration(1), [done] { done({AppendOutcome::NotStored, "refused"}); });
         if (unresponsive) {
             if (applyWhileUnresponsive)
                 m_model.append(request);
@@ -141,7 +145,9 @@
     bool applyWhileUnresponsive = false; // appends are stored although their answers are lost
     bool refuses = false; // all calls fail and nothing is stored
     std::string unreadableTopic; // reads of this topic fail
+    bool claimsFail = false; // appends that claim the tenure fail and are not stored
     int appendCalls = 0;
+    int claimCalls = 0; // appends that claim the tenure
 
 private:
     void later(Duration wait, std::function<void()> action)
