Let other instances make the scheduler's calls to workers

RemoteWorkerGateway is a WorkerGateway that batches calls to peers, which LinkSelector chooses; WorkerCallServer makes them there and returns the results. WorkerLinks and all lease logic are unchanged. The calls of PeerHttpClient share one check of the response.

--- a/src/control/approval_requester_test.cc
+++ b/src/control/approval_requester_test.cc
@@ -33,6 +33,12 @@
     { }
     void forward(const std::string &, const work::CallerRequest &, Duration, ForwardDone) override
     { }
+    void callWorkers(const std::string &, const work::WorkerCalls &, Duration,
+                     WorkerCallsDone) override
+    { }
+    void answerWorkerCalls(const std::string &, const work::WorkerAnswers &,
+                           std::function<void(Result<void>)>) override
+    { }
 
     std::vector<std::pair<std::string, PolicyGateway::Done>> own;
     std::vector<std::pair<std::string, PeerGateway::Done>> peers;
--- a/src/control/gateways.h
+++ b/src/control/gateways.h
@@ -167,6 +167,16 @@
     using ForwardDone = std::function<void(Result<work::CallerResponse>)>;
     virtual void forward(const std::string &address, const work::CallerRequest &request,
                          Duration timeout, ForwardDone done) = 0;
+    // Has a peer make calls to workers; an empty list of calls probes it. The answer tells only
+    // that the peer has the calls; their results come back with answerWorkerCalls(). Errors:
+    // Unavailable if the peer certainly did not receive the calls, OutcomeUnknown.
+    using WorkerCallsDone = std::function<void(Result<work::WorkerCallsReceived>)>;
+    virtual void callWorkers(const std::string &address, const work::WorkerCalls &calls,
+                             Duration timeout, WorkerCallsDone done) = 0;
+    // Returns results of callWorkers() to the peer that asked for the calls. May be repeated: the
+    // peer ignores answers that it has already. Errors: as for callWorkers().
+    virtual void answerWorkerCalls(const std::string &address, const work::WorkerAnswers &answers,
+                                   std::function<void(Result<void>)> done) = 0;
 };
 
 } // namespace cardamompaddle
--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -53,11 +53,21 @@
     };
 }
 
+// Returns an identifier of this process that differs after each start.
+std::string createIncarnation(const std::string &name)
+{
+    std::random_device random;
+    return name + "/" + std::to_string(random()) + "-" + std::to_string(random());
+}
+
 } // namespace
 
 Instance::Instance(const ContextFactory &context, InstanceOptions options)
     : m_context(context(m_jobTable)), m_options(std::move(options)),
       m_publisher(m_context.scheduler.clock, m_context.scheduler.peers),
+      m_workerCallServer(m_context.scheduler.io, m_context.scheduler.clock,
+                         m_context.scheduler.workers, m_context.scheduler.peers,
+                         createIncarnation(m_options.name)),
       m_tickTimer(m_context.scheduler.io), m_claimTimer(m_context.scheduler.io),
       m_random(std::random_device{}())
 {
@@ -463,6 +473,12 @@
         });
 }
 
+void Instance::workerCallsAnswered(const work::WorkerAnswers &answers)
+{
+    if (m_scheduler)
+        m_scheduler->workerCallsAnswered(answers);
+}
+
 // Releases the tenure to another instance because this process is too slow to schedule.
 void Instance::handOver()
 {
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -10,6 +10,7 @@
 #include "control/job_submitter.h"
 #include "control/record_publisher.h"
 #include "control/scheduler.h"
+#include "control/worker_call_server.h"
 
 #include <functional>
 #include <map>
@@ -77,6 +78,14 @@
                  std::function<void(work::ApprovalAnswer)> done);
     // Applies records that another instance has stored and published.
     void recordsStored(const work::StoredRecords &records);
+    // Makes calls to workers for the scheduler of another instance.
+    work::WorkerCallsReceived callWorkers(const work::WorkerCalls &calls)
+    {
+        return m_workerCallServer.receive(calls);
+    }
+    // Takes results of calls to workers that another instance has made. Ignored while this instance
+    // does not schedule.
+    void workerCallsAnswered(const work::WorkerAnswers &answers);
     // Makes isReady() false, releases the tenure if it is held here, and then calls `done`.
     void stop(std::function<void()> done);
     bool isScheduler() const { return m_scheduler != nullptr; }
@@ -108,6 +117,7 @@
     std::unique_ptr<LogFollower> m_jobs;
     std::unique_ptr<LogFollower> m_operators;
     RecordPublisher m_publisher;
+    WorkerCallServer m_workerCallServer;
     std::unique_ptr<JobSubmitter> m_submitter;
     std::unique_ptr<Scheduler> m_scheduler;
     std::shared_ptr<const Catalog> m_catalog;
--- a/src/control/instance_testing.h
+++ b/src/control/instance_testing.h
@@ -92,6 +92,19 @@
             if (const auto it = m_nodes.find(name); it != m_nodes.end() && it->second.instance)
                 it->second.instance->recordsStored(records);
         };
+        m_policy.callReceivers[options.peerAddress] =
+            [this,
+             name](const work::WorkerCalls &calls) -> std::optional<work::WorkerCallsReceived> {
+            const auto it = m_nodes.find(name);
+            if (it == m_nodes.end() || !it->second.instance)
+                return std::nullopt;
+            return it->second.instance->callWorkers(calls);
+        };
+        m_policy.answerReceivers[options.peerAddress] = [this,
+                                                         name](const work::WorkerAnswers &answers) {
+            if (const auto it = m_nodes.find(name); it != m_nodes.end() && it->second.instance)
+                it->second.instance->workerCallsAnswered(answers);
+        };
         node.instance->start();
         return node;
     }
--- a/src/control/peer_http.cc
+++ b/src/control/peer_http.cc
@@ -1,8 +1,9 @@
 #include "control/peer_http.h"
 
-#include "logging/event_log.h"
 #include "work/codec.h"
 
+#include <map>
+#include <string>
 #include <utility>
 
 namespace cardamompaddle {
@@ -12,93 +13,147 @@
 constexpr const char *ApprovePath = "/peer/approve";
 constexpr const char *RecordsStoredPath = "/peer/records-stored";
 constexpr const char *ForwardPath = "/peer/relay";
+constexpr const char *CallWorkersPath = "/peer/call-workers";
+constexpr const char *AnswerWorkerCallsPath = "/peer/answer-worker-calls";
 constexpr Duration RecordsStoredTimeout{600};
+constexpr Duration AnswerWorkerCallsTimeout{300};
 constexpr const char *ThriftContentType = "application/vnd.apache.thrift.compact";
 
+// Returns a callback that decodes the body of a response for `done`.
+template <typename T>
+std::function<void(Result<std::string>)> decodedFor(std::function<void(Result<T>)> done)
+{
+    return [done = std::move(done)](const Result<std::string> &body) {
+        if (!body)
+            return done(body.error());
+        done(decodeRecord<T>(*body));
+    };
+}
+
+// Returns a callback that reports only whether the call succeeded.
+std::function<void(Result<std::string>)> completionFor(std::function<void(Result<void>)> done)
+{
+    return [done = std::move(done)](const Result<std::string> &body) {
+        done(body ? Result<void>() : body.error());
+    };
+}
+
+template <typename T>
+HttpResponse responseWith(const T &answer)
+{
+    HttpResponse out;
+    out.contentType = ThriftContentType;
+    out.body = encodeRecord(answer);
+    return out;
+}
+
+// Returns a handler that decodes a request for `handle`, a function of the struct and of
+// HttpRespond.
+template <typename T, typename Handle>
+HttpHandler decodingHandler(Handle handle)
+{
+    return [handle = std::move(handle)](const HttpRequest &request, const HttpRespond &respond) {
+        const auto decoded = decodeRecord<T>(request.body);
+        if (!decoded)
+            return respond(errorResponse(decoded.error(), Executed::No));
+        handle(*decoded, respond);
+    };
+}
+
 } // namespace
 
-void PeerHttpClient::approve(const std::string &address, const work::ApprovalRequest &request,
-                             Duration timeout, Done done)
+void PeerHttpClient::post(const std::string &address, const char *path, std::string body,
+                          Duration timeout, BodyDone done)
 {
     m_http.request(
-        address, "POST", ApprovePath, encodeRecord(request), timeout,
-        [done = std::move(done)](const Result<HttpResponse> &response, bool) {
+        address, "POST", path, std::move(body), timeout,
+        [done = std::move(done)](const Result<HttpResponse> &response, bool bytesSent) {
             if (!response)
-                return done(response.error());
+                return done(Error{bytesSent ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable,
+                                  response.error().reason});
             if (response->status != 200)
                 return done(Error{ErrorCode::Unavailable,
                                   "peer answered with status " + std::to_string(response->status)});
-            done(decodeRecord<work::ApprovalAnswer>(response->body));
+            done(response->body);
         },
         {{"Content-Type", ThriftContentType}});
 }
 
+void PeerHttpClient::approve(const std::string &address, const work::ApprovalRequest &request,
+                             Duration timeout, Done done)
+{
+    post(address, ApprovePath, encodeRecord(request), timeout,
+         decodedFor<work::ApprovalAnswer>(std::move(done)));
+}
+
 void PeerHttpClient::recordsStored(const std::string &address, const work::StoredRecords &records,
                                    std::function<void(Result<void>)> done)
 {
-    m_http.request(
-        address, "POST", RecordsStoredPath, encodeRecord(records), RecordsStoredTimeout,
-        [done = std::move(done)](const Result<HttpResponse> &response, bool) {
-            if (!response)
-                return done(response.error());
-            if (response->status != 200)
-                return done(Error{ErrorCode::Unavailable,
-                                  "peer answered with status " + std::to_string(response->status)});
-            done({});
-        },
-        {{"Content-Type", ThriftContentType}});
+    post(address, RecordsStoredPath, encodeRecord(records), RecordsStoredTimeout,
+         completionFor(std::move(done)));
 }
 
 void PeerHttpClient::forward(const std::string &address, const work::CallerRequest &request,
                              Duration timeout, ForwardDone done)
 {
-    m_http.request(
-        address, "POST", ForwardPath, encodeRecord(request), timeout,
-        [done = std::move(done)](const Result<HttpResponse> &response, bool bytesSent) {
-            if (!response)
-                return done(Error{bytesSent ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable,
-                                  response.error().reason});
-            if (response->status != 200)
-                return done(Error{ErrorCode::Unavailable,
-                                  "peer answered with status " + std::to_string(response->status)});
-            done(decodeRecord<work::CallerResponse>(response->body));
-        },
-        {{"Content-Type", ThriftContentType}});
+    post(address, ForwardPath, encodeRecord(request), timeout,
+         decodedFor<work::CallerResponse>(std::move(done)));
+}
+
+void PeerHttpClient::callWorkers(const std::string &address, const work::WorkerCalls &calls,
+                                 Duration timeout, WorkerCallsDone done)
+{
+    post(address, CallWorkersPath, encodeRecord(calls), timeout,
+         decodedFor<work::WorkerCallsReceived>(std::move(done)));
+}
+
+void PeerHttpClient::answerWorkerCalls(const std::string &address,
+                                       const work::WorkerAnswers &answers,
+                                       std::function<void(Result<void>)> done)
+{
+    post(address, AnswerWorkerCallsPath, encodeRecord(answers), AnswerWorkerCallsTimeout,
+         completionFor(std::move(done)));
 }
 
 HttpHandler makePeerHandler(PeerHandlers handlers)
 {
-    return [handlers = std::move(handlers)](const HttpRequest &request,
-                                            const HttpRespond &respond) {
-        if (request.method == "POST" && request.path == RecordsStoredPath) {
-            const auto records = decodeRecord<work::StoredRecords>(request.body);
-            if (!records)
-                return respond(errorResponse(records.error(), Executed::No));
-            handlers.recordsStored(*records);
-            return respond({});
-        }
-        if (request.method == "POST" && request.path == ForwardPath) {
-            const auto caller = decodeRecord<work::CallerRequest>(request.body);
-            if (!caller)
-                return respond(errorResponse(caller.error(), Executed::No));
-            return handlers.forward(*caller, [respond](const work::CallerResponse &answer) {
-                HttpResponse out;
-                out.contentType = ThriftContentType;
-                out.body = encodeRecord(answer);
-                respond(std::move(out));
+    std::map<std::string, HttpHandler> byPath;
+    byPath[ApprovePath] = decodingHandler<work::ApprovalRequest>(
+        [approve = std::move(handlers.approve)](const work::ApprovalRequest &request,
+                                                const HttpRespond &respond) {
+            approve(request, [respond](const work::ApprovalAnswer &answer) {
+                respond(responseWith(answer));
+            });
+        });
+    byPath[RecordsStoredPath] = decodingHandler<work::StoredRecords>(
+        [apply = std::move(handlers.recordsStored)](const work::StoredRecords &records,
+                                                    const HttpRespond &respond) {
+            apply(records);
+            respond({});
+        });
+    byPath[ForwardPath] = decodingHandler<work::CallerRequest>(
+        [forward = std::move(handlers.forward)](const work::CallerRequest &caller,
+                                                const HttpRespond &respond) {
+            forward(caller, [respond](const work::CallerResponse &answer) {
+                respond(responseWith(answer));
             });
-        }
-        if (request.method != "POST" || request.path != ApprovePath)
-            return respond(errorResponse({ErrorCode::NotFound, "unknown peer call"}, Executed::No));
-        const auto decoded = decodeRecord<work::ApprovalRequest>(request.body);
-        if (!decoded)
-            return respond(errorResponse(decoded.error(), Executed::No));
-        handlers.approve(*decoded, [respond](const work::ApprovalAnswer &answer) {
-            HttpResponse out;
-            out.contentType = ThriftContentType;
-            out.body = encodeRecord(answer);
-            respond(std::move(out));
         });
+    byPath[CallWorkersPath] = decodingHandler<work::WorkerCalls>(
+        [receive = std::move(handlers.callWorkers)](const work::WorkerCalls &calls,
+                                                    const HttpRespond &respond) {
+            respond(responseWith(receive(calls)));
+        });
+    byPath[AnswerWorkerCallsPath] = decodingHandler<work::WorkerAnswers>(
+        [receive = std::move(handlers.answerWorkerCalls)](const work::WorkerAnswers &answers,
+                                                          const HttpRespond &respond) {
+            receive(answers);
+            respond({});
+        });
+    return [byPath = std::move(byPath)](const HttpRequest &request, const HttpRespond &respond) {
+        const auto it = byPath.find(request.path);
+        if (request.method != "POST" || it == byPath.end())
+            return respond(errorResponse({ErrorCode::NotFound, "unknown peer call"}, Executed::No));
+        it->second(request, respond);
     };
 }
 
--- a/src/control/record_publisher_test.cc
+++ b/src/control/record_publisher_test.cc
@@ -21,6 +21,12 @@
 
     void forward(const std::string &, const work::CallerRequest &, Duration, ForwardDone) override
     { }
+    void callWorkers(const std::string &, const work::WorkerCalls &, Duration,
+                     WorkerCallsDone) override
+    { }
+    void answerWorkerCalls(const std::string &, const work::WorkerAnswers &,
+                           std::function<void(Result<void>)>) override
+    { }
 
     std::vector<work::StoredRecords> calls;
     std::function<void(Result<void>)> answer;
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -38,6 +38,17 @@
 // A scheduler that was replaced is fenced or learns of its successor within this time.
 constexpr Duration FormerSchedulerFencingTime{1'000};
 
+RemoteWorkerGatewayOptions gatewayOptions(const work::Tenure &tenure)
+{
+    RemoteWorkerGatewayOptions out;
+    out.self = tenure.holder;
+    out.replyTo = tenure.address;
+    out.epoch = tenure.epoch;
+    // The log gives each epoch to one holder only.
+    out.session = tenure.holder + "/" + tenure.address + "/" + std::to_string(tenure.epoch);
+    return out;
+}
+
 } // namespace
 
 Scheduler::Scheduler(SchedulerContext context, SchedulerOptions options, int64_t nextSequence,
@@ -50,6 +61,8 @@
                        logInfo(event.name,
                                (event.job.empty() ? "" : "job=" + event.job + " ") + event.detail);
                    }),
+      m_workers(m_context.io, m_context.clock, m_context.workers, m_context.peers,
+                gatewayOptions(m_options.tenure)),
       m_passTimer(m_context.io), m_eventTimer(m_context.io), m_flushTimer(m_context.io),
       m_tickTimer(m_context.io),
       m_writer(m_context.io, m_context.log, m_context.workTopic,
@@ -89,7 +102,7 @@
         return it == m_storedPositions.end() ? 0 : it->second;
     };
     m_links = std::make_unique<WorkerLinks>(
-        m_context.io, m_context.clock, m_context.workers,
+        m_context.io, m_context.clock, m_workers,
         WorkerLinksOptions{m_options.tenure.epoch, m_options.maxLease}, std::move(links));
     m_approvalRequester = std::make_unique<ApprovalRequester>(
         m_context.clock, m_context.policy, m_context.peers, m_dispatcher, m_options.tenure.holder,
@@ -132,6 +145,8 @@
     logInfo("scheduling_began", "epoch=" + std::to_string(m_options.tenure.epoch)
                                     + " open_jobs=" + std::to_string(open.size())
                                     + " used_workers=" + std::to_string(m_unreconciled.size()));
+    // Probes the instances while the registry is read.
+    updateWorkerGateway();
     m_registry->start();
     m_tenureDirty = true;
     tick();
@@ -462,6 +477,7 @@
     if (((now - m_startedAt) / TickInterval) % TicksBetweenTenureRecords == 0)
         m_tenureDirty = true;
     logLoad(now);
+    updateWorkerGateway();
     m_links->tick();
     m_jobGarbageCollector.collect(now, m_context.unixClock() - m_options.terminalRetention.count());
     if (!m_allReconciled)
@@ -476,6 +492,13 @@
     armTickTimer();
 }
 
+void Scheduler::updateWorkerGateway()
+{
+    // Until the registry is loaded, the workers in use tell about how many there are.
+    m_workers.update(m_context.jobTable.members(),
+                     std::max(m_links->size(), m_context.jobTable.usedWorkers().size()));
+}
+
 // Logs how the scheduler spent the last interval.
 void Scheduler::logLoad(Instant now)
 {
@@ -483,12 +506,12 @@
     if (elapsed < LoadLogInterval)
         return;
     m_loadLoggedAt = now;
-    logInfo("scheduler_load",
-            "epoch=" + std::to_string(m_options.tenure.epoch)
-                + " interval_ms=" + std::to_string(elapsed.count())
-                + " lag_ms=" + std::to_string(static_cast<int64_t>(m_averageLagMs))
-                + " append_ms=" + std::to_string(m_averageAppendTime.count())
-                + " workers=" + std::to_string(m_links->size()) + " " + m_load.take());
+    logInfo("scheduler_load", "epoch=" + std::to_string(m_options.tenure.epoch)
+                                  + " interval_ms=" + std::to_string(elapsed.count()) + " lag_ms="
+                                  + std::to_string(static_cast<int64_t>(m_averageLagMs))
+                                  + " append_ms=" + std::to_string(m_averageAppendTime.count())
+                                  + " workers=" + std::to_string(m_links->size()) + " links="
+                                  + std::to_string(m_workers.linkCount()) + " " + m_load.take());
 }
 
 void Scheduler::armTickTimer()
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -13,6 +13,7 @@
 #include "control/job_table.h"
 #include "control/load_meter.h"
 #include "control/log_follower.h"
+#include "control/remote_worker_gateway.h"
 #include "control/worker_links.h"
 #include "dispatch/dispatcher.h"
 
@@ -92,6 +93,8 @@
     // Stores pending records and a released tenure. `done` is called once they are stored, or after
     // `maxWait` if that takes longer.
     void release(Duration maxWait, std::function<void()> done);
+    // Takes results of calls to workers that another instance has made for this one.
+    void workerCallsAnswered(const work::WorkerAnswers &answers) { m_workers.answered(answers); }
 
 private:
     void onWorkerRecord(const KeyedRecord &record);
@@ -109,6 +112,7 @@
     void flush();
     void onStored(const std::vector<KeyedRecord> &records);
     void publish(const std::vector<KeyedRecord> &records);
+    void updateWorkerGateway();
     void addWorkerRecords(std::vector<KeyedRecord> &records);
     void tick();
     void armTickTimer();
@@ -122,6 +126,7 @@
     RecordsStoredCallback m_recordsStored;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     Dispatcher m_dispatcher;
+    RemoteWorkerGateway m_workers;
     std::unique_ptr<WorkerLinks> m_links;
     std::unique_ptr<ApprovalRequester> m_approvalRequester;
     std::unique_ptr<LogFollower> m_registry;
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -339,7 +339,7 @@
                                  done = std::move(done)] {
             if (receive)
                 receive(records);
-            done(receive ? Result<void>() : Error{ErrorCode::Unavailable, "no such peer"});
+            done(receive ? Result<void>() : noSuchPeer());
         });
     }
 
@@ -355,12 +355,42 @@
         });
     }
 
+    void callWorkers(const std::string &address, const work::WorkerCalls &calls, Duration,
+                     WorkerCallsDone done) override
+    {
+        const auto it = callReceivers.find(address);
+        boost::asio::post(m_io, [receive = it == callReceivers.end() ? nullptr : it->second, calls,
+                                 done = std::move(done)] {
+            const auto answer = receive ? receive(calls) : std::nullopt;
+            done(answer ? Result<work::WorkerCallsReceived>(*answer) : noSuchPeer());
+        });
+    }
+
+    void answerWorkerCalls(const std::string &address, const work::WorkerAnswers &answers,
+                           std::function<void(Result<void>)> done) override
+    {
+        const auto it = answerReceivers.find(address);
+        boost::asio::post(m_io, [receive = it == answerReceivers.end() ? nullptr : it->second,
+                                 answers, done = std::move(done)] {
+            if (receive)
+                receive(answers);
+            done(receive ? Result<void>() : noSuchPeer());
+        });
+    }
+
     std::vector<std::string> forwardedRequests; // "ADDRESS PATH"
     std::optional<work::CallerResponse> forwardResponse; // empty: forwarded requests time out
     // Handlers of records that other instances have stored, by peer address.
     std::map<std::string, std::function<void(const work::StoredRecords &)>> receivers;
+    // Handlers of calls to workers and of their answers, by peer address. An empty result of the
+    // former means that the peer does not exist any more.
+    using ReceiveCalls =
+        std::function<std::optional<work::WorkerCallsReceived>(const work::WorkerCalls &)>;
+    std::map<std::string, ReceiveCalls> callReceivers;
+    std::map<std::string, std::function<void(const work::WorkerAnswers &)>> answerReceivers;
 
 private:
+    static Error noSuchPeer() { return {ErrorCode::Unavailable, "no such peer"}; }
     static std::vector<work::Approval> approvalsFor(const std::vector<WorkerId> &workers)
     {
         std::vector<work::Approval> out;
