Do not lose links because the scheduler itself is slow

A call now gets its whole timeout once its message is sent, results may come 0.6 s after it, and links have 0.5 s to acknowledge, 0.25 s on average.

--- a/src/control/link_selector.h
+++ b/src/control/link_selector.h
@@ -22,7 +22,7 @@
 // An instance is used only while its last acknowledgement is younger than this.
 inline constexpr Duration MaxAcknowledgementAge{1'000};
 // An instance whose acknowledgements take longer on average is too slow to be used.
-inline constexpr Duration MaxAcknowledgementTime{150};
+inline constexpr Duration MaxAcknowledgementTime{250};
 
 class LinkSelector
 {
--- a/src/control/peer_http.cc
+++ b/src/control/peer_http.cc
@@ -16,7 +16,7 @@
 constexpr const char *CallWorkersPath = "/peer/call-workers";
 constexpr const char *AnswerWorkerCallsPath = "/peer/answer-worker-calls";
 constexpr Duration RecordsStoredTimeout{600};
-constexpr Duration AnswerWorkerCallsTimeout{300};
+constexpr Duration AnswerWorkerCallsTimeout{600};
 constexpr const char *ThriftContentType = "application/vnd.apache.thrift.compact";
 
 // Returns a callback that decodes the body of a response for `done`.
--- a/src/control/remote_worker_gateway.cc
+++ b/src/control/remote_worker_gateway.cc
@@ -16,12 +16,14 @@
 constexpr size_t MaxCallsPerMessage = 200;
 // Payloads in one message; a job with a larger one is started directly.
 constexpr size_t MaxPayloadBytes = 64UL * 1024;
-constexpr Duration AcknowledgementTimeout{300};
+constexpr Duration AcknowledgementTimeout{500};
 constexpr Duration MaxCountedLag{400};
 constexpr Duration ProbeInterval{200};
 constexpr Duration SweepInterval{50};
-// Added to the timeout of a call for the way to the link and back.
-constexpr Duration HopMargin{150};
+// Added to the timeout of a call for the way to the link and back. Long, because a link that is
+// lost shows it sooner by its acknowledgements, and because results may wait in the sockets of a
+// process that is busy.
+constexpr Duration HopMargin{600};
 // A link that lets this many calls expire without returning any result is lost.
 constexpr int MaxUnanswered = 3;
 constexpr Duration BypassPeriod{2'000};
@@ -160,6 +162,7 @@
 void RemoteWorkerGateway::enqueue(const std::string &name, Link &link, Call call, Duration timeout)
 {
     call.message.id = ++m_lastId;
+    call.timeout = timeout;
     call.expiresAt = m_clock.now() + timeout;
     link.queued.emplace(call.message.id, std::move(call));
     armFlush(name, link);
@@ -216,7 +219,8 @@
            && payloadBytes < MaxPayloadBytes) {
         auto node = link.queued.extract(link.queued.begin());
         Call &call = node.mapped();
-        call.message.timeoutMs = (call.expiresAt - now).count();
+        call.message.timeoutMs = call.timeout.count();
+        call.expiresAt = now + call.timeout;
         if (call.job && message.payloads.emplace(call.job->id, call.job->payload).second)
             payloadBytes += call.job->payload.size();
         message.calls.push_back(call.message);
@@ -353,7 +357,7 @@
         }
         return out;
     };
-    for (const Call &call : takeExpired(link->queued, Duration::zero()))
+    for (const Call &call : takeExpired(link->queued, m_ownLag))
         endNotReceived(call);
     const auto unanswered = takeExpired(link->sent, HopMargin + m_ownLag);
     link->unanswered += static_cast<int>(unanswered.size());
--- a/src/control/remote_worker_gateway.h
+++ b/src/control/remote_worker_gateway.h
@@ -70,7 +70,8 @@
     {
         work::WorkerCall message;
         std::shared_ptr<const work::Submission> job; // Start: holds the payload; otherwise null
-        Instant expiresAt; // when its own timeout has passed
+        Duration timeout; // as the caller set it; counts again from the sending of the message
+        Instant expiresAt; // when its timeout has passed
         std::function<void(const Result<work::WorkerAnswer> &)> complete;
         std::function<void(Duration timeout)> makeDirectly; // instead of `complete`
     };
--- a/src/control/worker_call_server.cc
+++ b/src/control/worker_call_server.cc
@@ -18,7 +18,7 @@
 // Bounds the size of one message.
 constexpr size_t MaxAnswersPerMessage = 200;
 constexpr size_t MaxRunsPerMessage = 1'000;
-// Takes about a second: the scheduler has given up on its calls by then.
+// The scheduler gives up on its calls after about the time that this takes.
 constexpr int MaxAnswerAttempts = 3;
 constexpr Duration AnswerRetryDelay{60};
 
