--- a/src/control/worker_call_server.cc
+++ b/src/control/worker_call_server.cc
@@ -231,7 +231,8 @@
 }
 
 void WorkerCallServer::transmit(const std::string &session,
-                                std::shared_ptr<const work::WorkerAnswers> message, int attempt)
+                                const std::shared_ptr<const work::WorkerAnswers> &message,
+                                int attempt)
 {
     m_peers.answerWorkerCalls(
         m_outboxes[session].replyTo, *message,
@@ -250,10 +251,11 @@
 }
 
 void WorkerCallServer::retryLater(const std::string &session,
-                                  std::shared_ptr<const work::WorkerAnswers> message, int attempt)
+                                  const std::shared_ptr<const work::WorkerAnswers> &message,
+                                  int attempt)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(m_io, AnswerRetryDelay);
-    timer->async_wait([this, alive = m_alive, timer, session, message = std::move(message),
+    timer->async_wait([this, alive = m_alive, timer, session, message,
                        attempt](const boost::system::error_code &ec) {
         if (!ec && *alive)
             transmit(session, message, attempt);
--- a/src/control/worker_call_server.h
+++ b/src/control/worker_call_server.h
@@ -70,10 +70,10 @@
     void answer(const std::string &session, work::WorkerAnswer answer);
     void scheduleAnswers(const std::string &session, Duration delay);
     void sendAnswers(const std::string &session);
-    void transmit(const std::string &session, std::shared_ptr<const work::WorkerAnswers> message,
-                  int attempt);
-    void retryLater(const std::string &session, std::shared_ptr<const work::WorkerAnswers> message,
-                    int attempt);
+    void transmit(const std::string &session,
+                  const std::shared_ptr<const work::WorkerAnswers> &message, int attempt);
+    void retryLater(const std::string &session,
+                    const std::shared_ptr<const work::WorkerAnswers> &message, int attempt);
 
     boost::asio::io_context &m_io;
     const Clock &m_clock;
--- a/src/control/worker_call_server_test.cc
+++ b/src/control/worker_call_server_test.cc
@@ -17,7 +17,7 @@
 {
 protected:
     // A batch that the scheduler sends now; its clock is 7 s ahead of the link's.
-    work::WorkerCalls batch(int64_t epoch, std::vector<int64_t> startIds)
+    work::WorkerCalls batch(int64_t epoch, const std::vector<int64_t> &startIds)
     {
         work::WorkerCalls out;
         out.session = "s" + std::to_string(epoch);
