--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace cardamompaddle {
@@ -47,6 +48,13 @@
     };
 }
 
+// Returns an identifier of this process that differs after each start.
+std::string createIncarnation(const std::string &name)
+{
+    std::random_device random;
+    return name + "/" + std::to_string(random()) + "-" + std::to_string(random());
+}
+
 } // namespace
 
 Instance::Instance(const ContextFactory &context, InstanceOptions options)
@@ -54,6 +62,9 @@
       m_publisher(m_context.scheduler.clock, m_context.scheduler.peers),
       m_successorProbe(m_context.scheduler.io, m_context.scheduler.peers,
                        m_context.scheduler.workTopic),
+      m_workerCallServer(m_context.scheduler.io, m_context.scheduler.clock,
+                         m_context.scheduler.workers, m_context.scheduler.peers,
+                         createIncarnation(m_options.name)),
       m_tickTimer(m_context.scheduler.io), m_claimTimer(m_context.scheduler.io)
 {
     SchedulerContext &scheduler = m_context.scheduler;
@@ -493,6 +504,12 @@
         });
 }
 
+void Instance::workerCallsAnswered(const work::WorkerAnswers &answers)
+{
+    if (m_scheduler)
+        m_scheduler->workerCallsAnswered(answers);
+}
+
 // Releases the tenure to a better instance, if there is one, because this process is too slow to
 // schedule.
 void Instance::handOver(Instant now)
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -13,6 +13,7 @@
 #include "control/record_publisher.h"
 #include "control/scheduler.h"
 #include "control/tenure_policy.h"
+#include "control/worker_call_server.h"
 
 #include <functional>
 #include <map>
@@ -83,6 +84,14 @@
     // Applies records that another instance has stored and published, and relays them to the peers
     // that they name. They are a sign of life of the scheduler at the time it published them.
     void recordsStored(const work::StoredRecords &records);
+    // Makes calls to workers for the scheduler of another instance.
+    work::WorkerCallsReceived callWorkers(const work::WorkerCalls &calls)
+    {
+        return m_workerCallServer.receive(calls);
+    }
+    // Takes results of calls to workers that another instance has made. Ignored while this instance
+    // does not schedule.
+    void workerCallsAnswered(const work::WorkerAnswers &answers);
     // Makes isReady() false, releases the tenure if it is held here, and then calls `done`.
     void stop(std::function<void()> done);
     bool isScheduler() const { return m_scheduler != nullptr; }
@@ -123,6 +132,7 @@
     std::unique_ptr<LogFollower> m_operators;
     RecordPublisher m_publisher;
     PeerProbe m_successorProbe;
+    WorkerCallServer m_workerCallServer;
     std::unique_ptr<JobSubmitter> m_submitter;
     std::unique_ptr<Scheduler> m_scheduler;
     std::shared_ptr<const Catalog> m_catalog;
