Search for steps that lack approvals once a pass

Cause: each free caller of the policy service had all steps sorted and all workers checked again, and each step at its team's limit searched all runs for one to preempt, though the search before had found none left. Change: one search serves all callers of a pass and drops the steps that need no call; the check of a step ends when enough places are approved; a preemption search that ended without enough runs is not repeated in the pass. The orders stay the same.

--- a/src/control/approval_requester.cc
+++ b/src/control/approval_requester.cc
@@ -41,17 +41,27 @@
         if (name == m_self || m_callers[name].backoffUntil <= now)
             available.push_back(&member);
     }
+    const bool allBusy =
+        std::all_of(available.begin(), available.end(),
+                    [this](const work::Member *member) { return m_callers[member->name].busy; });
+    if (allBusy)
+        return;
+    Dispatcher::ApprovalSearch search = m_dispatcher.searchPendingApprovals(now, unixMs);
+    bool noShortCall = false; // nothing is left for callers of short calls only
     for (size_t i = 0; i < available.size(); ++i) {
         const work::Member &member = *available[i];
         if (m_callers[member.name].busy)
             continue;
         const bool shortOnly = available.size() > 1 && i % CallersPerShortCaller == 0;
-        const auto pending = m_dispatcher.nextPendingApproval(
-            now, unixMs, shortOnly ? MaxShortCall : Duration::max());
+        if (shortOnly && noShortCall)
+            continue;
+        const auto pending = search.next(shortOnly ? MaxShortCall : Duration::max());
         if (!pending && !shortOnly)
             return;
-        if (!pending)
+        if (!pending) {
+            noShortCall = true;
             continue;
+        }
         m_dispatcher.approvalRequested(pending->step);
         send(member.name, member.address, *pending);
     }
--- a/src/control/record_publisher_test.cc
+++ b/src/control/record_publisher_test.cc
@@ -53,6 +53,12 @@
     }
     void forward(const std::string &, const work::CallerRequest &, Duration, ForwardDone) override
     { }
+    void callWorkers(const std::string &, const work::WorkerCalls &, Duration,
+                     WorkerCallsDone) override
+    { }
+    void answerWorkerCalls(const std::string &, const work::WorkerAnswers &,
+                           std::function<void(Result<void>)>) override
+    { }
 
     // Answers all calls to peers that are not frozen. Returns how many calls were made.
     int deliver()
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -112,10 +112,46 @@
     return it != m_impl->m_workers.end() && !it->second->attempts.empty();
 }
 
+struct Dispatcher::ApprovalSearch::State
+{
+    Impl &impl;
+    Instant now;
+    int64_t unixMs = 0;
+    std::vector<dispatch::Step *> steps; // most urgent first; null once settled
+};
+
+Dispatcher::ApprovalSearch::ApprovalSearch(std::unique_ptr<State> state) : m_state(std::move(state))
+{ }
+
+Dispatcher::ApprovalSearch::~ApprovalSearch() = default;
+
+std::optional<PendingApproval> Dispatcher::ApprovalSearch::next(Duration maxDecisionTime)
+{
+    for (dispatch::Step *&step : m_state->steps) {
+        if (step == nullptr)
+            continue;
+        bool settled = false;
+        auto pending = m_state->impl.pendingApproval(*step, m_state->now, m_state->unixMs,
+                                                     maxDecisionTime, settled);
+        if (pending)
+            return pending;
+        if (settled)
+            step = nullptr;
+    }
+    return std::nullopt;
+}
+
+Dispatcher::ApprovalSearch Dispatcher::searchPendingApprovals(Instant now, int64_t unixMs)
+{
+    auto steps = m_impl->stepsForApproval(now, unixMs);
+    return ApprovalSearch(std::make_unique<ApprovalSearch::State>(
+        ApprovalSearch::State{*m_impl, now, unixMs, std::move(steps)}));
+}
+
 std::optional<PendingApproval> Dispatcher::nextPendingApproval(Instant now, int64_t unixMs,
                                                                Duration maxDecisionTime)
 {
-    return m_impl->nextPendingApproval(now, unixMs, maxDecisionTime);
+    return searchPendingApprovals(now, unixMs).next(maxDecisionTime);
 }
 
 void Dispatcher::approvalRequested(const StepRef &step)
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -109,9 +109,27 @@
     // Returns whether the worker has an active run or a pending start order.
     bool isBusy(const WorkerId &id) const;
 
-    // Returns the most urgent step that lacks approvals. Skips routes whose
-    // ApprovalPolicy::decisionTime exceeds `maxDecisionTime`. Call approvalRequested() when the
-    // call is sent.
+    // Searches for steps that lack approvals, with one sort of the steps for several results. Valid
+    // until another function than approvalRequested() is called.
+    class ApprovalSearch
+    {
+    public:
+        ~ApprovalSearch();
+        ApprovalSearch(const ApprovalSearch &) = delete;
+        ApprovalSearch &operator=(const ApprovalSearch &) = delete;
+        // Returns the most urgent step that lacks approvals. Skips routes whose
+        // ApprovalPolicy::decisionTime exceeds `maxDecisionTime`. Call approvalRequested() when
+        // the call is sent.
+        std::optional<PendingApproval> next(Duration maxDecisionTime);
+
+    private:
+        friend class Dispatcher;
+        struct State;
+        explicit ApprovalSearch(std::unique_ptr<State> state);
+        std::unique_ptr<State> m_state;
+    };
+    ApprovalSearch searchPendingApprovals(Instant now, int64_t unixMs);
+    // Returns the first result of such a search.
     std::optional<PendingApproval> nextPendingApproval(Instant now, int64_t unixMs,
                                                        Duration maxDecisionTime);
     // Excludes the step from nextPendingApproval() until approvalAnswered() is called.
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -53,55 +53,66 @@
     return it == m_jobs.end() ? nullptr : it->second->step(ref.occurrence, ref.step);
 }
 
-std::optional<PendingApproval> Dispatcher::Impl::nextPendingApproval(Instant now, int64_t unixMs,
-                                                                     Duration maxDecisionTime)
+std::vector<Step *> Dispatcher::Impl::stepsForApproval(Instant now, int64_t unixMs)
 {
-    for (Step *step : stepsByUrgency(now, unixMs, true, MaxApprovalLead)) {
-        const WorkRoute &route = *routeOf(*step->job);
-        if (!route.approval || step->approvalCallActive || step->nextApprovalCallAt > now
-            || route.approval->decisionTime > maxDecisionTime)
-            continue;
-        if (!isReady(*step, unixMs)
-            && !isDueSoon(*step, now,
-                          expectedCallTime(*route.approval, MaxWorkersPerSlowCall)
-                              + ApprovalLeadMargin))
-            continue;
-        int64_t approvedPlaces = 0; // tasks that fit on workers with a valid approval
-        std::vector<std::pair<int64_t, WorkerId>> expired;
-        std::vector<std::pair<int64_t, WorkerId>> unapproved;
-        for (const auto &[id, worker] : m_workers) {
-            const int64_t fitting = fittingTasks(*worker, *step);
-            if (fitting <= 0 || step->deniedWorkers.contains(id)
-                || !isEligible(*worker, *step, route, now))
-                continue;
-            const auto approval = step->approvals.find(id);
-            if (approval == step->approvals.end())
-                unapproved.push_back({-fitting, id});
-            else if (approval->second.expires < now + ApprovalMargin)
-                expired.push_back({-fitting, id});
-            else
-                approvedPlaces += fitting;
-        }
-        if (approvedPlaces >= step->waiting || (expired.empty() && unapproved.empty()))
+    std::vector<Step *> out = stepsByUrgency(now, unixMs, true, MaxApprovalLead);
+    std::erase_if(out, [this](const Step *step) { return !routeOf(*step->job)->approval; });
+    return out;
+}
+
+// Sets `settled` if no call is needed for the step, whatever the caller can take.
+std::optional<PendingApproval> Dispatcher::Impl::pendingApproval(const Step &step, Instant now,
+                                                                 int64_t unixMs,
+                                                                 Duration maxDecisionTime,
+                                                                 bool &settled)
+{
+    const WorkRoute &route = *routeOf(*step.job);
+    settled = step.approvalCallActive || step.nextApprovalCallAt > now;
+    if (settled || route.approval->decisionTime > maxDecisionTime)
+        return std::nullopt;
+    if (!isReady(step, unixMs)
+        && !isDueSoon(step, now,
+                      expectedCallTime(*route.approval, MaxWorkersPerSlowCall)
+                          + ApprovalLeadMargin)) {
+        settled = true;
+        return std::nullopt;
+    }
+    int64_t approvedPlaces = 0; // tasks that fit on workers with a valid approval
+    std::vector<std::pair<int64_t, WorkerId>> expired;
+    std::vector<std::pair<int64_t, WorkerId>> unapproved;
+    for (const auto &[id, worker] : m_workers) {
+        const int64_t fitting = fittingTasks(*worker, step);
+        if (fitting <= 0 || step.deniedWorkers.contains(id)
+            || !isEligible(*worker, step, route, now))
             continue;
-        PendingApproval pending;
-        pending.step = {step->job->spec->id, step->occurrence, step->number};
-        pending.validity = route.approval->validity;
-        const size_t maxWorkers = route.approval->perWorkerMs >= SlowPerWorkerMs
-                                      ? MaxWorkersPerSlowCall
-                                      : MaxWorkersPerCall;
-        // Renewals of expired approvals come first, then the workers with the most free capacity.
-        std::sort(unapproved.begin(), unapproved.end());
-        for (const auto *candidates : {&expired, &unapproved}) {
-            for (const auto &[negatedFitting, id] : *candidates) {
-                if (pending.workers.size() < maxWorkers)
-                    pending.workers.push_back(id);
-            }
+        const auto approval = step.approvals.find(id);
+        if (approval == step.approvals.end())
+            unapproved.push_back({-fitting, id});
+        else if (approval->second.expires < now + ApprovalMargin)
+            expired.push_back({-fitting, id});
+        else
+            approvedPlaces += fitting;
+        if (approvedPlaces >= step.waiting)
+            break;
+    }
+    settled = approvedPlaces >= step.waiting || (expired.empty() && unapproved.empty());
+    if (settled)
+        return std::nullopt;
+    PendingApproval pending;
+    pending.step = {step.job->spec->id, step.occurrence, step.number};
+    pending.validity = route.approval->validity;
+    const size_t maxWorkers =
+        route.approval->perWorkerMs >= SlowPerWorkerMs ? MaxWorkersPerSlowCall : MaxWorkersPerCall;
+    // Renewals of expired approvals come first, then the workers with the most free capacity.
+    std::sort(unapproved.begin(), unapproved.end());
+    for (const auto *candidates : {&expired, &unapproved}) {
+        for (const auto &[negatedFitting, id] : *candidates) {
+            if (pending.workers.size() < maxWorkers)
+                pending.workers.push_back(id);
         }
-        pending.expectedCallTime = expectedCallTime(*route.approval, pending.workers.size());
-        return pending;
     }
-    return std::nullopt;
+    pending.expectedCallTime = expectedCallTime(*route.approval, pending.workers.size());
+    return pending;
 }
 
 void Dispatcher::Impl::approvalAnswered(const PendingApproval &pending,
--- a/src/dispatch/dispatcher_urgency.cc
+++ b/src/dispatch/dispatcher_urgency.cc
@@ -89,6 +89,7 @@
 {
     m_priorityUse.clear();
     m_stoppingUse.clear();
+    m_preemptionExhausted.clear();
     std::map<TeamPriority, Resources> wanted;
     for (const auto &[id, job] : m_jobs) {
         const WorkRoute *route = routeOf(*job);
@@ -140,6 +141,13 @@
     Resources &stopping = m_stoppingUse[step.job->spec->team];
     const Resources missing =
         excess(*step.job->teamUse + step.taskResources * step.waiting, *limit);
+    // Within a pass no further run becomes preemptible, so a search that ended without enough of
+    // them needs no repetition.
+    const TeamPriority key{step.job->spec->team, route.priority};
+    if (missing.fitsIn(stopping) || m_preemptionExhausted.contains(key)) {
+        stopping = atLeastZero(stopping - missing);
+        return;
+    }
     struct Candidate
     {
         int64_t slackMs;
@@ -174,6 +182,8 @@
                       + " slack_ms=" + std::to_string(it.slackMs));
         requestStop(*it.attempt);
     }
+    if (!missing.fitsIn(stopping))
+        m_preemptionExhausted.insert(key);
     stopping = atLeastZero(stopping - missing);
 }
 
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -35,8 +35,10 @@
     std::optional<Instant> nextEvent(Instant now, int64_t unixMs) const;
 
     // dispatcher_approvals.cc
-    std::optional<PendingApproval> nextPendingApproval(Instant now, int64_t unixMs,
-                                                       Duration maxDecisionTime);
+    std::vector<dispatch::Step *> stepsForApproval(Instant now, int64_t unixMs);
+    std::optional<PendingApproval> pendingApproval(const dispatch::Step &step, Instant now,
+                                                   int64_t unixMs, Duration maxDecisionTime,
+                                                   bool &settled);
     void approvalAnswered(const PendingApproval &pending, const std::vector<work::Approval> *answer,
                           Instant at, Instant now);
     dispatch::Step *findStep(const StepRef &ref);
@@ -159,6 +161,8 @@
     // Resources of runs that are being stopped, by team, less what waiting steps of the present
     // decision have claimed.
     std::map<std::string, Resources> m_stoppingUse;
+    // Whose steps can have no further run preempted for them in the present decision.
+    std::set<TeamPriority> m_preemptionExhausted;
     Resources m_total; // capacity of all listed workers
     uint64_t m_nextSequence = 0;
     std::vector<StopOrder> m_orphanStops; // for orphaned runs; sent by the next decide()
