Don't send queued worker calls of a suspended scheduler, and allow for clock drift

Cause 1: a start that waits for its link's message got a new timeout when the message was filled, so a process that was suspended meanwhile sent it seconds after it was judged. Change: an expired call ends as not sent. Cause 2: the link judged lateness by the shortest transit of the whole session, so clocks that drift apart would have all calls refused after a while. Change: the reference follows small differences. Also: a job that is kept for unreported runs is marked for its last record once, not at each report. Tests: AQueuedStartOfASuspendedProcessIsNotSent and ClockDriftIsNotTakenForLateness failed before.

--- a/src/control/remote_worker_gateway.cc
+++ b/src/control/remote_worker_gateway.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace cardamompaddle {
 
@@ -214,11 +215,17 @@
                                       std::set<int64_t> &ids)
 {
     const Instant now = m_clock.now();
+    std::vector<Call> expired;
     size_t payloadBytes = 0;
     while (!link.queued.empty() && message.calls.size() < MaxCallsPerMessage
            && payloadBytes < MaxPayloadBytes) {
         auto node = link.queued.extract(link.queued.begin());
         Call &call = node.mapped();
+        // The process was suspended or busy: what was decided before may no longer hold.
+        if (now >= call.expiresAt) {
+            expired.push_back(std::move(call));
+            continue;
+        }
         call.message.timeoutMs = call.timeout.count();
         call.expiresAt = now + call.timeout;
         if (call.job && message.payloads.emplace(call.job->id, call.job->payload).second)
@@ -227,6 +234,8 @@
         ids.insert(node.key());
         link.sent.insert(std::move(node));
     }
+    for (const Call &call : expired)
+        endNotReceived(call);
 }
 
 void RemoteWorkerGateway::onAcknowledged(const std::string &name, const LinkPtr &link,
--- a/src/control/remote_worker_gateway_test.cc
+++ b/src/control/remote_worker_gateway_test.cc
@@ -8,7 +8,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <chrono>
 #include <optional>
+#include <thread>
 
 namespace cardamompaddle {
 
@@ -279,4 +281,19 @@
     EXPECT_EQ(m_gateway.linkCount(), 0U);
 }
 
+// Guards against a start that goes out seconds after it was decided, because the scheduler's
+// process was suspended while the order was queued for its link.
+TEST_F(RemoteWorkerGatewayTest, AQueuedStartOfASuspendedProcessIsNotSent)
+{
+    connect();
+    start("job");
+    std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    run(Duration(80));
+    for (const auto &held : m_peers.calls)
+        EXPECT_TRUE(held.message.calls.empty());
+    EXPECT_TRUE(m_direct.starts.empty());
+    ASSERT_EQ(m_outcomes.size(), 1U);
+    EXPECT_EQ(m_outcomes[0].error().code, ErrorCode::Unavailable);
+}
+
 } // namespace cardamompaddle
--- a/src/control/worker_call_server.cc
+++ b/src/control/worker_call_server.cc
@@ -13,6 +13,10 @@
 
 namespace {
 
+// The clocks of two machines drift apart during a long session, so the shortest transit follows
+// transits that are little longer. A longer difference is a delay and stays one.
+constexpr Duration DriftPerBatch{1};
+constexpr Duration MaxDriftDifference{100};
 constexpr int CallsPerTurn = 8; // of the event loop
 constexpr Duration AnswerBatchingDelay{3};
 // Bounds the size of one message.
@@ -74,7 +78,10 @@
         return std::nullopt;
     }
     m_shortestTransit = std::min(m_shortestTransit, transit);
-    return transit - m_shortestTransit;
+    const Duration out = transit - m_shortestTransit;
+    if (out > Duration::zero() && out <= MaxDriftDifference)
+        m_shortestTransit += DriftPerBatch;
+    return out;
 }
 
 void WorkerCallServer::refuseAll(const work::WorkerCalls &batch, const Error &error)
--- a/src/control/worker_call_server_test.cc
+++ b/src/control/worker_call_server_test.cc
@@ -152,4 +152,24 @@
     EXPECT_EQ(m_workers.starts.size(), 1U);
 }
 
+// Guards against refusing all calls late in a tenure, because the clocks of two machines have
+// drifted apart since it began.
+TEST_F(WorkerCallServerTest, ClockDriftIsNotTakenForLateness)
+{
+    m_server.receive(batch(1, {}));
+    constexpr int Probes = 400;
+    for (int drift = 1; drift <= Probes; ++drift) {
+        m_clock.time += Duration(200);
+        auto probe = batch(1, {});
+        probe.sentAtMs -= drift;
+        m_server.receive(probe);
+    }
+    auto calls = batch(1, {10});
+    calls.sentAtMs -= Probes;
+    m_server.receive(calls);
+    run();
+    ASSERT_EQ(m_workers.starts.size(), 1U);
+    EXPECT_GE(m_workers.starts[0].timeout, Duration(190));
+}
+
 } // namespace cardamompaddle
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -7,7 +7,7 @@
 namespace cardamompaddle {
 
 Dispatcher::Dispatcher(DispatchOptions options, EventSink events)
-    : m_impl(std::make_unique<Impl>(options, std::move(events)))
+    : m_impl(std::make_unique<Impl>(std::move(options), std::move(events)))
 { }
 
 Dispatcher::~Dispatcher() = default;
@@ -43,7 +43,7 @@
     m_impl->m_unreconciled = std::move(workers);
     // Terminal jobs were kept while runs of theirs could be on one of the workers.
     for (const auto &[id, job] : m_impl->m_jobs) {
-        if (job->isTerminal() && job->active == 0)
+        if (job->isTerminal() && job->active == 0 && !m_impl->mayHaveUnreportedRuns(*job))
             m_impl->markDirty(*job);
     }
 }
--- a/src/dispatch/dispatcher_jobs.cc
+++ b/src/dispatch/dispatcher_jobs.cc
@@ -26,7 +26,7 @@
 }
 
 Dispatcher::Impl::Impl(DispatchOptions options, EventSink events)
-    : m_options(options), m_events(std::move(events))
+    : m_options(std::move(options)), m_events(std::move(events))
 { }
 
 void Dispatcher::Impl::emitEvent(std::string_view name, const std::string &job,
