Count the runs that an ended job has left after a takeover

Now a final record names the workers of runs that are being stopped, a new scheduler loads such jobs, and they are forgotten once those runs have finished or their workers are known.

DispatcherTest.TheRecordOfAnEndedJob... and InstanceTest.ATakeoverCountsTheRunsThatAreStillBeingStopped fail without the change.

--- a/src/control/instance_test.cc
+++ b/src/control/instance_test.cc
@@ -73,6 +73,32 @@
     EXPECT_FALSE(m_workers.ranTwice);
 }
 
+// Guards against a team that exceeds its limit after a takeover, because the runs of a job that had
+// been cancelled are still being stopped on workers that do not answer.
+TEST_F(InstanceTest, ATakeoverCountsTheRunsThatAreStillBeingStopped)
+{
+    m_model.put(OperatorTopic, "config", "2/3000");
+    addNode("a");
+    addNode("b");
+    ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+    ASSERT_EQ(submit(scheduler(), "old", 3), SubmitOutcome::Accepted);
+    ASSERT_TRUE(runUntil([this] { return m_workers.runningCount() == 3; }));
+    for (auto &[id, worker] : m_workers.workers)
+        worker.unresponsive = true;
+    ASSERT_EQ(cancel(scheduler(), "old"), SubmitOutcome::Accepted);
+    ASSERT_TRUE(reached(follower(), "old", work::JobState::Cancelled));
+    runFor(Duration(100)); // the final record is stored
+    scheduler().instance.reset();
+    m_model.put(RegistryTopic, "w3", "ready");
+    ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+    ASSERT_EQ(submit(scheduler(), "new", 3), SubmitOutcome::Accepted);
+    runFor(Duration(1'000));
+    EXPECT_TRUE(m_workers.workers["w3"].running.empty());
+    EXPECT_TRUE(
+        runUntil([this] { return m_workers.workers["w3"].running.size() == 3; }, Duration(8'000)))
+        << "the leases of the former runs have lapsed";
+}
+
 // Guards against runs of a replacement that are attributed to the worker it replaced at the same
 // address.
 TEST_F(InstanceTest, TasksOfAReplacedWorkerStartAgain)
--- a/src/control/instance_testing.h
+++ b/src/control/instance_testing.h
@@ -44,7 +44,10 @@
         return out;
     }
     auto catalog = std::make_shared<Catalog>();
+    // "VERSION" or "VERSION/LIMIT", the latter of the only team in thousandths of a core.
     catalog->version = std::stoll(record.value);
+    if (const size_t slash = record.value.find('/'); slash != std::string::npos)
+        catalog->teams[""].limit.cpuMilli = std::stoll(record.value.substr(slash + 1));
     WorkRoute route;
     route.name = "r";
     route.pool = "p";
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -51,6 +51,18 @@
     return out;
 }
 
+// Returns whether runs of the job may still exist although it has ended or was cancelled.
+bool isBeingStopped(const JobEntry &entry)
+{
+    if (!entry.progress)
+        return false;
+    if (entry.progress->state < work::JobState::Completed)
+        return entry.cancelled;
+    const auto &steps = entry.progress->steps;
+    return std::any_of(steps.begin(), steps.end(),
+                       [](const work::StepProgress &it) { return !it.placedOn.empty(); });
+}
+
 } // namespace
 
 Scheduler::Scheduler(SchedulerContext context, SchedulerOptions options, int64_t nextSequence,
@@ -140,10 +152,8 @@
     }
     std::vector<const JobEntry *> open;
     for (const auto &[id, entry] : m_context.jobTable.entries()) {
-        // The runs of a cancelled job are being stopped until its final progress is stored.
-        const bool isFinal = entry.progress && entry.progress->state >= work::JobState::Completed;
-        const bool mayHaveRuns = entry.cancelled && entry.progress && !isFinal;
-        if (entry.submission && (entry.state() < work::JobState::Completed || mayHaveRuns))
+        if (entry.submission
+            && (entry.state() < work::JobState::Completed || isBeingStopped(entry)))
             open.push_back(&entry);
     }
     std::sort(open.begin(), open.end(),
@@ -152,7 +162,9 @@
     // workers have to wait. Otherwise any task of an open job may be running.
     const bool mayBeRunning = !m_unreconciled.empty() && !m_options.tenure.startsRecorded;
     for (const JobEntry *entry : open) {
-        m_dispatcher.addJob(entry->submission, entry->progress.get(), mayBeRunning);
+        // The last record of a job that has ended names the workers of all runs that it had left.
+        const bool ended = entry->progress && entry->progress->state >= work::JobState::Completed;
+        m_dispatcher.addJob(entry->submission, entry->progress.get(), mayBeRunning && !ended);
         if (entry->cancelled)
             m_dispatcher.cancelJob(entry->submission->id);
     }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -145,7 +145,8 @@
     // else is called before, or nullopt if there is no such time.
     std::optional<Instant> nextEvent(Instant now, int64_t unixMs) const;
 
-    // Returns the progress of the jobs that changed since the last call. Forgets those that are
+    // Returns the progress of the jobs that changed since the last call. That of a terminal job
+    // names the workers of its runs that are still being stopped. Forgets the jobs that are
     // terminal and have no active run.
     std::vector<work::Progress> takeProgress();
     // Returns whether takeProgress() would return anything.
--- a/src/dispatch/dispatcher_jobs.cc
+++ b/src/dispatch/dispatcher_jobs.cc
@@ -208,6 +208,31 @@
                       + " failed " + std::to_string(failures) + " times");
 }
 
+// Returns what a later scheduler has to know about the step. Of a terminal job only the runs that
+// are still being stopped matter, which count against the limit of its team.
+work::StepProgress Dispatcher::Impl::progressOf(const Step &step) const
+{
+    const bool terminal = step.job->isTerminal();
+    work::StepProgress out;
+    out.occurrence = step.occurrence;
+    out.step = step.number;
+    for (size_t i = 0; i < step.tasks.size(); ++i) {
+        const Task &task = step.tasks[i];
+        const auto index = static_cast<int32_t>(i);
+        if (task.attempt)
+            out.placedOn[index] = task.attempt->worker->entry.id;
+        else if (mayBeRunningUnreported(task))
+            out.placedOn[index] = task.previousWorker;
+        if (terminal)
+            continue;
+        if (task.state == TaskState::Succeeded)
+            out.succeeded.push_back(index);
+        if (!task.failedRuns.empty() && !step.spec->longRunning)
+            out.failedRuns[index].assign(task.failedRuns.begin(), task.failedRuns.end());
+    }
+    return out;
+}
+
 std::vector<work::Progress> Dispatcher::Impl::takeProgress()
 {
     std::vector<work::Progress> out;
@@ -216,25 +241,8 @@
         progress.id = job->spec->id;
         progress.state = job->state;
         for (const auto &step : job->steps) {
-            work::StepProgress stored;
-            stored.occurrence = step->occurrence;
-            stored.step = step->number;
-            for (size_t i = 0; i < step->tasks.size(); ++i) {
-                const Task &task = step->tasks[i];
-                const auto index = static_cast<int32_t>(i);
-                if (task.state == TaskState::Succeeded)
-                    stored.succeeded.push_back(index);
-                if (task.attempt)
-                    stored.placedOn[index] = task.attempt->worker->entry.id;
-                else if (mayBeRunningUnreported(task))
-                    stored.placedOn[index] = task.previousWorker;
-                if (!task.failedRuns.empty() && !step->spec->longRunning)
-                    stored.failedRuns[index].assign(task.failedRuns.begin(), task.failedRuns.end());
-            }
-            // Only the state of a terminal job is needed from here on.
-            const bool hasProgress =
-                !stored.succeeded.empty() || !stored.failedRuns.empty() || !stored.placedOn.empty();
-            if (!job->isTerminal() && hasProgress)
+            work::StepProgress stored = progressOf(*step);
+            if (!stored.succeeded.empty() || !stored.failedRuns.empty() || !stored.placedOn.empty())
                 progress.steps.push_back(std::move(stored));
         }
         out.push_back(std::move(progress));
--- a/src/dispatch/dispatcher_takeover_test.cc
+++ b/src/dispatch/dispatcher_takeover_test.cc
@@ -87,6 +87,44 @@
     EXPECT_EQ(decide().starts.size(), 2U) << "finished";
 }
 
+// Guards against forgetting the runs that a job which had ended before the takeover has left.
+TEST_F(DispatcherTest, RunsLeftByAJobThatHasEndedCountAfterATakeover)
+{
+    m_limit = {3'000, 0, 0, 0, 0};
+    setCatalog();
+    join(entry("w"));
+    m_dispatcher.setUnreconciledWorkers({"v"});
+    work::Progress progress = placedOn("old", "v");
+    progress.state = work::JobState::Cancelled;
+    add("old", {step(2)}, &progress);
+    add("new", {step(4)});
+    EXPECT_EQ(startAll().size(), 1U) << "two of the three permitted are still being stopped";
+    m_dispatcher.setUnreconciledWorkers({});
+    EXPECT_EQ(startAll().size(), 2U);
+    m_dispatcher.takeProgress();
+    EXPECT_FALSE(m_dispatcher.hasJob("old")) << "it is kept only for its last runs";
+}
+
+// Guards against a final record that does not name the workers of runs that are still being
+// stopped, and against one that still names them after the last run has finished.
+TEST_F(DispatcherTest, TheRecordOfAnEndedJobNamesTheWorkersOfItsLastRunsUntilTheyHaveFinished)
+{
+    join(entry("v"));
+    add("old", {step(2)});
+    const auto orders = startAll();
+    ASSERT_EQ(orders.size(), 2U);
+    m_dispatcher.cancelJob("old");
+    auto stored = m_dispatcher.takeProgress();
+    ASSERT_EQ(stored.size(), 1U);
+    ASSERT_EQ(stored[0].steps.size(), 1U);
+    EXPECT_EQ(stored[0].steps[0].placedOn.size(), 2U);
+    report("v", {}, {ended(orders[0], RunOutcome::Stopped), ended(orders[1], RunOutcome::Stopped)});
+    stored = m_dispatcher.takeProgress();
+    ASSERT_EQ(stored.size(), 1U);
+    EXPECT_TRUE(stored[0].steps.empty());
+    EXPECT_EQ(stored[0].state, work::JobState::Cancelled);
+}
+
 // Guards against not counting the runs of a job that this scheduler does not know, because it had
 // ended before the takeover.
 TEST(DispatcherTakeoverTest, RunsOfAForgottenJobCountUntilTheyHaveFinished)
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -55,6 +55,7 @@
     void markDirty(Job &job);
     void finishJob(Job &job, work::JobState::type state, const std::string &why);
     void checkCompleted(Job &job);
+    work::StepProgress progressOf(const Step &step) const;
     void eraseIfDone(Job &job);
     void taskSucceeded(Step &step, int32_t index);
     void taskFailed(Step &step, int32_t index, int64_t run, const WorkerId &workerId, Instant now);
