--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -96,7 +96,10 @@
     m_submitter = std::make_unique<JobSubmitter>(
         scheduler.io, scheduler.clock, scheduler.log, m_jobTable, *m_jobs, scheduler.jobsTopic,
         [this](const std::vector<KeyedRecord> &records) { onJobsStored(records); },
-        [this] { return !forwardTarget().empty(); });
+        [this] {
+            return LogCondition{m_jobs->availableSince() != Instant::max(), appendTime(),
+                                !forwardTarget().empty()};
+        });
 }
 
 Instance::~Instance()
@@ -144,6 +147,16 @@
     return reachesLog && other ? tenure.address : "";
 }
 
+Duration Instance::appendTime() const
+{
+    return m_scheduler ? m_scheduler->averageAppendTime() : m_publishedAppendTime;
+}
+
+std::string Instance::collector() const
+{
+    return appendTime() >= SlowAppendTime ? forwardTarget() : "";
+}
+
 void Instance::onWorkRecord(const KeyedRecord &record)
 {
     std::string id;
@@ -164,6 +177,8 @@
     const bool released = *change == JobTable::Change::Tenure && m_jobTable.tenure().released;
     if (released && !m_scheduler)
         armTick(std::clamp(claimTimeout(), Duration::zero(), TickInterval));
+    if (*change == JobTable::Change::Submitted)
+        m_submitter->jobRead(id);
     if (m_scheduler)
         m_scheduler->jobTableChanged(*change, id);
 }
@@ -274,7 +289,10 @@
     if (!at)
         return;
     m_schedulerActiveAt = std::max(m_schedulerActiveAt, *at);
-    m_publishReceivedAt = std::max(m_publishReceivedAt, *at);
+    if (*at < m_publishReceivedAt)
+        return;
+    m_publishReceivedAt = *at;
+    m_publishedAppendTime = Duration(records.appendMs);
 }
 
 void Instance::onJobsStored(const std::vector<KeyedRecord> &records)
@@ -294,7 +312,8 @@
         if (name != m_options.name)
             peers.push_back({member.address, member.cpuMilli, member.availabilityZone});
     }
-    m_publisher.publish(peers, epoch, m_context.scheduler.workTopic, records, end);
+    m_publisher.publish(peers, {epoch, m_scheduler->averageAppendTime(),
+                                m_context.scheduler.workTopic, records, end});
 }
 
 void Instance::tick()
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -78,6 +78,11 @@
     // Address of the instance that schedules, if it is another one and has recently published what
     // it stored; empty otherwise.
     std::string forwardTarget() const;
+    // Average duration of the scheduler's appends, as far as this instance knows.
+    Duration appendTime() const;
+    // Address of the instance that appends what the callers of this one hand in, because the log is
+    // slow and takes one append at a time; empty if this instance appends it itself.
+    std::string collector() const;
     // Calls the policy service on behalf of the scheduler of another instance.
     void approve(const work::ApprovalRequest &request,
                  std::function<void(work::ApprovalAnswer)> done);
@@ -144,6 +149,7 @@
     Instant m_schedulerActiveAt;
     // When the scheduler published what this instance has last received from it.
     Instant m_publishReceivedAt = Instant::min();
+    Duration m_publishedAppendTime{0}; // of the scheduler's appends, as it has last published
     PublicationClock m_publicationClock;
     int64_t m_publishedEnd = 0; // highest end of the work topic that the scheduler has published
     // Last refresh of the work topic because the scheduler had stopped publishing.
--- a/src/control/record_publisher.cc
+++ b/src/control/record_publisher.cc
@@ -44,6 +44,7 @@
     if (from.epoch >= into.epoch) {
         into.epoch = from.epoch;
         into.publishedAtMs = std::max(into.publishedAtMs, from.publishedAtMs);
+        into.appendMs = from.appendMs;
     }
     const size_t room = MaxPendingRecords - std::min(MaxPendingRecords, into.records.size());
     const size_t taken = std::min(room, from.records.size());
@@ -72,14 +73,14 @@
     enqueue(address, encode(topic, records, end));
 }
 
-void RecordPublisher::publish(const std::vector<PublicationPeer> &peers, int64_t epoch,
-                              const std::string &topic, const std::vector<KeyedRecord> &records,
-                              int64_t end)
+void RecordPublisher::publish(const std::vector<PublicationPeer> &peers,
+                              const Publication &publication)
 {
     const Instant now = m_clock.now();
     bypassLateRelays();
-    work::StoredRecords message = encode(topic, records, end);
-    message.epoch = epoch;
+    work::StoredRecords message = encode(publication.topic, publication.records, publication.end);
+    message.epoch = publication.epoch;
+    message.appendMs = publication.appendTime.count();
     message.publishedAtMs = toMs(now);
     for (PublicationRoute &route : m_tree.routes(peers, now)) {
         message.relayTo = std::move(route.relayTo);
--- a/src/control/record_publisher.h
+++ b/src/control/record_publisher.h
@@ -17,6 +17,16 @@
 
 namespace cardamompaddle {
 
+// What the scheduler tells all peers.
+struct Publication
+{
+    int64_t epoch = 0; // of the tenure
+    Duration appendTime{0}; // average duration of the scheduler's appends; 0 if unknown
+    std::string topic;
+    std::vector<KeyedRecord> records;
+    int64_t end = 0; // of the topic after the records
+};
+
 class RecordPublisher
 {
 public:
@@ -31,10 +41,9 @@
     // for the next one; after a failed call, records are dropped for a backoff time.
     void send(const std::string &address, const std::string &topic,
               const std::vector<KeyedRecord> &records, int64_t end);
-    // Sends the scheduler's records of the tenure `epoch` to all peers, through relays if there are
-    // many. What a relay does not take in time is sent to its group directly.
-    void publish(const std::vector<PublicationPeer> &peers, int64_t epoch, const std::string &topic,
-                 const std::vector<KeyedRecord> &records, int64_t end);
+    // Sends the publication to all peers, through relays if there are many. What a relay does not
+    // take in time is sent to its group directly.
+    void publish(const std::vector<PublicationPeer> &peers, const Publication &publication);
     // Sends a received publication on to the peers that it names.
     void relay(work::StoredRecords publication);
 
--- a/src/control/request_forwarder.cc
+++ b/src/control/request_forwarder.cc
@@ -2,6 +2,9 @@
 
 #include "logging/event_log.h"
 
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
 #include <utility>
 
 namespace cardamompaddle {
@@ -10,6 +13,10 @@
 
 // A peer should answer as fast as this instance would. After the timeout the outcome is unknown.
 constexpr Duration ForwardTimeout{1'200};
+// A collector waits for a slow log.
+constexpr Duration CollectorTimeout{2'300};
+// Wait before a request whose outcome is unknown is repeated.
+constexpr Duration RepeatDelay{100};
 constexpr int StatusUnavailable = 503; // not carried out
 constexpr int StatusOutcomeUnknown = 504; // may have been carried out
 
@@ -18,6 +25,11 @@
     return request.method == "GET";
 }
 
+bool isFinal(int status)
+{
+    return status != StatusUnavailable && status != StatusOutcomeUnknown;
+}
+
 HttpResponse toHttpResponse(work::CallerResponse answer)
 {
     HttpResponse out;
@@ -29,8 +41,10 @@
 
 } // namespace
 
-RequestForwarder::RequestForwarder(PeerGateway &peers, Sources sources, HttpHandler localHandler)
-    : m_peers(peers), m_sources(std::move(sources)), m_localHandler(std::move(localHandler))
+RequestForwarder::RequestForwarder(boost::asio::io_context &io, const Clock &clock,
+                                   PeerGateway &peers, Sources sources, HttpHandler localHandler)
+    : m_io(io), m_clock(clock), m_peers(peers), m_sources(std::move(sources)),
+      m_localHandler(std::move(localHandler))
 { }
 
 RequestForwarder::~RequestForwarder()
@@ -40,64 +54,108 @@
 
 void RequestForwarder::handle(const HttpRequest &request, const HttpRespond &respond)
 {
+    auto exchange = std::make_shared<Exchange>();
+    exchange->request = request;
+    exchange->respond = respond;
+    exchange->deadline = m_sources.deadline(request);
+    beginRound(exchange);
+}
+
+void RequestForwarder::beginRound(const ExchangePtr &exchange)
+{
+    exchange->triedHere = exchange->triedPeer = false;
+    const std::string collector = isRead(exchange->request) ? "" : m_sources.collector();
+    exchange->toCollector = !collector.empty();
+    if (exchange->toCollector)
+        return tryPeer(exchange, collector, CollectorTimeout);
     const std::string target = m_sources.logReachable() ? "" : m_sources.target();
-    if (target.empty())
-        return m_localHandler(request,
-                              [this, alive = m_alive, request, respond](HttpResponse local) {
-                                  if (*alive)
-                                      onLocalAnswer(request, std::move(local), respond);
-                              });
-    forward(request, target,
-            [this, alive = m_alive, request, respond](Result<work::CallerResponse> answer) {
-                if (!*alive)
-                    return;
-                if (answer)
-                    return respond(toHttpResponse(std::move(*answer)));
-                if (answer.error().code == ErrorCode::OutcomeUnknown && !isRead(request))
-                    return respond(
-                        errorResponse(StatusOutcomeUnknown, answer.error(), Executed::Unknown));
-                m_localHandler(request, respond);
-            });
+    target.empty() ? tryHere(exchange) : tryPeer(exchange, target, ForwardTimeout);
+}
+
+void RequestForwarder::tryHere(const ExchangePtr &exchange)
+{
+    exchange->triedHere = true;
+    m_localHandler(exchange->request, [this, alive = m_alive, exchange](HttpResponse response) {
+        if (*alive)
+            onLocalResponse(exchange, std::move(response));
+    });
 }
 
-void RequestForwarder::onLocalAnswer(const HttpRequest &request, HttpResponse local,
-                                     const HttpRespond &respond)
+void RequestForwarder::onLocalResponse(const ExchangePtr &exchange, HttpResponse response)
 {
-    const bool failed = local.status == StatusUnavailable || local.status == StatusOutcomeUnknown;
-    const std::string target = failed ? m_sources.target() : "";
-    if (target.empty())
-        return respond(std::move(local));
-    forward(request, target,
-            [request, local = std::move(local), respond](Result<work::CallerResponse> answer) {
-                // If the request may have been carried out here, a peer's refusal proves nothing.
-                const bool noSideEffects = local.status == StatusUnavailable || isRead(request);
-                if (answer && (noSideEffects || answer->status < 300))
-                    return respond(toHttpResponse(std::move(*answer)));
-                if (!answer && answer.error().code == ErrorCode::OutcomeUnknown && noSideEffects
-                    && !isRead(request))
-                    return respond(
-                        errorResponse(StatusOutcomeUnknown, answer.error(), Executed::Unknown));
-                respond(local);
-            });
+    const bool write = !isRead(exchange->request);
+    exchange->inDoubt = exchange->inDoubt || (write && response.status == StatusOutcomeUnknown);
+    if (respondIfSettled(*exchange, response))
+        return;
+    exchange->refusal = std::move(response);
+    const std::string target = exchange->triedPeer ? "" : m_sources.target();
+    target.empty() ? endRound(exchange) : tryPeer(exchange, target, ForwardTimeout);
 }
 
-void RequestForwarder::forward(const HttpRequest &request, const std::string &target,
-                               ForwardDone done)
+void RequestForwarder::tryPeer(const ExchangePtr &exchange, const std::string &target,
+                               Duration timeout)
 {
+    exchange->triedPeer = true;
+    const HttpRequest &request = exchange->request;
     work::CallerRequest out;
     out.method = request.method;
     out.path = request.path;
     out.headers = request.headers;
     out.body = request.body;
-    m_peers.forward(target, out, ForwardTimeout,
-                    [target, path = request.path, method = request.method,
-                     done = std::move(done)](Result<work::CallerResponse> answer) {
+    const Duration left = std::max(Duration(1), exchange->deadline - m_clock.now());
+    m_peers.forward(target, out, std::min(timeout, left),
+                    [this, alive = m_alive, exchange, target](Result<work::CallerResponse> answer) {
                         logInfo("request_relayed",
-                                "method=" + method + " path=" + path + " peer=" + target
+                                "method=" + exchange->request.method
+                                    + " path=" + exchange->request.path + " peer=" + target
                                     + " status=" + std::to_string(answer ? answer->status : 0)
                                     + " reason=\"" + (answer ? "" : answer.error().reason) + "\"");
-                        done(std::move(answer));
+                        if (*alive)
+                            onPeerResponse(exchange, std::move(answer));
                     });
 }
 
+void RequestForwarder::onPeerResponse(const ExchangePtr &exchange,
+                                      Result<work::CallerResponse> answer)
+{
+    const bool unknown = answer ? answer->status == StatusOutcomeUnknown
+                                : answer.error().code == ErrorCode::OutcomeUnknown;
+    exchange->inDoubt = exchange->inDoubt || (unknown && !isRead(exchange->request));
+    const bool answered = answer.ok();
+    if (answered) {
+        HttpResponse response = toHttpResponse(std::move(*answer));
+        if (respondIfSettled(*exchange, response))
+            return;
+        exchange->refusal = std::move(response);
+    }
+    // What the collector could not store in time would only make a slow log slower.
+    const bool done = exchange->triedHere || (exchange->toCollector && answered);
+    done ? endRound(exchange) : tryHere(exchange);
+}
+
+bool RequestForwarder::respondIfSettled(const Exchange &exchange, HttpResponse response)
+{
+    const bool succeeded = response.status < 300;
+    if (!isFinal(response.status) || (exchange.inDoubt && !succeeded))
+        return false;
+    exchange.respond(std::move(response));
+    return true;
+}
+
+void RequestForwarder::endRound(const ExchangePtr &exchange)
+{
+    if (!exchange->inDoubt)
+        return exchange->respond(std::move(*exchange->refusal));
+    if (m_clock.now() + RepeatDelay >= exchange->deadline)
+        return exchange->respond(
+            errorResponse(StatusOutcomeUnknown,
+                          {ErrorCode::OutcomeUnknown, "the request may have been carried out"},
+                          Executed::Unknown));
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, RepeatDelay);
+    timer->async_wait([this, timer, alive = m_alive, exchange](const boost::system::error_code &) {
+        if (*alive)
+            beginRound(exchange);
+    });
+}
+
 } // namespace cardamompaddle
--- a/src/control/request_forwarder.h
+++ b/src/control/request_forwarder.h
@@ -1,16 +1,25 @@
-// Forwards callers' requests to the scheduler's instance while this instance cannot reach the log.
+// Forwards callers' requests to the scheduler's instance while this instance cannot reach the log,
+// and what callers hand in while the log is slow.
 //
 // Without the log, an instance can store nothing and its configuration may be outdated. A peer that
-// can reach the log is recognized by the records that the scheduler stores.
+// can reach the log is recognized by the records that the scheduler stores. A slow log takes few
+// appends, so one instance then collects the records of all.
+//
+// Requests are idempotent. One whose outcome is unknown is therefore repeated, here and at the peer
+// by turns, until its outcome is known or its caller's deadline has passed.
 //
 // Not thread-safe: use it only on the event loop's thread.
 #pragma once
 
 #include "control/gateways.h"
 #include "net/http_server.h"
+#include "platform/worker.h"
+
+#include <boost/asio/io_context.hpp>
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cardamompaddle {
@@ -23,10 +32,15 @@
         std::function<bool()> logReachable; // whether the log answers this instance
         // Address of a peer that the log answers; empty if none is known.
         std::function<std::string()> target;
+        // Address of the peer that collects what callers hand in; empty if none does.
+        std::function<std::string()> collector;
+        // When the caller of a request stops waiting that has just been received.
+        std::function<Instant(const HttpRequest &)> deadline;
     };
 
-    // `peers` must outlive the forwarder. `localHandler` answers requests on this instance.
-    RequestForwarder(PeerGateway &peers, Sources sources, HttpHandler localHandler);
+    // All references must outlive the forwarder. `localHandler` answers requests on this instance.
+    RequestForwarder(boost::asio::io_context &io, const Clock &clock, PeerGateway &peers,
+                     Sources sources, HttpHandler localHandler);
     ~RequestForwarder();
     RequestForwarder(const RequestForwarder &) = delete;
     RequestForwarder &operator=(const RequestForwarder &) = delete;
@@ -36,12 +50,34 @@
     void handle(const HttpRequest &request, const HttpRespond &respond);
 
 private:
-    using ForwardDone = PeerGateway::ForwardDone;
-    void forward(const HttpRequest &request, const std::string &target, ForwardDone done);
-    // Responds with the local answer, or with a peer's if this instance could not carry the request
-    // out.
-    void onLocalAnswer(const HttpRequest &request, HttpResponse local, const HttpRespond &respond);
+    // A request that has not been answered yet.
+    struct Exchange
+    {
+        HttpRequest request;
+        HttpRespond respond;
+        Instant deadline;
+        bool inDoubt = false; // an earlier try may have carried the request out
+        bool triedHere = false; // in this round
+        bool triedPeer = false;
+        bool toCollector = false; // it was sent to the collector in this round
+        std::optional<HttpResponse>
+            refusal; // by this instance, if it did not carry the request out
+    };
+    using ExchangePtr = std::shared_ptr<Exchange>;
+
+    void beginRound(const ExchangePtr &exchange);
+    void tryHere(const ExchangePtr &exchange);
+    void onLocalResponse(const ExchangePtr &exchange, HttpResponse response);
+    void tryPeer(const ExchangePtr &exchange, const std::string &target, Duration timeout);
+    void onPeerResponse(const ExchangePtr &exchange, Result<work::CallerResponse> answer);
+    // Ends a round in which neither this instance nor a peer has settled the request.
+    void endRound(const ExchangePtr &exchange);
+    // Responds unless the response is a refusal of what may have been carried out. Returns whether
+    // it has responded.
+    static bool respondIfSettled(const Exchange &exchange, HttpResponse response);
 
+    boost::asio::io_context &m_io;
+    const Clock &m_clock;
     PeerGateway &m_peers;
     Sources m_sources;
     HttpHandler m_localHandler;
--- a/src/control/request_forwarder_test.cc
+++ b/src/control/request_forwarder_test.cc
@@ -13,6 +13,8 @@
     return out;
 }
 
+constexpr Duration CallerWait{1'350};
+
 class RequestForwarderTest : public ::testing::Test
 {
 protected:
@@ -28,10 +30,14 @@
             m_peers.forwardResponse->status = *peer;
         }
         RequestForwarder forwarder(
-            m_peers, {[logReachable] { return logReachable; }, [this] { return m_target; }},
+            m_io, m_clock, m_peers,
+            {[logReachable] { return logReachable; }, [this] { return m_target; },
+             [this] { return m_collector; },
+             [this](const HttpRequest &) { return m_clock.now() + CallerWait; }},
             [this, local](const HttpRequest &, const HttpRespond &respond) {
                 ++m_localCalls;
-                respond(responseWith(local));
+                const bool settled = m_localCalls > m_unsettledLocalCalls;
+                respond(responseWith(settled ? m_settledStatus.value_or(local) : local));
             });
         HttpRequest request;
         request.method = method;
@@ -45,8 +51,13 @@
 
     boost::asio::io_context m_io;
     testing::TestPolicy m_peers{m_io};
+    testing::TestClock m_clock;
     std::string m_target = "peer:1";
+    std::string m_collector;
     int m_localCalls = 0;
+    // If set, the status of the local handler after the first calls.
+    std::optional<int> m_settledStatus;
+    int m_unsettledLocalCalls = 1;
 };
 
 } // namespace
@@ -82,6 +93,39 @@
     EXPECT_EQ(send("POST", 504, true, 200), 200);
 }
 
+// Guards against giving up a request whose outcome could still be settled within its deadline.
+TEST_F(RequestForwarderTest, RepeatsARequestWhoseOutcomeIsUnknown)
+{
+    m_settledStatus = 200;
+    m_target.clear();
+    EXPECT_EQ(send("POST", 504, true, std::nullopt), 200);
+    EXPECT_EQ(m_localCalls, 2);
+    // A peer that does not answer any more: this instance stores the job itself.
+    m_target = "peer:1";
+    m_unsettledLocalCalls = 0;
+    EXPECT_EQ(send("POST", 504, false, std::nullopt), 200);
+    // What may be stored is not refused, also if the later try certainly stores nothing.
+    m_settledStatus = 401;
+    m_unsettledLocalCalls = 1;
+    EXPECT_EQ(send("POST", 504, true, 504), 504);
+    EXPECT_EQ(send("POST", 504, true, 403), 504);
+}
+
+// Guards against an append for each job while the log is so slow that it takes only a few.
+TEST_F(RequestForwarderTest, ACollectorGetsWhatCallersHandIn)
+{
+    m_collector = "peer:1";
+    EXPECT_EQ(send("POST", 500, true, 200), 200);
+    EXPECT_EQ(send("DELETE", 500, true, 200), 200);
+    EXPECT_EQ(m_localCalls, 0);
+    EXPECT_EQ(send("GET", 200, true, 500), 200);
+    EXPECT_TRUE(m_peers.forwardedRequests.empty());
+    EXPECT_EQ(send("POST", 200, true, 503), 503) << "the log takes no more";
+    m_peers.forwardFails = true;
+    EXPECT_EQ(send("POST", 200, true, std::nullopt), 200)
+        << "the collector does not exist any more";
+}
+
 TEST_F(RequestForwarderTest, AnswersLocallyWithoutAPeerThatReachesTheLog)
 {
     m_target.clear();
@@ -105,6 +149,22 @@
         << "the scheduler stores nothing";
 }
 
+// Guards against instances that learn of a slow log only from their own few appends, after they
+// have flooded it together.
+TEST_F(InstanceTest, TheSchedulersInstanceCollectsWhileTheLogIsSlow)
+{
+    Node &first = addNode("a");
+    ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+    Node &other = addNode("b");
+    ASSERT_TRUE(runUntil([&] { return other.instance->forwardTarget() == "a:1"; }));
+    EXPECT_EQ(other.instance->collector(), "");
+    first.log->appendTime = Duration(120);
+    EXPECT_TRUE(runUntil([&] { return other.instance->collector() == "a:1"; }));
+    EXPECT_EQ(first.instance->collector(), "");
+    first.log->appendTime = Duration(1);
+    EXPECT_TRUE(runUntil([&] { return other.instance->collector().empty(); }));
+}
+
 // Guards against callers that wait for retries of an append while a peer could store it.
 TEST_F(InstanceTest, AttemptsAnAppendOnceWhileAPeerCanStore)
 {
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -84,6 +84,7 @@
     // Whether the timers of this process have been running late for long enough that another
     // instance should schedule. Always false soon after the start of the tenure.
     bool isOverloaded() const;
+    Duration averageAppendTime() const { return m_averageAppendTime; }
     // Releases the tenure as release() does, and records that the holder was overloaded.
     void handOver(const work::Member &successor, Duration maxWait, std::function<void()> done);
     // Must be called after a record has changed the job table, with the results of
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -359,6 +359,8 @@
                  ForwardDone done) override
     {
         forwardedRequests.push_back(address + " " + request.path);
+        if (forwardFails)
+            return boost::asio::post(m_io, [done = std::move(done)] { done(noSuchPeer()); });
         auto timer = std::make_shared<boost::asio::steady_timer>(m_io, forwardResponse ? Duration(1)
                                                                                        : timeout);
         timer->async_wait([timer, answer = forwardResponse, done = std::move(done)](const auto &) {
@@ -392,6 +394,7 @@
 
     std::vector<std::string> forwardedRequests; // "ADDRESS PATH"
     std::optional<work::CallerResponse> forwardResponse; // empty: forwarded requests time out
+    bool forwardFails = false; // forwarded requests reach no peer
     // Handlers of records that other instances have stored, by peer address.
     std::map<std::string, std::function<void(const work::StoredRecords &)>> receivers;
     std::set<std::string> unresponsivePeers; // addresses at which published records get no answer
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -2560,6 +2560,10 @@
 void StoredRecords::__set_publishedAtMs(const int64_t val) {
   this->publishedAtMs = val;
 }
+
+void StoredRecords::__set_appendMs(const int64_t val) {
+  this->appendMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const StoredRecords& obj)
 {
   obj.printTo(out);
@@ -2660,6 +2664,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->appendMs);
+          this->__isset.appendMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2717,6 +2729,10 @@
   xfer += oprot->writeI64(this->publishedAtMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("appendMs", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->appendMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2730,6 +2746,7 @@
   swap(a.relayTo, b.relayTo);
   swap(a.epoch, b.epoch);
   swap(a.publishedAtMs, b.publishedAtMs);
+  swap(a.appendMs, b.appendMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -2740,6 +2757,7 @@
   relayTo = other115.relayTo;
   epoch = other115.epoch;
   publishedAtMs = other115.publishedAtMs;
+  appendMs = other115.appendMs;
   __isset = other115.__isset;
 }
 StoredRecords::StoredRecords(StoredRecords&& other116) noexcept {
@@ -2749,6 +2767,7 @@
   relayTo = std::move(other116.relayTo);
   epoch = other116.epoch;
   publishedAtMs = other116.publishedAtMs;
+  appendMs = other116.appendMs;
   __isset = other116.__isset;
 }
 StoredRecords& StoredRecords::operator=(const StoredRecords& other117) {
@@ -2758,6 +2777,7 @@
   relayTo = other117.relayTo;
   epoch = other117.epoch;
   publishedAtMs = other117.publishedAtMs;
+  appendMs = other117.appendMs;
   __isset = other117.__isset;
   return *this;
 }
@@ -2768,6 +2788,7 @@
   relayTo = std::move(other118.relayTo);
   epoch = other118.epoch;
   publishedAtMs = other118.publishedAtMs;
+  appendMs = other118.appendMs;
   __isset = other118.__isset;
   return *this;
 }
@@ -2780,6 +2801,7 @@
   out << ", " << "relayTo=" << to_string(relayTo);
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "publishedAtMs=" << to_string(publishedAtMs);
+  out << ", " << "appendMs=" << to_string(appendMs);
   out << ")";
 }
 
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -962,13 +962,14 @@
 std::ostream& operator<<(std::ostream& out, const StoredRecord& obj);
 
 typedef struct _StoredRecords__isset {
-  _StoredRecords__isset() : topic(false), records(false), topicEnd(false), relayTo(false), epoch(false), publishedAtMs(false) {}
+  _StoredRecords__isset() : topic(false), records(false), topicEnd(false), relayTo(false), epoch(false), publishedAtMs(false), appendMs(false) {}
   bool topic :1;
   bool records :1;
   bool topicEnd :1;
   bool relayTo :1;
   bool epoch :1;
   bool publishedAtMs :1;
+  bool appendMs :1;
 } _StoredRecords__isset;
 
 class StoredRecords : public virtual ::apache::thrift::TBase {
@@ -982,7 +983,8 @@
                 : topic(),
                   topicEnd(0),
                   epoch(0),
-                  publishedAtMs(0) {
+                  publishedAtMs(0),
+                  appendMs(0) {
   }
 
   virtual ~StoredRecords() noexcept;
@@ -992,6 +994,7 @@
   std::vector<std::string>  relayTo;
   int64_t epoch;
   int64_t publishedAtMs;
+  int64_t appendMs;
 
   _StoredRecords__isset __isset;
 
@@ -1007,6 +1010,8 @@
 
   void __set_publishedAtMs(const int64_t val);
 
+  void __set_appendMs(const int64_t val);
+
   bool operator == (const StoredRecords & rhs) const
   {
     if (!(topic == rhs.topic))
@@ -1021,6 +1026,8 @@
       return false;
     if (!(publishedAtMs == rhs.publishedAtMs))
       return false;
+    if (!(appendMs == rhs.appendMs))
+      return false;
     return true;
   }
   bool operator != (const StoredRecords &rhs) const {
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -87,7 +87,8 @@
 // Records of one topic of the log, as stored. `topicEnd` is the offset at which the topic ended
 // after them; 0 if unknown. The receiver sends them on to the peers in `relayTo` (IP:PORT). `epoch`
 // (of the scheduler's tenure) and `publishedAtMs` (on its monotonic clock) tell how old a relayed
-// message is; both are 0 if the sender is not the scheduler.
+// message is; both are 0 if the sender is not the scheduler. `appendMs` is how long the scheduler's
+// appends take on average; 0 if unknown.
 struct StoredRecord { 1: string key; 2: binary value; 3: bool removed; 4: i64 offset; }
 struct StoredRecords {
   1: string topic;
@@ -96,6 +97,7 @@
   4: list<string> relayTo;
   5: i64 epoch;
   6: i64 publishedAtMs;
+  7: i64 appendMs;
 }
 
 // A caller's request that an instance forwards to another one, and the response. Header names are
