Never place a long-running step as late or expired

Cause: the age of a job decided whether its steps still count as being in time. Its objective is met again with every second that it runs, so such a step now always counts as being in time.

--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -17,9 +17,6 @@
 constexpr Duration StopRetryInterval{600};
 // Each epoch owns this many run numbers per task, so a later tenure always uses higher ones.
 constexpr int64_t RunsPerTenure = 1'000;
-// A job older than this multiple of its objective has little value left and is placed after the
-// other jobs of its priority.
-constexpr int64_t ExpiredAfterObjectives = 3;
 // Penalties added to a worker's placement score; the worker with the lowest score wins. Idle-CPU
 // tasks and tasks with a latency target interfere with each other on the same worker.
 constexpr double InterferencePenalty = 2;
@@ -104,7 +101,7 @@
 std::vector<Step *> Dispatcher::Impl::stepsByUrgency(Instant now, int64_t unixMs,
                                                      bool includeDueSoon, Duration lead)
 {
-    using Key = std::tuple<int32_t, int32_t, int64_t, int64_t, uint64_t>;
+    using Key = std::tuple<int32_t, UrgencyClass, int64_t, int64_t, uint64_t>;
     std::vector<std::pair<Key, Step *>> keyed;
     for (const auto &[id, job] : m_jobs) {
         const WorkRoute *route = job->isTerminal() ? nullptr : routeOf(*job);
@@ -115,15 +112,13 @@
                 || (!isReady(*step, unixMs) && !(includeDueSoon && isDueSoon(*step, now, lead))))
                 continue;
             const int64_t slack = slackMs(*step, *route, unixMs);
-            const int64_t age = unixMs - job->spec->acceptedAtMs;
-            const bool expired = age > ExpiredAfterObjectives * objectiveMs(*job, *route);
-            const int32_t urgencyClass = expired ? 2 : slack < 0 ? 1 : 0;
+            const UrgencyClass urgency = urgencyClass(*step, *route, slack, unixMs);
             const auto team = m_catalog->teams.find(job->spec->team);
             const double weight = team == m_catalog->teams.end() ? 1 : team->second.weight;
             const int64_t share = dominantShareMillionths(*job->teamUse, m_total);
             const auto weightedShare = static_cast<int64_t>(static_cast<double>(share) / weight);
             keyed.push_back(
-                {{route->priority, urgencyClass, weightedShare, slack, job->sequence}, step.get()});
+                {{route->priority, urgency, weightedShare, slack, job->sequence}, step.get()});
         }
     }
     std::sort(keyed.begin(), keyed.end(),
--- a/src/dispatch/dispatcher_urgency.cc
+++ b/src/dispatch/dispatcher_urgency.cc
@@ -12,6 +12,9 @@
 
 namespace {
 
+// A job older than this multiple of its objective has little value left and is placed after the
+// other jobs of its priority.
+constexpr int64_t ExpiredAfterObjectives = 3;
 // A step yields to more urgent work while its slack is at least this share of its remaining chain
 // plus the constant.
 constexpr double MinSlackPerChain = 0.4;
@@ -51,7 +54,7 @@
 
 } // namespace
 
-int64_t Dispatcher::Impl::objectiveMs(const Job &job, const WorkRoute &route) const
+int64_t Dispatcher::Impl::objectiveMs(const Job &job, const WorkRoute &route)
 {
     return static_cast<int64_t>(route.slowdownFactor * static_cast<double>(job.chainMs))
            + route.latencyTarget.count();
@@ -67,6 +70,19 @@
     return due + objectiveMs(*step.job, route) - unixMs - step.remainingChainMs;
 }
 
+// Returns whether the step is expected to finish in time. A long-running step always counts as
+// such: its objective is met again with every second that its tasks run, however old the job is.
+UrgencyClass Dispatcher::Impl::urgencyClass(const Step &step, const WorkRoute &route,
+                                            int64_t slackMs, int64_t unixMs)
+{
+    if (step.spec->longRunning)
+        return UrgencyClass::InTime;
+    const int64_t age = unixMs - step.job->spec->acceptedAtMs;
+    if (age > ExpiredAfterObjectives * objectiveMs(*step.job, route))
+        return UrgencyClass::Expired;
+    return slackMs < 0 ? UrgencyClass::Late : UrgencyClass::InTime;
+}
+
 // Returns whether the step has enough slack to let more urgent work of its team go first.
 bool Dispatcher::Impl::yieldsToUrgentWork(const Step &step, const WorkRoute &route,
                                           int64_t unixMs) const
--- a/src/dispatch/dispatcher_urgency_test.cc
+++ b/src/dispatch/dispatcher_urgency_test.cc
@@ -49,6 +49,26 @@
     EXPECT_EQ(resumed[0].checkpoint, "saved");
 }
 
+// Guards against a service that stays down because its job is old: each second without its tasks is
+// lost for its users, while the objective of any other job is missed only once.
+TEST_F(DispatcherTest, AFailedTaskOfAnOldLongRunningJobGoesBeforeLateJobs)
+{
+    join(entry("w", 1'000));
+    work::StepSpec service = step(1);
+    service.longRunning = true;
+    add("service", {service});
+    auto runs = startAll();
+    ASSERT_EQ(runs.size(), 1U);
+    constexpr int64_t Age = 60'000;
+    m_now += Duration(Age);
+    add("other", {step(3)}); // accepted as long ago, so it is late too
+    report("w", {}, {ended(runs[0], RunOutcome::Failed)});
+    m_now += Duration(500); // the backoff of the failed task
+    const auto starts = m_dispatcher.decide(m_now, UnixNow + Age).starts;
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].task.step.job, "service");
+}
+
 // Guards against preemption that discards work or makes another job late.
 TEST_F(DispatcherTest, DoesNotPreemptRunsWithoutCheckpointOrSlack)
 {
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -136,7 +136,9 @@
     void releaseOrphanedUse(Worker &worker);
 
     // dispatcher_urgency.cc
-    int64_t objectiveMs(const Job &job, const WorkRoute &route) const;
+    static int64_t objectiveMs(const Job &job, const WorkRoute &route);
+    static dispatch::UrgencyClass urgencyClass(const Step &step, const WorkRoute &route,
+                                               int64_t slackMs, int64_t unixMs);
     int64_t slackMs(const Step &step, const WorkRoute &route, int64_t unixMs) const;
     bool yieldsToUrgentWork(const Step &step, const WorkRoute &route, int64_t unixMs) const;
     void updateDemand(Instant now, int64_t unixMs);
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -92,6 +92,9 @@
 };
 std::string_view waitReasonName(WaitReason reason);
 
+// In the order in which steps of one priority are placed.
+enum class UrgencyClass : uint8_t { InTime, Late, Expired };
+
 struct KnownApproval
 {
     std::string ticket;
