Tell at once that the log is slow, and do not take an outage for slowness

Change: the scheduler publishes an append that is in flight for 60 ms; a slow log is given its queue's time before an append is repeated; instances append themselves only if the collector does not exist any more. An append's duration is that of its last try; without an answer for 0.7 s the log is away, not slow. jobs_append logs failed and late appends.

--- a/src/control/fenced_writer.cc
+++ b/src/control/fenced_writer.cc
@@ -16,10 +16,10 @@
 
 } // namespace
 
-FencedWriter::FencedWriter(boost::asio::io_context &io, KeyedLog &log, std::string topic,
-                           AppendRequest::Writer writer,
+FencedWriter::FencedWriter(boost::asio::io_context &io, const Clock &clock, KeyedLog &log,
+                           std::string topic, AppendRequest::Writer writer,
                            std::function<void(const std::string &)> fenced)
-    : m_log(log), m_topic(std::move(topic)), m_writer(std::move(writer)),
+    : m_clock(clock), m_log(log), m_topic(std::move(topic)), m_writer(std::move(writer)),
       m_onFenced(std::move(fenced)), m_retryTimer(io)
 { }
 
@@ -36,12 +36,14 @@
     request.records = std::move(records);
     request.writer = m_writer;
     m_request = std::move(request);
+    m_retried = false;
     m_onStored = std::move(stored);
     send();
 }
 
 void FencedWriter::send()
 {
+    m_sentAt = m_clock.now();
     m_log.append(*m_request, AppendTimeout, [this, alive = m_alive](const AppendResult &answer) {
         if (*alive)
             onAnswer(answer);
@@ -58,6 +60,7 @@
         assignOffsets(records, answer);
         return std::exchange(m_onStored, nullptr)(records);
     }
+    m_retried = true;
     // Retries are safe: the log stores each sequence number once.
     logWarn("store_failed", "records=" + std::to_string(m_request->records.size()) + " reason=\""
                                 + answer.reason + "\"");
--- a/src/control/fenced_writer_test.cc
+++ b/src/control/fenced_writer_test.cc
@@ -27,8 +27,10 @@
     testing::LogModel m_model;
     testing::TestLog m_log{m_io, m_model};
     std::string m_fenced;
-    FencedWriter m_writer{
-        m_io, m_log, "t", {"w", 3, 1}, [this](const std::string &reason) { m_fenced = reason; }};
+    testing::TestClock m_clock;
+    FencedWriter m_writer{m_io,        m_clock,
+                          m_log,       "t",
+                          {"w", 3, 1}, [this](const std::string &reason) { m_fenced = reason; }};
     int m_stored = 0;
 };
 
--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -136,20 +136,25 @@
            && m_operators->availableSince() != Instant::max() && !m_submitter->isLogUnresponsive();
 }
 
+bool Instance::schedulerReachesLog() const
+{
+    return m_publishReceivedAt != Instant::min()
+           && m_context.scheduler.clock.now() - m_publishReceivedAt < PublishedMaxAge;
+}
+
 std::string Instance::forwardTarget() const
 {
     const work::Tenure &tenure = m_jobTable.tenure();
-    const bool reachesLog =
-        m_publishReceivedAt != Instant::min()
-        && m_context.scheduler.clock.now() - m_publishReceivedAt < PublishedMaxAge;
     const bool other = !m_scheduler && tenure.epoch > 0 && !tenure.released
                        && tenure.address != m_options.peerAddress;
-    return reachesLog && other ? tenure.address : "";
+    return schedulerReachesLog() && other ? tenure.address : "";
 }
 
 Duration Instance::appendTime() const
 {
-    return m_scheduler ? m_scheduler->averageAppendTime() : m_publishedAppendTime;
+    if (m_scheduler)
+        return m_scheduler->appendTime();
+    return schedulerReachesLog() ? m_publishedAppendTime : Duration::zero();
 }
 
 std::string Instance::collector() const
@@ -289,9 +294,7 @@
     if (!at)
         return;
     m_schedulerActiveAt = std::max(m_schedulerActiveAt, *at);
-    if (*at < m_publishReceivedAt)
-        return;
-    m_publishReceivedAt = *at;
+    m_publishReceivedAt = std::max(m_publishReceivedAt, *at);
     m_publishedAppendTime = Duration(records.appendMs);
 }
 
@@ -312,7 +315,7 @@
         if (name != m_options.name)
             peers.push_back({member.address, member.cpuMilli, member.availabilityZone});
     }
-    m_publisher.publish(peers, {epoch, m_scheduler->averageAppendTime(),
+    m_publisher.publish(peers, {epoch, m_scheduler->lastStoredAt(), m_scheduler->appendTime(),
                                 m_context.scheduler.workTopic, records, end});
 }
 
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -78,7 +78,7 @@
     // Address of the instance that schedules, if it is another one and has recently published what
     // it stored; empty otherwise.
     std::string forwardTarget() const;
-    // Average duration of the scheduler's appends, as far as this instance knows.
+    // How long the scheduler's appends take at present; 0 if that is not known.
     Duration appendTime() const;
     // Address of the instance that appends what the callers of this one hand in, because the log is
     // slow and takes one append at a time; empty if this instance appends it itself.
@@ -110,6 +110,8 @@
     void onProgressStored(int64_t epoch, const std::vector<KeyedRecord> &records, int64_t end);
     void onJobsStored(const std::vector<KeyedRecord> &records);
     void onSchedulerPublished(const work::StoredRecords &records);
+    // Whether the scheduler has published recently stored records.
+    bool schedulerReachesLog() const;
     work::Member ownMember() const;
     void updateClaimWait();
     // Time for which the scheduler has to be inactive before this instance claims the tenure.
--- a/src/control/job_submitter.cc
+++ b/src/control/job_submitter.cc
@@ -1,5 +1,6 @@
 #include "control/job_submitter.h"
 
+#include "logging/event_log.h"
 #include "work/codec.h"
 
 #include <boost/asio/io_context.hpp>
@@ -13,6 +14,9 @@
 
 constexpr Duration BatchDelay{4}; // batches requests into one append
 
+// An append that took this long is logged.
+constexpr Duration LateAppendTime{200};
+
 AppendEnd appendEnd(AppendOutcome outcome)
 {
     switch (outcome) {
@@ -136,7 +140,14 @@
         assignOffsets(stored, answer);
         m_stored(stored);
     }
-    m_queue.appendEnded(append.number, appendEnd(answer.outcome), answer.reason, m_clock.now());
+    const Instant now = m_clock.now();
+    const Duration took = now - append.sentAt;
+    if (answer.outcome != AppendOutcome::Stored || took >= LateAppendTime)
+        logWarn("jobs_append", "records=" + std::to_string(records.size())
+                                   + " outcome=" + std::string(appendOutcomeName(answer.outcome))
+                                   + " took_ms=" + std::to_string(took.count()) + " reason=\""
+                                   + answer.reason + "\"");
+    m_queue.appendEnded(append.number, appendEnd(answer.outcome), answer.reason, now);
     update();
 }
 
--- a/src/control/record_publisher.cc
+++ b/src/control/record_publisher.cc
@@ -81,7 +81,7 @@
     work::StoredRecords message = encode(publication.topic, publication.records, publication.end);
     message.epoch = publication.epoch;
     message.appendMs = publication.appendTime.count();
-    message.publishedAtMs = toMs(now);
+    message.publishedAtMs = toMs(publication.activeAt);
     for (PublicationRoute &route : m_tree.routes(peers, now)) {
         message.relayTo = std::move(route.relayTo);
         enqueue(route.address, message);
--- a/src/control/record_publisher.h
+++ b/src/control/record_publisher.h
@@ -21,6 +21,7 @@
 struct Publication
 {
     int64_t epoch = 0; // of the tenure
+    Instant activeAt; // when the scheduler last had something stored
     Duration appendTime{0}; // average duration of the scheduler's appends; 0 if unknown
     std::string topic;
     std::vector<KeyedRecord> records;
--- a/src/control/record_publisher_test.cc
+++ b/src/control/record_publisher_test.cc
@@ -130,9 +130,12 @@
     int publish()
     {
         ++m_offset;
-        m_publisher.publish(
-            m_members,
-            {Epoch, Duration::zero(), "work", {{"k", "v", false, m_offset}}, m_offset + 1});
+        m_publisher.publish(m_members, {Epoch,
+                                        m_clock.now(),
+                                        Duration::zero(),
+                                        "work",
+                                        {{"k", "v", false, m_offset}},
+                                        m_offset + 1});
         return m_peers.deliver();
     }
 
--- a/src/control/request_forwarder.cc
+++ b/src/control/request_forwarder.cc
@@ -118,18 +118,17 @@
 void RequestForwarder::onPeerResponse(const ExchangePtr &exchange,
                                       Result<work::CallerResponse> answer)
 {
-    const bool unknown = answer ? answer->status == StatusOutcomeUnknown
-                                : answer.error().code == ErrorCode::OutcomeUnknown;
+    const bool notReceived = !answer && answer.error().code == ErrorCode::Unavailable;
+    const bool unknown = answer ? answer->status == StatusOutcomeUnknown : !notReceived;
     exchange->inDoubt = exchange->inDoubt || (unknown && !isRead(exchange->request));
-    const bool answered = answer.ok();
-    if (answered) {
+    if (answer) {
         HttpResponse response = toHttpResponse(std::move(*answer));
         if (respondIfSettled(*exchange, response))
             return;
         exchange->refusal = std::move(response);
     }
-    // What the collector could not store in time would only make a slow log slower.
-    const bool done = exchange->triedHere || (exchange->toCollector && answered);
+    // An append of each instance would only make a slow log slower. The collector is asked again.
+    const bool done = exchange->triedHere || (exchange->toCollector && !notReceived);
     done ? endRound(exchange) : tryHere(exchange);
 }
 
--- a/src/control/request_forwarder_test.cc
+++ b/src/control/request_forwarder_test.cc
@@ -165,6 +165,25 @@
     EXPECT_TRUE(runUntil([&] { return other.instance->collector().empty(); }));
 }
 
+// Guards against requests that wait for a collector as long as for a slow log while the log is
+// away.
+TEST_F(InstanceTest, ALogThatIsAwayIsNotTakenForASlowOne)
+{
+    Node &first = addNode("a");
+    ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+    Node &other = addNode("b");
+    ASSERT_TRUE(runUntil([&] { return other.instance->forwardTarget() == "a:1"; }));
+    first.log->refuses = other.log->refuses = true;
+    EXPECT_FALSE(runUntil([&] { return !other.instance->collector().empty(); }, Duration(400)));
+    first.log->refuses = other.log->refuses = false;
+    ASSERT_TRUE(runUntil([&] { return other.instance->forwardTarget() == "a:1"; }));
+    first.log->unresponsive = other.log->unresponsive = true;
+    runFor(Duration(1'100));
+    EXPECT_EQ(other.instance->collector(), "");
+    EXPECT_LT(first.instance->appendTime(), SlowAppendTime);
+    EXPECT_LT(other.instance->appendTime(), SlowAppendTime);
+}
+
 // Guards against callers that wait for retries of an append while a peer could store it.
 TEST_F(InstanceTest, AttemptsAnAppendOnceWhileAPeerCanStore)
 {
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -25,6 +25,9 @@
 // are then sent before their record is stored, until the average has dropped to FastAppendTime.
 constexpr Duration SlowAppendTime{120};
 constexpr Duration FastAppendTime{50};
+// An append in flight for this long is reported to the peers before it is answered.
+constexpr Duration LateAppendTime{60};
+constexpr Duration MaxSlowAppendTime{700}; // a later answer is taken to be lost
 constexpr int AppendTimeAverageDivisor = 4; // the latest append has a weight of 1/4
 constexpr Duration TickInterval{100};
 constexpr Duration HeartbeatInterval{150}; // longest time without an append
@@ -83,7 +86,7 @@
                 gatewayOptions(m_options.tenure)),
       m_passTimer(m_context.io), m_passDelay(MinPassDelay), m_eventTimer(m_context.io),
       m_flushTimer(m_context.io), m_tickTimer(m_context.io),
-      m_writer(m_context.io, m_context.log, m_context.workTopic,
+      m_writer(m_context.io, m_context.clock, m_context.log, m_context.workTopic,
                {SchedulerWriter, m_options.tenure.epoch, nextSequence},
                [this](const std::string &reason) {
                    reportTenureLost("the log rejected this epoch: " + reason);
@@ -431,7 +434,7 @@
         m_batchUrgent.insert(work_key::Tenure);
         m_releaseInBatch = tenure.released;
     }
-    m_batchSentAt = now;
+    m_slowAppendReported = false;
     m_writer.append(std::move(records),
                     [this](const std::vector<KeyedRecord> &stored) { onStored(stored); });
 }
@@ -468,7 +471,7 @@
 {
     m_lastStoredAt = m_context.clock.now();
     publish(records);
-    updateStartRecording(m_lastStoredAt - m_batchSentAt);
+    updateStartRecording(m_lastStoredAt - m_writer.sentAt());
     if (!m_onReleased) {
         for (const StartOrder &start : std::exchange(m_startsInBatch, {}))
             m_links->start(start);
@@ -497,6 +500,7 @@
     if (((now - m_startedAt) / TickInterval) % TicksBetweenTenureRecords == 0)
         m_tenureDirty = true;
     logLoad(now);
+    reportSlowAppend(now);
     updateWorkerGateway();
     m_links->tick();
     m_jobGarbageCollector.collect(now, m_context.unixClock() - m_options.terminalRetention.count());
@@ -512,6 +516,24 @@
     armTickTimer();
 }
 
+Duration Scheduler::appendTime() const
+{
+    if (!m_writer.awaitsFirstAnswer())
+        return m_averageAppendTime;
+    const Duration inFlight = m_context.clock.now() - m_writer.sentAt();
+    return inFlight > MaxSlowAppendTime ? m_averageAppendTime
+                                        : std::max(m_averageAppendTime, inFlight);
+}
+
+// Without waiting for the answer: until it comes, all instances go on loading the log.
+void Scheduler::reportSlowAppend(Instant now)
+{
+    const bool slow = m_writer.awaitsFirstAnswer() && now - m_writer.sentAt() >= LateAppendTime;
+    if (!slow || std::exchange(m_slowAppendReported, true))
+        return;
+    m_recordsStored({}, 0);
+}
+
 void Scheduler::updateWorkerGateway()
 {
     // Until the registry is loaded, the workers in use tell about how many there are.
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -65,8 +65,9 @@
 class Scheduler
 {
 public:
-    // Receives stored records that peers need at once (an empty list is a heartbeat), and
-    // the end offset of the work topic after them, 0 if the log did not return it.
+    // Receives stored records that peers need at once, and the end offset of the work topic after
+    // them, 0 if the log did not return it. An empty list is a heartbeat, or tells peers at once
+    // that appends have become slow; lastStoredAt() tells which.
     using RecordsStoredCallback =
         std::function<void(const std::vector<KeyedRecord> &, int64_t end)>;
     // `nextSequence` is the sequence number of the first append under this epoch. `onTenureLost` is
@@ -84,7 +85,10 @@
     // Whether the timers of this process have been running late for long enough that another
     // instance should schedule. Always false soon after the start of the tenure.
     bool isOverloaded() const;
-    Duration averageAppendTime() const { return m_averageAppendTime; }
+    // How long appends take at present: the average, or the time that one has been in flight if
+    // that is longer.
+    Duration appendTime() const;
+    Instant lastStoredAt() const { return m_lastStoredAt; }
     // Releases the tenure as release() does, and records that the holder was overloaded.
     void handOver(const work::Member &successor, Duration maxWait, std::function<void()> done);
     // Must be called after a record has changed the job table, with the results of
@@ -111,6 +115,7 @@
     void flush();
     void onStored(const std::vector<KeyedRecord> &records);
     void publish(const std::vector<KeyedRecord> &records);
+    void reportSlowAppend(Instant now);
     void updateWorkerGateway();
     void addWorkerRecords(std::vector<KeyedRecord> &records);
     void tick();
@@ -162,7 +167,7 @@
     bool m_recordBeforeStart = true; // false while the log is too slow to wait for
     bool m_tenureDirty = false; // the next append has to include the tenure record
     Duration m_averageAppendTime{0}; // as an exponential moving average
-    Instant m_batchSentAt;
+    bool m_slowAppendReported = false; // of the append in flight
 
     FencedWriter m_writer;
     JobGarbageCollector m_jobGarbageCollector;
--- a/src/intake/append_queue.cc
+++ b/src/intake/append_queue.cc
@@ -10,10 +10,12 @@
 
 // The first append of a record has a short timeout, because an answer is lost more often than it is
 // late. A slow log takes one append at a time, so an answer may come late because others are before
-// it; a repetition would only make the queue longer.
+// it, for up to SlowLogQueueTime; a repetition would only make the queue longer.
 constexpr Duration FirstTimeout{350};
 constexpr Duration LaterTimeout{700};
-constexpr Duration SlowLogTimeout{2'200};
+constexpr Duration SlowLogQueueTime{2'000};
+constexpr int SlowLogTimeoutFactor = 3; // multiplies the average duration of an append
+constexpr Duration MaxTimeout{4'000};
 constexpr int AverageDivisor = 4; // the latest append has a weight of 1/4
 
 // While this many appends are in flight, further records wait for the next one, so that a slow log
@@ -31,8 +33,10 @@
 constexpr Duration MaxRetryDelayIfRejected{100}; // fits into RejectionPatience several times
 constexpr int MaxRetryDoublings = 3;
 // A record that the log rejects is refused after this time. Shorter interruptions go unnoticed by
-// callers; in longer ones they are better off with another instance.
+// callers; in longer ones they are better off with another instance. A slow log rejects appends
+// until it has caught up.
 constexpr Duration RejectionPatience{300};
+constexpr Duration SlowLogPatience{1'000};
 
 Duration retryDelay(int failures, bool inDoubt)
 {
@@ -120,7 +124,7 @@
                                                       : std::nullopt;
     const bool refused = pastDeadline || isLogUnresponsive()
                          || (isHeldBack(record, condition)
-                             && (condition.peerCanStore || now >= patienceEnd(record)));
+                             && (condition.peerCanStore || now >= patienceEnd(record, condition)));
     return refused ? std::optional(SubmitOutcome::Refused) : std::nullopt;
 }
 
@@ -130,9 +134,10 @@
     return record.failures > 0 || !condition.answersReads;
 }
 
-Instant AppendQueue::patienceEnd(const Record &record)
+Instant AppendQueue::patienceEnd(const Record &record, const LogCondition &condition) const
 {
-    return (record.failures > 0 ? record.firstFailureAt : record.addedAt) + RejectionPatience;
+    const Instant since = record.failures > 0 ? record.firstFailureAt : record.addedAt;
+    return since + (isSlow(condition) ? SlowLogPatience : RejectionPatience);
 }
 
 bool AppendQueue::maySend(const Record &record, const LogCondition &condition, Instant now) const
@@ -156,10 +161,18 @@
     return out;
 }
 
+bool AppendQueue::isSlow(const LogCondition &condition) const
+{
+    return std::max(m_averageAppendTime, condition.appendTime) >= SlowAppendTime;
+}
+
 Duration AppendQueue::timeoutFor(const Record &first, const LogCondition &condition) const
 {
-    if (std::max(m_averageAppendTime, condition.appendTime) >= SlowAppendTime)
-        return SlowLogTimeout;
+    if (isSlow(condition))
+        return std::min(MaxTimeout,
+                        SlowLogQueueTime
+                            + SlowLogTimeoutFactor
+                                  * std::max(m_averageAppendTime, condition.appendTime));
     return first.failures == 0 ? FirstTimeout : LaterTimeout;
 }
 
@@ -168,6 +181,7 @@
 {
     Append out;
     out.number = m_nextAppend++;
+    out.sentAt = now;
     out.timeout = timeoutFor(m_records.at(records.front()), condition);
     for (const RecordNumber number : records)
         ++m_records.at(number).inFlight;
@@ -209,7 +223,7 @@
         if (record.inFlight == 0 && record.notBefore > now)
             at(record.notBefore);
         if (!record.inDoubt && record.inFlight == 0 && isHeldBack(record, condition))
-            at(patienceEnd(record));
+            at(patienceEnd(record, condition));
     }
     return out;
 }
--- a/src/intake/append_queue.h
+++ b/src/intake/append_queue.h
@@ -64,6 +64,7 @@
         AppendNumber number = 0;
         std::vector<RecordNumber> records;
         Duration timeout{0};
+        Instant sentAt;
     };
     struct Settled
     {
@@ -120,7 +121,8 @@
                                            Instant now) const;
     static bool isHeldBack(const Record &record, const LogCondition &condition);
     // Returns when a record that is held back is refused.
-    static Instant patienceEnd(const Record &record);
+    Instant patienceEnd(const Record &record, const LogCondition &condition) const;
+    bool isSlow(const LogCondition &condition) const;
     std::vector<RecordNumber> nextBatch(const LogCondition &condition, Instant now) const;
     bool maySend(const Record &record, const LogCondition &condition, Instant now) const;
     Duration timeoutFor(const Record &first, const LogCondition &condition) const;
