--- a/src/intake/append_queue.cc
+++ b/src/intake/append_queue.cc
@@ -81,7 +81,7 @@
         Record &record = found->second;
         --record.inFlight;
         if (end == AppendEnd::Stored) {
-            record.found = true;
+            record.stored = true;
             continue;
         }
         record.inDoubt = record.inDoubt || end == AppendEnd::Unanswered;
@@ -96,7 +96,7 @@
 void AppendQueue::found(RecordNumber record)
 {
     if (const auto it = m_records.find(record); it != m_records.end())
-        it->second.found = true;
+        it->second.stored = true;
 }
 
 bool AppendQueue::hasRecordsInDoubt() const
@@ -113,7 +113,7 @@
 std::optional<SubmitOutcome>
 AppendQueue::outcomeOf(const Record &record, const LogCondition &condition, Instant now) const
 {
-    if (record.found)
+    if (record.stored)
         return SubmitOutcome::Accepted;
     const bool pastDeadline = now >= record.deadline;
     // An append in flight may be carried out, whatever the earlier ones came to.
--- a/src/intake/append_queue.h
+++ b/src/intake/append_queue.h
@@ -103,7 +103,7 @@
         Instant deadline;
         Instant addedAt;
         bool inDoubt = false; // an append of it may have been carried out
-        bool found = false;
+        bool stored = false;
         int inFlight = 0; // number of appends that hold it
         int failures = 0; // appends that did not get it stored
         Instant notBefore = Instant::min(); // of the next append
