Log why tasks that could have started long ago still wait

The logs could not tell the hypotheses apart: a task that waits for an unresponsive worker, a backoff or the end of an approval call left no line.

task_overdue names, about once a second for at most four steps, long-running ones first, the task that has waited longest, the worker that may still run it, and how many workers are excluded for which reason. approval_withdrawn names a worker that was approved before and that a later answer leaves out. No decision is changed. OverdueTest.* (new) shows each reason.

--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -554,6 +554,7 @@
                                   + " append_ms=" + std::to_string(m_averageAppendTime.count())
                                   + " workers=" + std::to_string(m_links->size()) + " links="
                                   + std::to_string(m_workers.linkCount()) + " " + m_load.take());
+    m_dispatcher.reportOverdueTasks(now, m_context.unixClock());
 }
 
 void Scheduler::armTickTimer()
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -177,6 +177,11 @@
     return m_impl->nextEvent(now, unixMs);
 }
 
+void Dispatcher::reportOverdueTasks(Instant now, int64_t unixMs)
+{
+    m_impl->reportOverdueTasks(now, unixMs);
+}
+
 std::vector<work::Progress> Dispatcher::takeProgress()
 {
     return m_impl->takeProgress();
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -145,6 +145,10 @@
     // else is called before, or nullopt if there is no such time.
     std::optional<Instant> nextEvent(Instant now, int64_t unixMs) const;
 
+    // Emits a "task_overdue" event, with the reasons, for steps that have tasks which could have
+    // started long ago and still wait; a few steps in each call. Call it about once a second.
+    void reportOverdueTasks(Instant now, int64_t unixMs);
+
     // Returns the progress of the jobs that changed since the last call. That of a terminal job
     // names the workers of its runs that are still being stopped. Forgets the jobs that are
     // terminal and have no active run.
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -133,8 +133,12 @@
         step->approvals[approval.worker] = {approval.ticket, at + pending.validity};
     }
     for (const WorkerId &worker : pending.workers) {
-        if (!approved.contains(worker))
-            step->deniedWorkers.insert(worker);
+        if (approved.contains(worker))
+            continue;
+        step->deniedWorkers.insert(worker);
+        if (step->approvals.contains(worker))
+            emitEvent("approval_withdrawn", pending.step.job,
+                      "step=" + pending.step.toString() + " worker=" + worker);
     }
     emitEvent("approval", pending.step.job,
               "step=" + pending.step.toString() + " asked=" + std::to_string(pending.workers.size())
--- a/src/dispatch/dispatcher_testing.h
+++ b/src/dispatch/dispatcher_testing.h
@@ -109,6 +109,16 @@
     {
         return {order.task, order.run, "", percent, 0};
     }
+    // Returns the details of the emitted events of this name.
+    std::vector<std::string> eventDetails(std::string_view name) const
+    {
+        std::vector<std::string> out;
+        for (const DispatchEvent &event : m_events) {
+            if (event.name == name)
+                out.push_back(event.detail);
+        }
+        return out;
+    }
     // Returns the state that takeProgress() last showed for the job.
     work::JobState::type state(const std::string &id)
     {
@@ -121,7 +131,9 @@
     std::string m_jobRoute = "r"; // "batch" is less urgent
     Resources m_limit;
     Instant m_now = instantFromMs(100'000);
-    Dispatcher m_dispatcher{{1, 2.0}, nullptr};
+    std::vector<DispatchEvent> m_events;
+    Dispatcher m_dispatcher{{1, 2.0},
+                            [this](const DispatchEvent &event) { m_events.push_back(event); }};
     std::map<WorkerId, int64_t> m_positions;
     std::map<std::string, work::JobState::type> m_states;
 };
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -43,6 +43,9 @@
                           Instant at, Instant now);
     dispatch::Step *findStep(const StepRef &ref);
 
+    // dispatcher_overdue.cc
+    void reportOverdueTasks(Instant now, int64_t unixMs);
+
 private:
     friend class Dispatcher;
     using Step = dispatch::Step;
@@ -135,6 +138,10 @@
     void countOrphanedRun(Worker &worker, const TaskRef &ref);
     void releaseOrphanedUse(Worker &worker);
 
+    // dispatcher_overdue.cc
+    std::string describeWait(const Step &step, const Task &task, const WorkRoute &route,
+                             Instant now) const;
+
     // dispatcher_urgency.cc
     static int64_t objectiveMs(const Job &job, const WorkRoute &route);
     static dispatch::UrgencyClass urgencyClass(const Step &step, const WorkRoute &route,
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -65,6 +65,8 @@
     std::set<int64_t> failedRuns; // run numbers; a gang records them in task 0
     int64_t lastRun = 0; // highest run number ordered or reported
     Instant notBefore; // end of the backoff after a failure
+    // Since when it could have started and waits, as reportOverdueTasks() has seen it.
+    std::optional<Instant> waitingSince;
     std::string checkpoint;
     WorkerId lastFailedOn; // worker of the last failed run; avoided if another fits
     WorkerId previousWorker; // worker that an earlier scheduler placed it on; may be empty
