Log what a reader of the log finds when it loads again

log_expired names the topic and the offset that the reader had read to. log_loaded names the number of keys that the load found, the end of the topic at its first page, and the offset from which the reader goes on. If that offset is above the end, records between the two were never read.

--- a/src/control/log_follower.cc
+++ b/src/control/log_follower.cc
@@ -1,5 +1,7 @@
 #include "control/log_follower.h"
 
+#include "logging/event_log.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -93,7 +95,11 @@
     apply(page->records);
     if (page->more && !page->records.empty())
         return loadPage(page->records.back().key);
-    m_loaded = true;
+    logInfo("log_loaded", "topic=" + m_options.topic
+                              + " again=" + (std::exchange(m_loaded, true) ? "true" : "false")
+                              + " keys=" + std::to_string(m_loadedKeys.size())
+                              + " load_end=" + std::to_string(m_loadEnd)
+                              + " read_on_from=" + std::to_string(m_nextOffset));
     onSuccess(requestedAt);
     if (m_callbacks.loaded)
         m_callbacks.loaded(m_loadedKeys);
@@ -114,8 +120,12 @@
 
 void LogFollower::onRead(Result<LogSlice> slice, Instant requestedAt)
 {
-    if (!slice && slice.error().code == ErrorCode::NotFound)
+    if (!slice && slice.error().code == ErrorCode::NotFound) {
+        logWarn("log_expired", "topic=" + m_options.topic
+                                   + " read_to=" + std::to_string(m_nextOffset) + " reason=\""
+                                   + slice.error().reason + "\"");
         return loadPage("");
+    }
     if (!slice) {
         onFailure(slice.error());
         return runAfter(RetryDelay, [this] { read(); });
