Read on from the end at the first page after every load, not only the first

What callers saw: a job that was accepted is unknown (410) to one instance for as long as that process lives, and no scheduler of that instance starts it.

During a load after the first (the history has expired), a record can be stored under a key of a page that was read already. The records of later pages then carry higher offsets, and each of them moved the read position behind its own offset, so the record in between was never read. Only the first load was protected, since `m_loaded` is still false then.

Evidence, before the fix, with "a" stored after the page of "b" and before the one of "d":

LogFollowerTest.ARecordStoredBetweenThePagesOfALaterLoadIsRead model.state() Which is: { ("b", "1"), ("d", "3") } model.log.state() Which is: { ("a", "new"), ("b", "1"), ("d", "3") }

Fix: records of pages never move the read position. It is the end at the first page, so every record that the pages may have missed is read, and those that they showed are skipped by their offset.

The test has its own log, which answers each call when the test says so. The delay before a call is repeated becomes an option, so that tests don't wait for it.

--- a/src/control/log_follower.cc
+++ b/src/control/log_follower.cc
@@ -11,7 +11,6 @@
 
 // Timeout of a call to the log, in addition to the time that the log may hold it.
 constexpr Duration AnswerTimeout{1'500};
-constexpr Duration RetryDelay{150};
 
 } // namespace
 
@@ -82,7 +81,7 @@
         page = NewestPage{};
     if (!page) {
         onFailure(page.error());
-        return runAfter(RetryDelay, [this] { loadPage(""); });
+        return runAfter(m_options.retryDelay, [this] { loadPage(""); });
     }
     // Pages are not a snapshot: reading continues from the topic's end at the time of the first
     // page.
@@ -90,9 +89,12 @@
         m_loadEnd = page->end;
         m_nextOffset = page->end;
     }
-    for (const KeyedRecord &record : page->records)
+    // Records of a page do not move the read position: one with a lower offset may have been stored
+    // since, under a key of an earlier page.
+    for (const KeyedRecord &record : page->records) {
         m_loadedKeys.insert(record.key);
-    apply(page->records);
+        applyIfNewer(record);
+    }
     if (page->more && !page->records.empty())
         return loadPage(page->records.back().key);
     logInfo("log_loaded", "topic=" + m_options.topic
@@ -128,7 +130,7 @@
     }
     if (!slice) {
         onFailure(slice.error());
-        return runAfter(RetryDelay, [this] { read(); });
+        return runAfter(m_options.retryDelay, [this] { read(); });
     }
     const bool hasRecords = !slice->records.empty();
     // An empty answer proves that nothing was appended until the wait ended.
@@ -179,8 +181,7 @@
 {
     for (const KeyedRecord &record : records) {
         applyIfNewer(record);
-        if (m_loaded)
-            m_nextOffset = std::max(m_nextOffset, record.offset + 1);
+        m_nextOffset = std::max(m_nextOffset, record.offset + 1);
     }
 }
 
--- a/src/control/log_follower.h
+++ b/src/control/log_follower.h
@@ -20,6 +20,7 @@
     std::string topic;
     Duration pollInterval{0}; // delay between an answer with records and the next read
     Duration readWait{2'000}; // how long the log holds a read at the end of the topic
+    Duration retryDelay{150}; // after a call that failed
 };
 
 // Not thread-safe: use it only on the event loop's thread.
@@ -71,6 +72,7 @@
     void onRead(Result<LogSlice> slice, Instant requestedAt);
     // Reads without waiting, concurrently with the read that the log may be holding.
     void readForRefresh();
+    // Applies consecutive records from the read position or below it, and moves it behind them.
     void apply(const std::vector<KeyedRecord> &records);
     void applyIfNewer(const KeyedRecord &record);
     void runAfter(Duration delay, std::function<void()> action);
--- /dev/null
+++ b/src/control/log_follower_test.cc
@@ -0,0 +1,248 @@
+#include "control/log_follower.h"
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cardamompaddle {
+namespace {
+
+constexpr const char *Topic = "topic";
+
+class ManualClock : public Clock
+{
+public:
+    Instant now() const override { return m_now; }
+    void advance(Duration time) { m_now += time; }
+
+private:
+    Instant m_now = Instant(Duration(1'000));
+};
+
+// A log with one topic whose calls the test carries out (it fixes the answer) and answers one by
+// one, in any order.
+class ScriptedLog : public KeyedLog
+{
+public:
+    struct Call
+    {
+        std::function<std::function<void()>()> carryOut; // returns what delivers the answer
+        std::function<void()> answer; // set once the call is carried out
+        std::function<void()> fail;
+        bool newest = false; // readNewest()
+    };
+
+    void append(AppendRequest, Duration, AppendDone) override { }
+    void read(const std::string &, int64_t from, Duration, Duration, ReadDone done) override
+    {
+        Call call;
+        call.carryOut = [this, from, done] { return [done, it = slice(from)] { done(it); }; };
+        call.fail = [done] { done(Error{ErrorCode::Unavailable, "no log"}); };
+        calls.push_back(std::move(call));
+    }
+    void readNewest(const std::string &, const std::string &after, Duration,
+                    NewestDone done) override
+    {
+        Call call;
+        call.newest = true;
+        call.carryOut = [this, after, done] { return [done, it = page(after)] { done(it); }; };
+        call.fail = [done] { done(Error{ErrorCode::Unavailable, "no log"}); };
+        calls.push_back(std::move(call));
+    }
+
+    void put(const std::string &key, const std::string &value)
+    {
+        records.push_back({key, value, value.empty(), end()});
+    }
+    int64_t end() const { return static_cast<int64_t>(records.size()); }
+    // Returns the newest record of the key before offset `before`; null if there is none.
+    const KeyedRecord *newest(const std::string &key, int64_t before) const
+    {
+        const auto last = records.rend() - before;
+        const auto it = std::find_if(last, records.rend(),
+                                     [&key](const KeyedRecord &r) { return r.key == key; });
+        return it == records.rend() ? nullptr : &*it;
+    }
+    // Returns the value of each key that has one.
+    std::map<std::string, std::string> state() const
+    {
+        std::map<std::string, std::string> out;
+        for (const KeyedRecord &record : records) {
+            if (record.removed)
+                out.erase(record.key);
+            else
+                out[record.key] = record.value;
+        }
+        return out;
+    }
+    void carryOut(size_t index)
+    {
+        Call &call = calls.at(index);
+        if (!call.answer)
+            call.answer = call.carryOut();
+    }
+    void answer(size_t index)
+    {
+        carryOut(index);
+        const auto deliver = take(index).answer;
+        deliver();
+    }
+    void fail(size_t index) { take(index).fail(); }
+
+    std::vector<KeyedRecord> records;
+    int64_t firstRetained = 0;
+    size_t pageSize = 2;
+    size_t sliceSize = 3;
+    std::vector<Call> calls; // not answered yet
+
+private:
+    Call take(size_t index)
+    {
+        Call call = std::move(calls.at(index));
+        calls.erase(calls.begin() + static_cast<std::ptrdiff_t>(index));
+        return call;
+    }
+    Result<LogSlice> slice(int64_t from) const
+    {
+        if (from < firstRetained)
+            return Error{ErrorCode::NotFound, "expired"};
+        LogSlice out;
+        out.end = end();
+        for (int64_t n = from; n < out.end && out.records.size() < sliceSize; ++n)
+            out.records.push_back(records[static_cast<size_t>(n)]);
+        return out;
+    }
+    Result<NewestPage> page(const std::string &after) const
+    {
+        NewestPage out;
+        out.end = end();
+        for (const auto &[key, value] : state()) {
+            if (key <= after)
+                continue;
+            out.more = out.records.size() == pageSize;
+            if (out.more)
+                break;
+            out.records.push_back(*newest(key, end()));
+        }
+        return out;
+    }
+};
+
+// A follower of a scripted log, and the state that it has delivered.
+class FollowerModel
+{
+    boost::asio::io_context m_io; // declared first: outlives the follower's timer
+
+public:
+    FollowerModel()
+    {
+        LogFollowerOptions options;
+        options.topic = Topic;
+        options.readWait = Duration::zero();
+        options.retryDelay = Duration::zero();
+        LogFollower::Callbacks callbacks;
+        callbacks.record = [this](const KeyedRecord &record) { onRecord(record); };
+        follower = std::make_unique<LogFollower>(m_io, clock, log, options, std::move(callbacks));
+        follower->start();
+    }
+
+    // Answers all calls until the follower has read everything and only waits for new records.
+    void settle()
+    {
+        for (int n = 0; n < 1'000; ++n) {
+            runTimers();
+            const bool idle = log.calls.size() == 1 && !log.calls[0].newest && !log.calls[0].answer
+                              && follower->nextOffset() == log.end();
+            if (idle)
+                return;
+            if (!log.calls.empty())
+                log.answer(0);
+        }
+        ADD_FAILURE() << "the follower goes on reading";
+    }
+    void runTimers()
+    {
+        m_io.restart();
+        m_io.poll();
+    }
+    // Whether the delivered state of each key is the one before offset `end`, or a newer one.
+    bool knows(int64_t end) const
+    {
+        for (const char *key : Keys) {
+            const KeyedRecord *newest = log.newest(key, end);
+            if (newest == nullptr)
+                continue;
+            const auto it = m_delivered.find(key);
+            const KeyedRecord *last = log.newest(key, log.end());
+            // A key that was removed later may be gone already.
+            const bool mayBeGone = newest->removed || removedSince(key, end);
+            const bool known = it != m_delivered.end() && !it->second.removed
+                                   ? it->second.offset >= newest->offset
+                                   : mayBeGone;
+            if (!known || last == nullptr)
+                return false;
+        }
+        return true;
+    }
+    std::map<std::string, std::string> state() const
+    {
+        std::map<std::string, std::string> out;
+        for (const auto &[key, record] : m_delivered) {
+            if (!record.removed)
+                out[key] = record.value;
+        }
+        return out;
+    }
+
+    static constexpr std::array<const char *, 5> Keys{"a", "b", "c", "d", "e"};
+    ManualClock clock;
+    ScriptedLog log;
+    std::unique_ptr<LogFollower> follower;
+    bool wentBack = false; // an older record of a key was delivered after a newer one
+
+private:
+    void onRecord(const KeyedRecord &record)
+    {
+        const auto [it, added] = m_delivered.try_emplace(record.key, record);
+        wentBack = wentBack || (!added && record.offset < it->second.offset);
+        it->second = record;
+    }
+    bool removedSince(const std::string &key, int64_t end) const
+    {
+        return std::any_of(log.records.begin() + end, log.records.end(),
+                           [&](const auto &it) { return it.key == key && it.removed; });
+    }
+
+    std::map<std::string, KeyedRecord> m_delivered; // last delivered record of each key
+};
+
+// Guards against an accepted job that is unknown for ever: a record that was stored while a reader
+// loaded again, under a key of a page that had been read, below the offset of one of a later page.
+TEST(LogFollowerTest, ARecordStoredBetweenThePagesOfALaterLoadIsRead)
+{
+    FollowerModel model;
+    model.log.pageSize = 1;
+    model.log.put("b", "1");
+    model.log.put("d", "1");
+    model.settle();
+    model.log.put("d", "2");
+    model.log.firstRetained = model.log.end();
+    model.log.answer(0); // the records have expired
+    model.log.answer(0); // first page: b
+    model.log.put("a", "new");
+    model.log.put("d", "3");
+    model.settle();
+    EXPECT_EQ(model.state(), model.log.state());
+}
+
+} // namespace
+} // namespace cardamompaddle
