Don't report a reader as current while it loads again

What callers saw: while an instance loads the jobs topic again, it answers 410 for an accepted job that it has not read yet. In the work topic the same lets an instance claim the tenure, or take it up, with a table that lacks records.

Cause: a load moved the read position to the end of the topic when its first page arrived. A refresh during the remaining pages read from there, found nothing, and reported that everything stored until then was known.

Evidence, before the fix, for a refresh after the first of three pages:

LogFollowerTest.ARefreshDuringALaterLoadSucceedsOnlyOnceTheLoadIsComplete Value of: known Actual: false Expected: true reported as current with records that are not known

Fix: the read position moves when the load is complete, so that everything before it is always known. A refresh that is requested during a later load begins once that is complete, and fails if the load does.

--- a/src/control/log_follower.cc
+++ b/src/control/log_follower.cc
@@ -63,6 +63,7 @@
 void LogFollower::loadPage(const std::string &after)
 {
     if (after.empty()) {
+        m_loading = true;
         m_loadedKeys.clear();
         m_loadEnd = -1;
     }
@@ -79,16 +80,12 @@
     // The log reports a topic without any appends as not found.
     if (!page && page.error().code == ErrorCode::NotFound)
         page = NewestPage{};
-    if (!page) {
-        onFailure(page.error());
-        return runAfter(m_options.retryDelay, [this] { loadPage(""); });
-    }
+    if (!page)
+        return onLoadFailure(page.error());
     // Pages are not a snapshot: reading continues from the topic's end at the time of the first
     // page.
-    if (m_loadEnd < 0) {
+    if (m_loadEnd < 0)
         m_loadEnd = page->end;
-        m_nextOffset = page->end;
-    }
     // Records of a page do not move the read position: one with a lower offset may have been stored
     // since, under a key of an earlier page.
     for (const KeyedRecord &record : page->records) {
@@ -97,6 +94,8 @@
     }
     if (page->more && !page->records.empty())
         return loadPage(page->records.back().key);
+    m_nextOffset = std::max(m_nextOffset, m_loadEnd);
+    m_loading = false;
     logInfo("log_loaded", "topic=" + m_options.topic
                               + " again=" + (std::exchange(m_loaded, true) ? "true" : "false")
                               + " keys=" + std::to_string(m_loadedKeys.size())
@@ -107,6 +106,15 @@
         m_callbacks.loaded(m_loadedKeys);
     std::erase_if(m_offsets, [this](const auto &it) { return !m_loadedKeys.contains(it.first); });
     read();
+    startNextRefresh();
+}
+
+void LogFollower::onLoadFailure(const Error &error)
+{
+    onFailure(error);
+    for (const auto &callback : std::exchange(m_nextRefreshCallbacks, {}))
+        callback(false);
+    runAfter(m_options.retryDelay, [this] { loadPage(""); });
 }
 
 void LogFollower::read()
@@ -145,11 +153,15 @@
 {
     if (!m_loaded)
         return done(false);
-    if (m_refreshing) {
-        m_nextRefreshCallbacks.push_back(std::move(done));
+    m_nextRefreshCallbacks.push_back(std::move(done));
+    startNextRefresh();
+}
+
+void LogFollower::startNextRefresh()
+{
+    if (m_refreshing || m_loading || m_nextRefreshCallbacks.empty())
         return;
-    }
-    m_refreshCallbacks.push_back(std::move(done));
+    m_refreshCallbacks = std::exchange(m_nextRefreshCallbacks, {});
     readForRefresh();
 }
 
@@ -171,9 +183,7 @@
                    for (const auto &callback : std::exchange(m_refreshCallbacks, {}))
                        callback(slice.ok());
                    m_refreshing = false;
-                   m_refreshCallbacks = std::exchange(m_nextRefreshCallbacks, {});
-                   if (!m_refreshCallbacks.empty())
-                       readForRefresh();
+                   startNextRefresh();
                });
 }
 
--- a/src/control/log_follower.h
+++ b/src/control/log_follower.h
@@ -53,11 +53,12 @@
     // Returns the time since which every read has been answered: Instant::min() if none has ever
     // failed, Instant::max() while the log does not answer or nothing has been read yet.
     Instant availableSince() const { return m_availableSince; }
-    // Returns the offset of the next record to read.
+    // Returns the offset of the next record to read. The newest state before it of each key is
+    // known once the first load is complete.
     int64_t nextOffset() const { return m_nextOffset; }
     // Reads up to the end of the topic without waiting. Calls `done` with true once all records
     // stored before this call are known, or with false if the log does not answer or the first load
-    // is not complete.
+    // is not complete. Waits for a later load.
     void refresh(std::function<void(bool)> done);
     // Applies stored records that were received from elsewhere, ahead of reading them. Ignored
     // until the first load is complete.
@@ -68,8 +69,11 @@
 private:
     void loadPage(const std::string &after);
     void onPage(Result<NewestPage> page, Instant requestedAt);
+    void onLoadFailure(const Error &error);
     void read();
     void onRead(Result<LogSlice> slice, Instant requestedAt);
+    // Begins the refresh that was requested meanwhile, unless one or a load is in progress.
+    void startNextRefresh();
     // Reads without waiting, concurrently with the read that the log may be holding.
     void readForRefresh();
     // Applies consecutive records from the read position or below it, and moves it behind them.
@@ -89,6 +93,7 @@
     std::set<std::string> m_loadedKeys;
     int64_t m_nextOffset = 0;
     int64_t m_loadEnd = -1; // end of the topic at the first page of a load; -1: no page yet
+    bool m_loading = false;
     bool m_loaded = false; // the first load is complete
     Instant m_currentAsOf = Instant::min();
     Instant m_availableSince = Instant::max();
--- a/src/control/log_follower_test.cc
+++ b/src/control/log_follower_test.cc
@@ -244,5 +244,31 @@
     EXPECT_EQ(model.state(), model.log.state());
 }
 
+// Guards against a job that is reported not to exist, or a tenure that is claimed, before the
+// records stored until then are known.
+TEST(LogFollowerTest, ARefreshDuringALaterLoadSucceedsOnlyOnceTheLoadIsComplete)
+{
+    FollowerModel model;
+    model.log.pageSize = 1;
+    model.log.put("a", "1");
+    model.settle();
+    model.log.put("b", "1");
+    model.log.put("c", "1");
+    model.log.firstRetained = model.log.end();
+    model.log.answer(0); // the records have expired
+    model.log.answer(0); // first page: a
+    std::optional<bool> current;
+    bool known = false;
+    model.follower->refresh([&](bool it) {
+        current = it;
+        known = model.knows(model.log.end());
+    });
+    while (!current && !model.log.calls.empty())
+        model.log.answer(model.log.calls.size() - 1);
+    ASSERT_TRUE(current.has_value());
+    EXPECT_TRUE(*current);
+    EXPECT_TRUE(known) << "reported as current with records that are not known";
+}
+
 } // namespace
 } // namespace cardamompaddle
