Keep the offset of a record that a peer published during a load

What callers saw: a job can return to an earlier state for a moment, for example from completed to running, after its instance has loaded a topic again. For the tenure this means an older holder.

Cause: after a load the offsets of all keys that the load did not find were forgotten. A record that a peer published, of a key whose page had been read before it was stored, was among them. Older records of its key, which follow in the next read, were then applied after it.

Evidence, before the fix:

LogFollowerTest.AnOlderRecordDoesNotFollowOneReceivedDuringALoad Value of: model.wentBack Actual: true Expected: false

Fix: only a record from before the end at the first page proves, by its absence from the pages, that its key was removed. The offsets of later ones are kept.

--- a/src/control/log_follower.cc
+++ b/src/control/log_follower.cc
@@ -104,7 +104,10 @@
     onSuccess(requestedAt);
     if (m_callbacks.loaded)
         m_callbacks.loaded(m_loadedKeys);
-    std::erase_if(m_offsets, [this](const auto &it) { return !m_loadedKeys.contains(it.first); });
+    // A key that the load did not find has been removed, unless its record is newer than the pages.
+    std::erase_if(m_offsets, [this](const auto &it) {
+        return it.second < m_loadEnd && !m_loadedKeys.contains(it.first);
+    });
     read();
     startNextRefresh();
 }
--- a/src/control/log_follower_test.cc
+++ b/src/control/log_follower_test.cc
@@ -270,5 +270,26 @@
     EXPECT_TRUE(known) << "reported as current with records that are not known";
 }
 
+// Guards against a job that returns to an earlier state: a record that a peer publishes during a
+// load, newer than the page of its key, must not be followed by an older one.
+TEST(LogFollowerTest, AnOlderRecordDoesNotFollowOneReceivedDuringALoad)
+{
+    FollowerModel model;
+    model.log.pageSize = 1;
+    model.log.put("c", "1");
+    model.log.put("d", "1");
+    model.settle();
+    model.log.put("d", "2");
+    model.log.firstRetained = model.log.end();
+    model.log.answer(0); // the records have expired
+    model.log.answer(0); // first page: c
+    model.log.put("a", "1");
+    model.log.put("a", "2");
+    model.follower->applyReceived({model.log.records.back()});
+    model.settle();
+    EXPECT_EQ(model.state(), model.log.state());
+    EXPECT_FALSE(model.wentBack);
+}
+
 } // namespace
 } // namespace cardamompaddle
