Report the keys that a later load no longer finds as removed

What callers saw: what was removed while an instance was behind stays in its tables for as long as the process lives: ended jobs, members that are gone (they are asked for approvals, probed as successors and told what is stored), workers in use that are gone. A scheduler of that instance begins by waiting for these workers to answer or for their lease to lapse, and while starts aren't recorded, all older tasks wait with them. A worker that left the registry during a tenure was used on, unless its record as a worker in use was known.

Cause: a load after an expiry of the history shows the newest record of each key that exists. The removals of the others have expired. Only the operators' zones and the workers in use of a scheduler looked at the keys of the load; all other users of the reader ignored them.

Evidence, before the fix, with "a" removed before the history expired:

LogFollowerTest.AKeyThatWasRemovedWhileTheReaderWasBehindIsReportedAsRemoved model.state() Which is: { ("a", "1"), ("b", "2") } model.log.state() Which is: { ("b", "2") }

Fix: the reader itself compares the keys that it knows with those of the load, and reports each missing one as if it had read its removal. So no user needs a path of its own; the one for the zones goes.

--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -88,7 +88,6 @@
         std::move(jobs));
     LogFollower::Callbacks operators;
     operators.record = [this](const KeyedRecord &record) { onOperatorRecord(record); };
-    operators.loaded = [this](const std::set<std::string> &keys) { onOperatorsLoaded(keys); };
     operators.availability = logAvailability("configuration");
     m_operators = std::make_unique<LogFollower>(
         scheduler.io, scheduler.clock, scheduler.log,
@@ -217,12 +216,6 @@
     }
 }
 
-void Instance::onOperatorsLoaded(const std::set<std::string> &keys)
-{
-    if (std::erase_if(m_zonesOut, [&keys](const auto &it) { return !keys.contains(it.first); }) > 0)
-        applyZones();
-}
-
 void Instance::applyZones()
 {
     std::set<std::string> zones;
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -104,7 +104,6 @@
 private:
     void onWorkRecord(const KeyedRecord &record);
     void onOperatorRecord(const KeyedRecord &record);
-    void onOperatorsLoaded(const std::set<std::string> &keys);
     void applyZones();
     void announce();
     void onProgressStored(int64_t epoch, const std::vector<KeyedRecord> &records, int64_t end);
--- a/src/control/log_follower.cc
+++ b/src/control/log_follower.cc
@@ -102,16 +102,28 @@
                               + " load_end=" + std::to_string(m_loadEnd)
                               + " read_on_from=" + std::to_string(m_nextOffset));
     onSuccess(requestedAt);
+    removeMissingKeys();
     if (m_callbacks.loaded)
         m_callbacks.loaded(m_loadedKeys);
-    // A key that the load did not find has been removed, unless its record is newer than the pages.
-    std::erase_if(m_offsets, [this](const auto &it) {
-        return it.second < m_loadEnd && !m_loadedKeys.contains(it.first);
-    });
     read();
     startNextRefresh();
 }
 
+// A key that the load did not find has been removed, unless its record is newer than the pages.
+void LogFollower::removeMissingKeys()
+{
+    std::vector<std::string> removed;
+    std::erase_if(m_known, [this, &removed](const auto &it) {
+        const auto &[key, record] = it;
+        const bool missing = record.offset < m_loadEnd && !m_loadedKeys.contains(key);
+        if (missing && !record.removed)
+            removed.push_back(key);
+        return missing;
+    });
+    for (const std::string &key : removed)
+        m_callbacks.record({key, "", true, m_loadEnd - 1});
+}
+
 void LogFollower::onLoadFailure(const Error &error)
 {
     onFailure(error);
@@ -200,10 +212,10 @@
 
 void LogFollower::applyIfNewer(const KeyedRecord &record)
 {
-    int64_t &known = m_offsets.try_emplace(record.key, -1).first->second;
-    if (record.offset <= known)
+    KnownRecord &known = m_known[record.key];
+    if (record.offset <= known.offset)
         return;
-    known = record.offset;
+    known = {record.offset, record.removed};
     m_callbacks.record(record);
 }
 
--- a/src/control/log_follower.h
+++ b/src/control/log_follower.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -30,9 +31,11 @@
     struct Callbacks
     {
         // Called with the records of each key in the order of their offsets; a record older than
-        // the newest known one of its key is skipped.
+        // the newest known one of its key is skipped. A key that was removed while its records
+        // expired is reported as removed too, at the last offset before the load that missed it.
         std::function<void(const KeyedRecord &)> record;
-        // Called after each full load with the keys it found; every other key has been removed.
+        // Called after each full load with the keys it found, and after the records of the removed
+        // ones.
         std::function<void(const std::set<std::string> &keys)> loaded;
         // Called when the log stops answering (true, with the reason) and when it answers again
         // (false).
@@ -67,8 +70,15 @@
     void setPollInterval(Duration pollInterval) { m_options.pollInterval = pollInterval; }
 
 private:
+    struct KnownRecord
+    {
+        int64_t offset = -1;
+        bool removed = false;
+    };
+
     void loadPage(const std::string &after);
     void onPage(Result<NewestPage> page, Instant requestedAt);
+    void removeMissingKeys();
     void onLoadFailure(const Error &error);
     void read();
     void onRead(Result<LogSlice> slice, Instant requestedAt);
@@ -89,7 +99,7 @@
     Callbacks m_callbacks;
     boost::asio::steady_timer m_timer;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // false: callbacks are dropped
-    std::map<std::string, int64_t> m_offsets; // offset of the newest known record, by key
+    std::map<std::string, KnownRecord> m_known; // the newest known record of each key
     std::set<std::string> m_loadedKeys;
     int64_t m_nextOffset = 0;
     int64_t m_loadEnd = -1; // end of the topic at the first page of a load; -1: no page yet
--- a/src/control/log_follower_test.cc
+++ b/src/control/log_follower_test.cc
@@ -270,6 +270,21 @@
     EXPECT_TRUE(known) << "reported as current with records that are not known";
 }
 
+// Guards against a worker or an instance that is called for ever although its key was removed while
+// the reader was behind.
+TEST(LogFollowerTest, AKeyThatWasRemovedWhileTheReaderWasBehindIsReportedAsRemoved)
+{
+    FollowerModel model;
+    model.log.put("a", "1");
+    model.log.put("b", "1");
+    model.settle();
+    model.log.put("a", "");
+    model.log.put("b", "2");
+    model.log.firstRetained = model.log.end();
+    model.settle();
+    EXPECT_EQ(model.state(), model.log.state());
+}
+
 // Guards against a job that returns to an earlier state: a record that a peer publishes during a
 // load, newer than the page of its key, must not be followed by an older one.
 TEST(LogFollowerTest, AnOlderRecordDoesNotFollowOneReceivedDuringALoad)
