Ignore published records from before the read position

What callers saw: a job that was removed comes back in the table of one instance, and to its scheduler if it has one, when a peer's publication of an old record arrives late.

Cause: a published record was compared with the newest known record of its key. An instance that loaded the topic after a removal doesn't know that key, so it applied the old record. Nothing in the log removes it again.

Evidence, before the fix, with the publication of "a" after a load that no longer found it:

LogFollowerTest.ALatePublicationOfARemovedRecordIsIgnored model.state() Which is: { ("a", "1"), ("b", "1") } model.log.state() Which is: { ("b", "1") }

Fix: the newest state of each key before the read position is known, so a record from before it changes nothing, whether it was published or read by an earlier call.

--- a/src/control/log_follower.cc
+++ b/src/control/log_follower.cc
@@ -205,11 +205,19 @@
 void LogFollower::apply(const std::vector<KeyedRecord> &records)
 {
     for (const KeyedRecord &record : records) {
-        applyIfNewer(record);
+        applyUnread(record);
         m_nextOffset = std::max(m_nextOffset, record.offset + 1);
     }
 }
 
+// The newest state of each key before the read position is known, although the offset of a removed
+// one may not be.
+void LogFollower::applyUnread(const KeyedRecord &record)
+{
+    if (record.offset >= m_nextOffset)
+        applyIfNewer(record);
+}
+
 void LogFollower::applyIfNewer(const KeyedRecord &record)
 {
     KnownRecord &known = m_known[record.key];
@@ -224,7 +232,7 @@
     if (!m_loaded)
         return;
     for (const KeyedRecord &record : records)
-        applyIfNewer(record);
+        applyUnread(record);
 }
 
 } // namespace cardamompaddle
--- a/src/control/log_follower.h
+++ b/src/control/log_follower.h
@@ -88,6 +88,8 @@
     void readForRefresh();
     // Applies consecutive records from the read position or below it, and moves it behind them.
     void apply(const std::vector<KeyedRecord> &records);
+    // Applies a record unless it lies before the read position.
+    void applyUnread(const KeyedRecord &record);
     void applyIfNewer(const KeyedRecord &record);
     void runAfter(Duration delay, std::function<void()> action);
     void onFailure(const Error &error);
--- a/src/control/log_follower_test.cc
+++ b/src/control/log_follower_test.cc
@@ -306,5 +306,18 @@
     EXPECT_FALSE(model.wentBack);
 }
 
+// Guards against a removed job that comes back: its publication arrives after a load that no longer
+// found it.
+TEST(LogFollowerTest, ALatePublicationOfARemovedRecordIsIgnored)
+{
+    FollowerModel model;
+    model.log.put("a", "1");
+    model.log.put("b", "1");
+    model.log.put("a", "");
+    model.settle();
+    model.follower->applyReceived({model.log.records.front()});
+    EXPECT_EQ(model.state(), model.log.state());
+}
+
 } // namespace
 } // namespace cardamompaddle
