Don't complete a load when one of its later pages is not found

What callers could see: a load is taken to be complete although pages are missing, so that jobs of these pages are unknown, and since a load removes what it doesn't find, known ones would go.

Cause: a topic that is not found has no records yet, but this was also concluded of any later page. No such answer of the log has been seen; the removal of missing keys makes it worth excluding.

Evidence, before the fix:

LogFollowerTest.ALoadWithoutItsLastPageIsNotComplete Value of: model.follower->loaded() Actual: true Expected: false model.state() Which is: { ("a", "1") }

Fix: after the first page it is an error like any other, and the load begins again.

--- a/src/control/log_follower.cc
+++ b/src/control/log_follower.cc
@@ -77,8 +77,8 @@
 
 void LogFollower::onPage(Result<NewestPage> page, Instant requestedAt)
 {
-    // The log reports a topic without any appends as not found.
-    if (!page && page.error().code == ErrorCode::NotFound)
+    // The log reports a topic without any appends as not found. After a page it is an error.
+    if (!page && page.error().code == ErrorCode::NotFound && m_loadEnd < 0)
         page = NewestPage{};
     if (!page)
         return onLoadFailure(page.error());
--- a/src/control/log_follower_test.cc
+++ b/src/control/log_follower_test.cc
@@ -37,7 +37,7 @@
     {
         std::function<std::function<void()>()> carryOut; // returns what delivers the answer
         std::function<void()> answer; // set once the call is carried out
-        std::function<void()> fail;
+        std::function<void(const Error &)> fail;
         bool newest = false; // readNewest()
     };
 
@@ -46,7 +46,7 @@
     {
         Call call;
         call.carryOut = [this, from, done] { return [done, it = slice(from)] { done(it); }; };
-        call.fail = [done] { done(Error{ErrorCode::Unavailable, "no log"}); };
+        call.fail = [done](const Error &error) { done(error); };
         calls.push_back(std::move(call));
     }
     void readNewest(const std::string &, const std::string &after, Duration,
@@ -55,7 +55,7 @@
         Call call;
         call.newest = true;
         call.carryOut = [this, after, done] { return [done, it = page(after)] { done(it); }; };
-        call.fail = [done] { done(Error{ErrorCode::Unavailable, "no log"}); };
+        call.fail = [done](const Error &error) { done(error); };
         calls.push_back(std::move(call));
     }
 
@@ -96,7 +96,10 @@
         const auto deliver = take(index).answer;
         deliver();
     }
-    void fail(size_t index) { take(index).fail(); }
+    void fail(size_t index, ErrorCode code = ErrorCode::Unavailable)
+    {
+        take(index).fail(Error{code, "no log"});
+    }
 
     std::vector<KeyedRecord> records;
     int64_t firstRetained = 0;
@@ -319,5 +322,20 @@
     EXPECT_EQ(model.state(), model.log.state());
 }
 
+// Guards against tables that lose what the pages of a load show no more: a page that is not found
+// after an earlier one is no proof that the remaining keys do not exist.
+TEST(LogFollowerTest, ALoadWithoutItsLastPageIsNotComplete)
+{
+    FollowerModel model;
+    model.log.pageSize = 1;
+    model.log.put("a", "1");
+    model.log.put("b", "1");
+    model.log.answer(0); // first page
+    model.log.fail(0, ErrorCode::NotFound);
+    EXPECT_FALSE(model.follower->loaded());
+    model.settle();
+    EXPECT_EQ(model.state(), model.log.state());
+}
+
 } // namespace
 } // namespace cardamompaddle
