Date a reader's knowledge by what it has really read

What callers see: "waiting" may be answered, and an instance may count as ready, from a table that lacks records which were stored before the time of which it is said to be current.

Cause: a load was dated by the request of its last page, although a record stored since the first one, under a key of an earlier page, is not known. And each answer with records was dated by its request, although the size of an answer is bounded and records may be left unread.

Fix: a load is dated by its first page, and an answer only if it reaches the end of the topic. So that a reader that is behind doesn't stay so, it reads on without the delay between reads. An answer without records below the end, which the log should never give, makes a refresh fail.

The property drives a reader by random appends, removals, expiries, page and answer sizes, refreshes, publications, lost and reordered answers, and compares it with the log.

--- a/src/control/log_follower.cc
+++ b/src/control/log_follower.cc
@@ -50,9 +50,8 @@
     }
 }
 
-void LogFollower::onSuccess(Instant requestedAt)
+void LogFollower::onAnswered()
 {
-    m_currentAsOf = std::max(m_currentAsOf, requestedAt);
     if (m_availableSince == Instant::max()) {
         m_availableSince = m_everUnavailable ? m_clock.now() : Instant::min();
         if (m_callbacks.availability)
@@ -84,8 +83,10 @@
         return onLoadFailure(page.error());
     // Pages are not a snapshot: reading continues from the topic's end at the time of the first
     // page.
-    if (m_loadEnd < 0)
+    if (m_loadEnd < 0) {
         m_loadEnd = page->end;
+        m_loadRequestedAt = requestedAt;
+    }
     // Records of a page do not move the read position: one with a lower offset may have been stored
     // since, under a key of an earlier page.
     for (const KeyedRecord &record : page->records) {
@@ -101,7 +102,8 @@
                               + " keys=" + std::to_string(m_loadedKeys.size())
                               + " load_end=" + std::to_string(m_loadEnd)
                               + " read_on_from=" + std::to_string(m_nextOffset));
-    onSuccess(requestedAt);
+    onAnswered();
+    m_currentAsOf = std::max(m_currentAsOf, m_loadRequestedAt);
     removeMissingKeys();
     if (m_callbacks.loaded)
         m_callbacks.loaded(m_loadedKeys);
@@ -155,10 +157,15 @@
         onFailure(slice.error());
         return runAfter(m_options.retryDelay, [this] { read(); });
     }
+    onAnswered();
+    apply(slice->records);
     const bool hasRecords = !slice->records.empty();
+    // The size of an answer is bounded.
+    if (m_nextOffset < slice->end)
+        return runAfter(hasRecords ? Duration::zero() : m_options.retryDelay, [this] { read(); });
     // An empty answer proves that nothing was appended until the wait ended.
-    onSuccess(hasRecords ? requestedAt : std::min(requestedAt + m_options.readWait, m_clock.now()));
-    apply(slice->records);
+    const Instant waitedUntil = std::min(requestedAt + m_options.readWait, m_clock.now());
+    m_currentAsOf = std::max(m_currentAsOf, hasRecords ? requestedAt : waitedUntil);
     if (hasRecords && m_options.pollInterval > Duration::zero())
         return runAfter(m_options.pollInterval, [this] { read(); });
     read();
@@ -188,15 +195,19 @@
                [this, alive = m_alive, requestedAt](Result<LogSlice> slice) {
                    if (!*alive)
                        return;
+                   bool current = false;
                    if (slice) {
-                       onSuccess(requestedAt);
+                       onAnswered();
                        apply(slice->records);
-                       // The size of an answer is bounded: read on until the end of the topic.
-                       if (m_nextOffset < slice->end && !slice->records.empty())
+                       current = m_nextOffset >= slice->end;
+                       // The size of an answer is bounded.
+                       if (!current && !slice->records.empty())
                            return readForRefresh();
                    }
+                   if (current)
+                       m_currentAsOf = std::max(m_currentAsOf, requestedAt);
                    for (const auto &callback : std::exchange(m_refreshCallbacks, {}))
-                       callback(slice.ok());
+                       callback(current);
                    m_refreshing = false;
                    startNextRefresh();
                });
--- a/src/control/log_follower.h
+++ b/src/control/log_follower.h
@@ -93,7 +93,7 @@
     void applyIfNewer(const KeyedRecord &record);
     void runAfter(Duration delay, std::function<void()> action);
     void onFailure(const Error &error);
-    void onSuccess(Instant requestedAt);
+    void onAnswered();
 
     const Clock &m_clock;
     KeyedLog &m_log;
@@ -104,6 +104,7 @@
     std::map<std::string, KnownRecord> m_known; // the newest known record of each key
     std::set<std::string> m_loadedKeys;
     int64_t m_nextOffset = 0;
+    Instant m_loadRequestedAt = Instant::min(); // when the first page of a load was requested
     int64_t m_loadEnd = -1; // end of the topic at the first page of a load; -1: no page yet
     bool m_loading = false;
     bool m_loaded = false; // the first load is complete
--- a/src/control/log_follower_test.cc
+++ b/src/control/log_follower_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <algorithm>
 #include <array>
@@ -337,5 +338,88 @@
     EXPECT_EQ(model.state(), model.log.state());
 }
 
+// Guards against a load whose time is that of its last page, although a record may have been stored
+// since the first one.
+TEST(LogFollowerTest, ALoadIsCurrentAsOfItsFirstPage)
+{
+    FollowerModel model;
+    model.log.pageSize = 1;
+    model.log.put("b", "1");
+    model.log.put("c", "1");
+    const Instant first = model.clock.now();
+    model.log.carryOut(0);
+    model.clock.advance(Duration(100));
+    model.log.answer(0);
+    model.log.answer(0); // last page
+    ASSERT_TRUE(model.follower->loaded());
+    EXPECT_EQ(model.follower->currentAsOf(), first);
+}
+
+// Guards against a count of waiting jobs that is taken to be current although the size of an answer
+// left records unread.
+TEST(LogFollowerTest, AnAnswerThatEndsBeforeTheTopicIsNotCurrent)
+{
+    FollowerModel model;
+    model.log.sliceSize = 1;
+    model.settle();
+    const Instant loadedAt = model.follower->currentAsOf();
+    model.log.answer(0); // nothing to read
+    model.log.put("a", "1");
+    model.log.put("b", "1");
+    model.clock.advance(Duration(100));
+    model.follower->refresh([](bool) {});
+    model.log.answer(1); // the first record
+    EXPECT_EQ(model.follower->currentAsOf(), loadedAt);
+    model.log.answer(1);
+    EXPECT_EQ(model.follower->currentAsOf(), model.clock.now());
+}
+
+// Guards against any order of appends, expiries, answers and publications in which a record or a
+// removal is missed, an older record follows a newer one, or the reader claims to be current when
+// it is not.
+RC_GTEST_PROP(LogFollowerProperty, DeliversTheNewestRecordOfEachKey, ())
+{
+    FollowerModel model;
+    ScriptedLog &log = model.log;
+    log.pageSize = *rc::gen::inRange<size_t>(1, 4);
+    log.sliceSize = *rc::gen::inRange<size_t>(1, 5);
+    std::map<Instant, int64_t> ends; // end of the topic at each time
+    bool currentTooEarly = false;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 100), rc::gen::inRange(0, 1'000)));
+    for (const auto &[action, argument] : steps) {
+        const auto n = static_cast<size_t>(argument);
+        ends[model.clock.now()] = log.end();
+        if (action < 30) {
+            log.put(FollowerModel::Keys.at(n % FollowerModel::Keys.size()),
+                    n % 4 == 0 ? "" : std::to_string(log.end()));
+        } else if (action < 36) {
+            log.firstRetained = log.end();
+        } else if (action < 46 && !log.records.empty()) {
+            model.follower->applyReceived({log.records[n % log.records.size()]});
+        } else if (action < 54) {
+            model.follower->refresh([&, end = log.end()](bool current) {
+                currentTooEarly = currentTooEarly || (current && !model.knows(end));
+            });
+        } else if (action < 60 && !log.calls.empty()) {
+            log.carryOut(n % log.calls.size());
+        } else if (action < 64 && !log.calls.empty()) {
+            log.fail(n % log.calls.size());
+        } else if (!log.calls.empty()) {
+            log.answer(n % log.calls.size());
+        }
+        model.runTimers();
+        const auto end = ends.find(model.follower->currentAsOf());
+        const bool current = end == ends.end() || model.knows(end->second);
+        RC_ASSERT(current);
+        RC_ASSERT(!currentTooEarly);
+        model.clock.advance(Duration(1));
+    }
+    model.settle();
+    RC_ASSERT(model.state() == log.state());
+    RC_ASSERT(!model.wentBack);
+    RC_ASSERT(!currentTooEarly);
+}
+
 } // namespace
 } // namespace cardamompaddle
