Test that a job stored while its topic is loaded again is known and started

The fake log gets pages and an expiry of its history for it.

InstanceTest.AJobStoredWhileTheTopicIsLoadedAgainIsKnownAndStarted m_workers.starts Which is: 4 5 Value of: *found Actual: false Expected: true an accepted job is reported not to exist

--- a/src/control/instance_testing.h
+++ b/src/control/instance_testing.h
@@ -149,8 +149,7 @@
         }
         throw std::logic_error("no follower");
     }
-    // Starts the submission of a job; its outcome appears in m_outcomes.
-    void startSubmission(Node &node, const std::string &id, int32_t tasks = 1)
+    static work::Submission makeJob(const std::string &id, int32_t tasks = 1)
     {
         work::Submission job;
         job.id = id;
@@ -161,9 +160,14 @@
         step.cpuMilli = 1'000;
         step.estimatedMs = 1'000;
         job.steps = {step};
+        return job;
+    }
+    // Starts the submission of a job; its outcome appears in m_outcomes.
+    void startSubmission(Node &node, const std::string &id, int32_t tasks = 1)
+    {
         m_outcomes.erase(id);
         node.instance->submitter().submit(
-            job, m_clock.now() + Duration(2'500),
+            makeJob(id, tasks), m_clock.now() + Duration(2'500),
             [this, id](SubmitOutcome it, const std::string &) { m_outcomes[id] = it; });
     }
     // Submits a job and waits for its outcome; returns none if it does not arrive in time.
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -39,6 +39,7 @@
     struct Topic
     {
         std::vector<KeyedRecord> records;
+        int64_t firstRetained = 0; // offset of the first record that has not expired
         std::map<std::string, int64_t> epochs; // highest seen epoch, by writer
         // Epoch and sequence number of the last append, by writer.
         std::map<std::string, std::pair<int64_t, int64_t>> lastAppends;
@@ -51,6 +52,11 @@
         records.push_back({key, value, value.empty(), offset});
         return offset;
     }
+    // Expires all records of the topic; the newest one of each key is retained.
+    void expire(const std::string &topic)
+    {
+        topics[topic].firstRetained = static_cast<int64_t>(topics[topic].records.size());
+    }
     AppendResult append(const AppendRequest &request)
     {
         Topic &topic = topics[request.topic];
@@ -112,6 +118,8 @@
                 done(Error{ErrorCode::Unavailable, "no log"});
             });
         const auto &records = m_model.topics[topic].records;
+        if (from < m_model.topics[topic].firstRetained)
+            return later(Duration(1), [done] { done(Error{ErrorCode::NotFound, "expired"}); });
         if (static_cast<int64_t>(records.size()) <= from && wait > Duration::zero())
             return later(Duration(3), [=, this] {
                 read(topic, from, std::max(Duration::zero(), wait - Duration(3)), timeout, done);
@@ -127,14 +135,20 @@
     {
         if (unresponsive || refuses)
             return later(Duration(1), [done] { done(Error{ErrorCode::Unavailable, "no log"}); });
+        if (beforePage)
+            beforePage(topic, after);
         NewestPage page;
         std::map<std::string, KeyedRecord> newest;
         for (const KeyedRecord &record : m_model.topics[topic].records)
             newest[record.key] = record;
         page.end = static_cast<int64_t>(m_model.topics[topic].records.size());
         for (const auto &[key, record] : newest) {
-            if (!record.removed && key > after)
-                page.records.push_back(record);
+            if (record.removed || key <= after)
+                continue;
+            page.more = page.records.size() == pageSize;
+            if (page.more)
+                break;
+            page.records.push_back(record);
         }
         later(Duration(1), [page, done] { done(page); });
     }
@@ -144,6 +158,9 @@
     bool unresponsive = false; // calls get no answer
     bool applyWhileUnresponsive = false; // appends are stored although their answers are lost
     bool refuses = false; // all calls fail and nothing is stored
+    size_t pageSize = 500; // records in an answer to readNewest()
+    // Called with the topic and the preceding key before a page is read.
+    std::function<void(const std::string &, const std::string &)> beforePage;
     std::string unreadableTopic; // reads of this topic fail
     bool claimsFail = false; // appends that claim the tenure fail and are not stored
     int appendCalls = 0;
