Reset the position of finished runs when a lost worker comes back restarted

A task that had succeeded would run again, and a failure would not count against the attempts of its task.

Cause: a worker numbers its finished runs from 1 in each incarnation. The position up to which they are processed was reset only if the worker had not been lost before the first report of the new incarnation. After the loss of its leases (`workerLost`) `reported` is false, so a worker that stayed in the registry and came back under the same id kept the position of its former incarnation: the finished runs that it listed next were skipped as known, and acknowledged at once, since their positions were below the stored one.

Evidence, `DispatcherTest.FinishedRunsOfAWorkerThatCameBackAfterItsLossCount` before the fix:

m_dispatcher.endPosition("w") is 2, expected 0: what it lists next would be acknowledged state("after") is Running, expected Completed decide().starts.empty() is false, expected true

Why it works: the start time of the incarnation is kept over a loss and decides alone. It is optional now, so that the first report of a worker is no restart. A worker that was only unresponsive keeps its position (`TheLossOfAWorkerThatWentOnKeepsItsPosition`).

--- a/src/dispatch/dispatcher_runs_test.cc
+++ b/src/dispatch/dispatcher_runs_test.cc
@@ -396,4 +396,40 @@
     EXPECT_EQ(next[0].worker, "w") << "w is the fuller of two healthy workers";
 }
 
+// Guards against a task that runs again although it has succeeded, and against failures that are
+// not counted: a worker that was lost and comes back numbers its finished runs from 1 again.
+TEST_F(DispatcherTest, FinishedRunsOfAWorkerThatCameBackAfterItsLossCount)
+{
+    join(entry("w"));
+    add("before", {step(2)});
+    const auto former = startAll();
+    ASSERT_EQ(former.size(), 2U);
+    report("w", {},
+           {ended(former[0], RunOutcome::Succeeded), ended(former[1], RunOutcome::Succeeded)});
+    m_dispatcher.workerLost("w");
+    m_positions.clear();
+    report("w", {}, {}, 2);
+    m_dispatcher.setReachable("w", true);
+    EXPECT_EQ(m_dispatcher.endPosition("w"), 0) << "what it lists next would be acknowledged";
+    add("after", {step(1)});
+    const auto orders = startAll();
+    ASSERT_EQ(orders.size(), 1U);
+    report("w", {}, {ended(orders[0], RunOutcome::Succeeded)}, 2);
+    EXPECT_EQ(state("after"), work::JobState::Completed);
+    EXPECT_TRUE(decide().starts.empty());
+}
+
+// Guards against a finished run that counts again because its worker was only unresponsive.
+TEST_F(DispatcherTest, TheLossOfAWorkerThatWentOnKeepsItsPosition)
+{
+    join(entry("w"));
+    add("job", {step(1)});
+    const auto orders = startAll();
+    ASSERT_EQ(orders.size(), 1U);
+    report("w", {}, {ended(orders[0], RunOutcome::Failed)});
+    m_dispatcher.workerLost("w");
+    report("w", {}, {});
+    EXPECT_EQ(m_dispatcher.endPosition("w"), 1);
+}
+
 } // namespace cardamompaddle
--- a/src/dispatch/dispatcher_workers.cc
+++ b/src/dispatch/dispatcher_workers.cc
@@ -135,7 +135,8 @@
     if (it == m_workers.end())
         return;
     Worker &worker = *it->second;
-    if (worker.reported && worker.incarnationStartedAtMs != report.startedAtMs) {
+    // Also a worker that was lost may come back restarted.
+    if (worker.incarnationStartedAtMs.value_or(report.startedAtMs) != report.startedAtMs) {
         emitEvent("worker_restarted", "", "worker=" + id);
         requeueAllRuns(worker, "worker_restarted");
         worker.endPosition = 0;
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -166,7 +166,7 @@
     // What the orphaned runs use, counted in the use of their teams until the next report.
     std::vector<std::pair<Resources *, Resources>> orphanedUse;
     Resources used;
-    int64_t incarnationStartedAtMs = 0; // from the last report; Unix time
+    std::optional<int64_t> incarnationStartedAtMs; // from the last report; Unix time
     int64_t endPosition = 0; // see Dispatcher::endPosition()
     AttemptSet attempts;
     int32_t servingTasks = 0; // active tasks with a latency target
