Carry the wait for the leases of a lost worker over to the next scheduler

A long-running task whose worker was gone at 9.87 s was started again at 46.7 s, by the scheduler of epoch 7, although there was room.

Nothing of that wait was stored, so each takeover began it anew, also for a worker that had been gone for long. While schedulers replace each other within 7.7 s, a task that was placed on such a worker is not started at all; after a tenure whose starts were not recorded this holds for all tasks of older jobs.

The change: a scheduler that has had no answer from a worker for 0.6 s stores with the worker's record within what time all leases on it expire. From the moment it builds that record it extends none, and sends no start there, until a record without that promise is stored. A later scheduler has read the newest record before it begins, since its claim was accepted at the end of what it had read, and it is bound by the promise as well. So it waits only for the rest.

Why it is safe: the time is a span, not a point in time. Each instance counts it on its own monotonic clock from when it has read the record, which is later than when the span was computed; differing or jumping clocks don't matter, and an instance that reads late waits longer. The span covers what earlier schedulers may extend, since it is what the storing one would wait for itself. A scheduler that was replaced without noticing cannot store that it extends again: the log refuses its epoch.

Weighed: the end of the leases as Unix time, which needs a margin for the differences of clocks and fails when one jumps by more; a stored mark before the first extension of each tenure, which delays extensions by an append at each takeover; trust in the removal of the registry entry, which is no proof that runs have ended. A later scheduler stores an inherited promise once more with the time that is left, so that an instance which starts afterwards does not count the whole span.

A worker that answers again waits for one append before its lease is extended and it gets starts.

--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -178,6 +178,8 @@
     if (*change == JobTable::Change::Tenure || *change == JobTable::Change::Progressed
         || *change == JobTable::Change::UsedWorker)
         m_schedulerActiveAt = record.offset < m_publishedEnd ? m_schedulerActiveAt : now;
+    if (*change == JobTable::Change::UsedWorker)
+        updateSuspendedLease(id, now);
     const bool released = *change == JobTable::Change::Tenure && m_jobTable.tenure().released;
     if (released && !m_scheduler)
         armTick(std::clamp(claimTimeout(), Duration::zero(), TickInterval));
@@ -187,6 +189,17 @@
         m_scheduler->jobTableChanged(*change, id);
 }
 
+void Instance::updateSuspendedLease(const WorkerId &id, Instant now)
+{
+    const auto &workers = m_jobTable.usedWorkers();
+    const auto it = workers.find(id);
+    const int64_t expireWithinMs = it == workers.end() ? 0 : it->second.leasesExpireWithinMs;
+    if (expireWithinMs > 0)
+        m_suspendedLeases[id] = now + Duration(expireWithinMs);
+    else
+        m_suspendedLeases.erase(id);
+}
+
 void Instance::onOperatorRecord(const KeyedRecord &record)
 {
     if (record.removed) {
@@ -483,6 +496,7 @@
     options.maxLease = m_options.maxLease;
     options.offRackFactor = m_options.offRackFactor;
     options.terminalRetention = m_options.terminalRetention;
+    options.suspendedLeases = m_suspendedLeases;
     m_jobs->setPollInterval(SchedulerPollInterval);
     m_hasHeldTenure = true;
     updateClaimWait();
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -103,6 +103,7 @@
 
 private:
     void onWorkRecord(const KeyedRecord &record);
+    void updateSuspendedLease(const WorkerId &id, Instant now);
     void onOperatorRecord(const KeyedRecord &record);
     void applyZones();
     void announce();
@@ -142,6 +143,9 @@
     std::unique_ptr<JobSubmitter> m_submitter;
     std::unique_ptr<Scheduler> m_scheduler;
     std::shared_ptr<const Catalog> m_catalog;
+    // Workers whose stored record promises that nobody extends their lease, and when all leases on
+    // them have expired.
+    std::map<WorkerId, Instant> m_suspendedLeases;
     std::map<std::string, std::string> m_zonesOut; // availability zone by record key
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_claimTimer;
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 #include <utility>
 
 namespace cardamompaddle {
@@ -31,6 +32,8 @@
 constexpr int AppendTimeAverageDivisor = 4; // the latest append has a weight of 1/4
 constexpr Duration TickInterval{100};
 constexpr Duration HeartbeatInterval{150}; // longest time without an append
+// Longer than it takes a worker that is up to answer the next poll after a lost answer.
+constexpr Duration MinSilenceToSuspendLease{600};
 constexpr int TicksBetweenTenureRecords = 10; // the tenure record is stored again
 constexpr Duration RegistryPollInterval{300};
 constexpr Duration LoadLogInterval{1'000};
@@ -95,6 +98,9 @@
                             m_context.workTopic),
       m_releaseTimer(m_context.io)
 {
+    m_suspendedLeases = m_options.suspendedLeases;
+    for (const auto &[id, expiry] : m_suspendedLeases)
+        m_inheritedSuspensions.insert(id);
     m_startedAt = m_lastStoredAt = m_lastPublishedAt = m_loadLoggedAt = m_context.clock.now();
     WorkerLinks::Callbacks links;
     links.report = [this](const WorkerId &id, const RunReport &report) { onReport(id, report); };
@@ -110,8 +116,16 @@
     links.stopConfirmed = [this](const StopOrder &order) {
         m_dispatcher.stopAnswered(order, m_context.clock.now());
     };
+    links.suspendedLeaseExpiry = [this](const WorkerId &id) {
+        const auto it = m_suspendedLeases.find(id);
+        return it == m_suspendedLeases.end() ? std::nullopt : std::optional(it->second);
+    };
     links.reachable = [this](const WorkerId &id, bool reachable) {
         reachable ? (void)m_reachable.insert(id) : (void)m_reachable.erase(id);
+        if (reachable && m_suspendedLeases.contains(id)) {
+            m_usedWorkersToStore.insert(id);
+            scheduleFlush(Duration::zero());
+        }
         updateReachable(id);
     };
     links.lost = [this](const WorkerId &id) {
@@ -274,7 +288,8 @@
 
 void Scheduler::updateReachable(const WorkerId &id)
 {
-    m_dispatcher.setReachable(id, m_reachable.contains(id) && m_storedUsedWorkers.contains(id));
+    m_dispatcher.setReachable(id, m_reachable.contains(id) && m_storedUsedWorkers.contains(id)
+                                      && !m_suspendedLeases.contains(id));
 }
 
 void Scheduler::updateReconciliation()
@@ -456,14 +471,40 @@
     for (const WorkerId &id : m_usedWorkersToRemove) {
         records.push_back({work_key::usedWorker(id), "", true, 0});
         m_storedUsedWorkers.erase(id);
+        m_suspendedLeases.erase(id);
     }
     m_usedWorkersToRemove.clear();
     m_batchUsedWorkers = std::exchange(m_usedWorkersToStore, {});
-    for (const WorkerId &id : m_batchUsedWorkers) {
-        work::UsedWorker used;
-        used.id = id;
-        used.address = m_links->address(id);
-        records.push_back({work_key::usedWorker(id), encodeRecord(used), false, 0});
+    for (const WorkerId &id : m_batchUsedWorkers)
+        records.push_back(usedWorkerRecord(id, Duration::zero()));
+    suspendLeases(records);
+}
+
+KeyedRecord Scheduler::usedWorkerRecord(const WorkerId &id, Duration leasesExpireWithin) const
+{
+    work::UsedWorker used;
+    used.id = id;
+    used.address = m_links->address(id);
+    used.leasesExpireWithinMs = leasesExpireWithin.count();
+    return {work_key::usedWorker(id), encodeRecord(used), false, 0};
+}
+
+// Promises not to extend the leases of unresponsive workers, so that a later scheduler waits only
+// for what is left of them. The promise is kept from now on, before it is stored. It gives a time
+// span, which each instance counts from its own reading of the record, since clocks differ.
+void Scheduler::suspendLeases(std::vector<KeyedRecord> &records)
+{
+    const Instant now = m_context.clock.now();
+    for (const WorkerId &id : m_links->unreachableSince(now - MinSilenceToSuspendLease)) {
+        if (!m_storedUsedWorkers.contains(id) || m_batchUsedWorkers.contains(id))
+            continue;
+        // A promise of a former scheduler is stored once more with the time that is left.
+        if (m_suspendedLeases.contains(id) && m_inheritedSuspensions.erase(id) == 0)
+            continue;
+        const Instant expiry = std::max(m_links->leaseExpiry(id), now + Duration(1));
+        m_suspendedLeases[id] = expiry;
+        records.push_back(usedWorkerRecord(id, expiry - now));
+        m_batchUrgent.insert(records.back().key);
     }
 }
 
@@ -479,6 +520,7 @@
     std::swap(m_storedPositions, m_batchPositions);
     for (const WorkerId &id : m_batchUsedWorkers) {
         m_storedUsedWorkers.insert(id);
+        m_suspendedLeases.erase(id);
         updateReachable(id);
     }
     if (!m_batchUsedWorkers.empty())
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -60,6 +60,9 @@
     Duration maxLease{10'000}; // longest lease that a worker grants
     double offRackFactor = 1; // run time of a task off its preferred rack, as a multiple
     Duration terminalRetention{120'000}; // how long the state of a terminal job can be queried
+    // Workers whose stored record promises that nobody extends their lease, and when all leases on
+    // them have expired.
+    std::map<WorkerId, Instant> suspendedLeases;
 };
 
 class Scheduler
@@ -105,6 +108,8 @@
     void onRegistryLoaded(const std::set<std::string> &ids);
     void onReport(const WorkerId &id, const RunReport &report);
     void updateReachable(const WorkerId &id);
+    KeyedRecord usedWorkerRecord(const WorkerId &id, Duration leasesExpireWithin) const;
+    void suspendLeases(std::vector<KeyedRecord> &records);
     void updateReconciliation();
     void schedulePass();
     void runPass();
@@ -144,6 +149,11 @@
     // knows every worker on which tasks may run.
     std::set<WorkerId> m_storedUsedWorkers;
     std::set<WorkerId> m_usedWorkersToStore;
+    // Workers whose lease must not be extended until their record is stored without the promise
+    // that it is not, and when all leases on them have expired. A later scheduler relies on it.
+    std::map<WorkerId, Instant> m_suspendedLeases;
+    // Of these, the ones that only a former scheduler has stored.
+    std::set<WorkerId> m_inheritedSuspensions;
     std::set<WorkerId> m_usedWorkersToRemove;
     std::set<WorkerId> m_reachable;
     // Position up to which each worker's finished runs are stored. Workers may discard these.
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -24,6 +24,8 @@
 constexpr Duration LossyPeriod{8'000};
 constexpr Duration LossyPollWait{250};
 constexpr Duration LossyPollTimeoutMargin{200};
+// While the lease may not be extended, so that it is extended soon after the suspension has ended.
+constexpr Duration SuspendedLeasePollWait{250};
 // Delay between storing finished runs and the next poll, so that one poll reports several of them.
 constexpr Duration PollBatchingDelay{30};
 // While finished runs cannot be stored, polls serve only to extend the lease.
@@ -81,8 +83,11 @@
     if (!added)
         return;
     link.timer = std::make_shared<boost::asio::steady_timer>(m_io);
-    link.leaseExpiry = m_clock.now() + FormerSchedulerSlack
-                       + maxLeaseDuration(std::min(RequestedLease, m_options.maxLease));
+    link.unreachableSince = m_clock.now();
+    // Unless the log tells that it has stopped, a former scheduler may go on extending the lease.
+    const Instant latestExpiry = link.unreachableSince + FormerSchedulerSlack
+                                 + maxLeaseDuration(std::min(RequestedLease, m_options.maxLease));
+    link.leaseExpiry = m_callbacks.suspendedLeaseExpiry(entry.id).value_or(latestExpiry);
     poll(entry.id);
 }
 
@@ -98,12 +103,23 @@
     return it == m_links.end() || it->second.reported || it->second.lost;
 }
 
+std::vector<WorkerId> WorkerLinks::unreachableSince(Instant time) const
+{
+    std::vector<WorkerId> out;
+    for (const auto &[id, link] : m_links) {
+        if (!link.reachable && link.unreachableSince <= time)
+            out.push_back(id);
+    }
+    return out;
+}
+
 CommandFence WorkerLinks::makeFence(Link &link, bool extendLease)
 {
     CommandFence out;
     out.epoch = m_options.epoch;
     out.incarnation = link.entry.id;
-    if (!extendLease || link.workerTimeReadAt == Instant::min())
+    if (!extendLease || link.workerTimeReadAt == Instant::min()
+        || m_callbacks.suspendedLeaseExpiry(link.entry.id))
         return out;
     const Instant now = m_clock.now();
     if (now - m_lastStoredAt > LeaseExtensionWindow)
@@ -140,6 +156,8 @@
     // stored, the worker answers at once anyway.
     if (!link->reported || !link->reachable || link->hasUnstoredRuns)
         wait = Duration::zero();
+    else if (m_callbacks.suspendedLeaseExpiry(id))
+        wait = std::min(wait, SuspendedLeasePollWait);
     link->pollInFlight = true;
     // A poll may extend the lease even if its answer is lost. An unreachable worker's lease is
     // therefore not extended, so that it expires.
@@ -202,6 +220,7 @@
     if (link.reachable == reachable)
         return;
     link.reachable = reachable;
+    link.unreachableSince = m_clock.now();
     logInfo(reachable ? "worker_reachable" : "worker_unreachable",
             "worker=" + link.entry.id + " reason=\"" + reason + "\"");
     m_callbacks.reachable(link.entry.id, reachable);
@@ -265,7 +284,9 @@
 
 void WorkerLinks::sendStart(const StartOrder &order, size_t priorAttempts)
 {
-    if (!m_callbacks.startWanted(order)) {
+    // A run cannot begin without a lease.
+    const bool leaseSuspended = m_callbacks.suspendedLeaseExpiry(order.worker).has_value();
+    if (leaseSuspended || !m_callbacks.startWanted(order)) {
         onCallDone(order.worker);
         // An unanswered attempt may still be carried out.
         const StartOutcome outcome =
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -13,8 +13,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cardamompaddle {
 
@@ -40,6 +42,9 @@
         std::function<bool(const WorkerId &)> busy; // whether runs are assigned to the worker
         // Returns the position up to which the worker's finished runs are stored in the log.
         std::function<int64_t(const WorkerId &)> storedPosition;
+        // Returns when all leases on the worker have expired if its stored record promises that
+        // nobody extends them, which is then respected; otherwise none.
+        std::function<std::optional<Instant>(const WorkerId &)> suspendedLeaseExpiry;
     };
 
     WorkerLinks(boost::asio::io_context &io, const Clock &clock, WorkerGateway &gateway,
@@ -67,6 +72,10 @@
     // was lost, or has no link.
     bool reconciled(const WorkerId &id) const;
     size_t size() const { return m_links.size(); }
+    // Returns the workers that have been unreachable since `time` or longer.
+    std::vector<WorkerId> unreachableSince(Instant time) const;
+    // Returns when every lease on the worker has expired unless it is extended again.
+    Instant leaseExpiry(const WorkerId &id) const { return m_links.at(id).leaseExpiry; }
     // Returns IP:PORT of the worker, or an empty string if there is no link.
     std::string address(const WorkerId &id) const
     {
@@ -84,6 +93,7 @@
         bool reported = false; // at least one poll was answered
         bool lost = false; // reported as lost: no run can be active there
         bool reachable = false;
+        Instant unreachableSince; // while it is not reachable
         int64_t workerTimeMs = 0; // worker's clock at workerTimeReadAt
         Instant workerTimeReadAt = Instant::min(); // min(): the worker's clock is unknown
         Instant leaseExpiry; // every lease on the worker has expired by then
--- a/src/control/worker_links_test.cc
+++ b/src/control/worker_links_test.cc
@@ -35,6 +35,7 @@
         callbacks.fenced = [] {};
         callbacks.busy = [](const WorkerId &) { return true; };
         callbacks.storedPosition = [](const WorkerId &) -> int64_t { return 0; };
+        callbacks.suspendedLeaseExpiry = [](const WorkerId &) { return std::nullopt; };
         m_links.emplace(m_io, m_clock, m_workers, WorkerLinksOptions{1, Duration(10'000)},
                         std::move(callbacks));
         WorkerEntry entry;
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -2254,6 +2254,10 @@
 void UsedWorker::__set_address(const std::string& val) {
   this->address = val;
 }
+
+void UsedWorker::__set_leasesExpireWithinMs(const int64_t val) {
+  this->leasesExpireWithinMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const UsedWorker& obj)
 {
   obj.printTo(out);
@@ -2298,6 +2302,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leasesExpireWithinMs);
+          this->__isset.leasesExpireWithinMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2323,6 +2335,10 @@
   xfer += oprot->writeString(this->address);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leasesExpireWithinMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->leasesExpireWithinMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2332,28 +2348,33 @@
   using ::std::swap;
   swap(a.id, b.id);
   swap(a.address, b.address);
+  swap(a.leasesExpireWithinMs, b.leasesExpireWithinMs);
   swap(a.__isset, b.__isset);
 }
 
 UsedWorker::UsedWorker(const UsedWorker& other95) {
   id = other95.id;
   address = other95.address;
+  leasesExpireWithinMs = other95.leasesExpireWithinMs;
   __isset = other95.__isset;
 }
 UsedWorker::UsedWorker(UsedWorker&& other96) noexcept {
   id = std::move(other96.id);
   address = std::move(other96.address);
+  leasesExpireWithinMs = other96.leasesExpireWithinMs;
   __isset = other96.__isset;
 }
 UsedWorker& UsedWorker::operator=(const UsedWorker& other97) {
   id = other97.id;
   address = other97.address;
+  leasesExpireWithinMs = other97.leasesExpireWithinMs;
   __isset = other97.__isset;
   return *this;
 }
 UsedWorker& UsedWorker::operator=(UsedWorker&& other98) noexcept {
   id = std::move(other98.id);
   address = std::move(other98.address);
+  leasesExpireWithinMs = other98.leasesExpireWithinMs;
   __isset = other98.__isset;
   return *this;
 }
@@ -2362,6 +2383,7 @@
   out << "UsedWorker(";
   out << "id=" << to_string(id);
   out << ", " << "address=" << to_string(address);
+  out << ", " << "leasesExpireWithinMs=" << to_string(leasesExpireWithinMs);
   out << ")";
 }
 
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -844,9 +844,10 @@
 std::ostream& operator<<(std::ostream& out, const ApprovalAnswer& obj);
 
 typedef struct _UsedWorker__isset {
-  _UsedWorker__isset() : id(false), address(false) {}
+  _UsedWorker__isset() : id(false), address(false), leasesExpireWithinMs(false) {}
   bool id :1;
   bool address :1;
+  bool leasesExpireWithinMs :1;
 } _UsedWorker__isset;
 
 class UsedWorker : public virtual ::apache::thrift::TBase {
@@ -858,12 +859,14 @@
   UsedWorker& operator=(UsedWorker&&) noexcept;
   UsedWorker() noexcept
              : id(),
-               address() {
+               address(),
+               leasesExpireWithinMs(0) {
   }
 
   virtual ~UsedWorker() noexcept;
   std::string id;
   std::string address;
+  int64_t leasesExpireWithinMs;
 
   _UsedWorker__isset __isset;
 
@@ -871,12 +874,16 @@
 
   void __set_address(const std::string& val);
 
+  void __set_leasesExpireWithinMs(const int64_t val);
+
   bool operator == (const UsedWorker & rhs) const
   {
     if (!(id == rhs.id))
       return false;
     if (!(address == rhs.address))
       return false;
+    if (!(leasesExpireWithinMs == rhs.leasesExpireWithinMs))
+      return false;
     return true;
   }
   bool operator != (const UsedWorker &rhs) const {
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -82,7 +82,13 @@
 struct ApprovalAnswer { 1: bool ok; 2: list<Approval> approved; 3: string error; }
 
 // A worker that the scheduler assigns tasks to. Stored until every run on it has certainly ended.
-struct UsedWorker { 1: string id; 2: string address; }
+struct UsedWorker {
+  1: string id;
+  2: string address;
+  // Not 0: while this is the worker's newest record, nobody extends its lease, and all leases on it
+  // expire within this time after the record was stored. 0: its lease may be extended at any time.
+  3: i64 leasesExpireWithinMs;
+}
 
 // Records of one topic of the log, as stored. `topicEnd` is the offset at which the topic ended
 // after them; 0 if unknown. The receiver sends them on to the peers in `relayTo` (IP:PORT). `epoch`
