Give a worker that is listed again the reachability of its link

A worker that left the registry and came back got no starts until the tenure ended or a poll of it failed. With few workers that are eligible for a step, its tasks wait for the next scheduler (hypothesis 2 of docs/incidents/issue-25-lost.md).

Cause: the dispatcher forgets an unlisted worker without runs at once. Its link stays until a tick finds it without a poll in flight, which is rare for a worker that answers. If the worker is listed again meanwhile, the dispatcher creates it anew as unreachable, but the link goes on as reachable and reports only changes.

Evidence: InstanceTest.AWorkerThatIsListedAgainAtOnceGetsStarts before the fix:

Value of: runUntil([this] { return m_workers.starts == 1; }, Duration(3'000)) Actual: false, Expected: true

Why it works: the scheduler passes what it knows of the worker's reachability on with each registry entry.

--- a/src/control/instance_test.cc
+++ b/src/control/instance_test.cc
@@ -295,4 +295,20 @@
     EXPECT_FALSE(m_workers.ranTwice);
 }
 
+// Guards against a worker that gets no starts until the tenure ends: it left the registry, and was
+// listed again before its link was closed.
+TEST_F(InstanceTest, AWorkerThatIsListedAgainAtOnceGetsStarts)
+{
+    m_model.put(RegistryTopic, "w2", "");
+    addNode("a");
+    ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+    runFor(Duration(500));
+    m_model.put(RegistryTopic, "w1", "");
+    runFor(Duration(700));
+    m_model.put(RegistryTopic, "w1", "ready");
+    runFor(Duration(700));
+    ASSERT_EQ(submit(m_nodes["a"], "job"), SubmitOutcome::Accepted);
+    EXPECT_TRUE(runUntil([this] { return m_workers.starts == 1; }, Duration(3'000)));
+}
+
 } // namespace cardamompaddle
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -248,6 +248,8 @@
     }
     m_dispatcher.setWorker(*entry);
     m_links->setEntry(*entry, true);
+    // The link may have outlived an earlier entry and report no change.
+    updateReachable(entry->id);
     if (!m_storedUsedWorkers.contains(entry->id) && m_usedWorkersToStore.insert(entry->id).second)
         scheduleFlush(Duration::zero());
     schedulePass();
