Keep the record of a worker that is listed again before its removal is sent

A worker that left the registry and came back got no starts until the tenure ended or it was listed anew.

Cause: the scheduler notes that the record of a worker without a link is to be removed, and removes it with the next append. If the worker is listed again before that, its record still counts as stored and is not stored again; then the append removes it. Only workers with a stored record get starts. The slower the log, the longer the window.

Evidence: InstanceTest.AWorkerThatIsListedAgainKeepsItsRecord (appends of 300 ms) before the fix:

Value of: isRecorded() Actual: false, Expected: true round 5

Why it works: whether the worker still has no link is checked when the removal is put into the append.

--- a/src/control/instance_test.cc
+++ b/src/control/instance_test.cc
@@ -311,4 +311,30 @@
     EXPECT_TRUE(runUntil([this] { return m_workers.starts == 1; }, Duration(3'000)));
 }
 
+// Guards against a worker that gets no starts until the tenure ends: it left the registry, its link
+// was closed, and it was listed again before the removal of its record was sent to a slow log.
+TEST_F(InstanceTest, AWorkerThatIsListedAgainKeepsItsRecord)
+{
+    m_model.put(RegistryTopic, "w2", "");
+    addNode("a").log->appendTime = Duration(300);
+    ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+    runFor(Duration(1'000));
+    const auto isRecorded = [this] {
+        const auto &records = m_model.topics[WorkTopic].records;
+        const auto newest = std::find_if(records.rbegin(), records.rend(), [](const auto &it) {
+            return it.key == work_key::usedWorker("w1");
+        });
+        return newest != records.rend() && !newest->removed;
+    };
+    for (int i = 0; i < 8; ++i) {
+        m_workers.workers["w1"].unresponsive = true;
+        m_model.put(RegistryTopic, "w1", "");
+        runFor(Duration(500 + 70 * i));
+        m_workers.workers["w1"].unresponsive = false;
+        m_model.put(RegistryTopic, "w1", "ready");
+        runFor(Duration(1'600));
+        ASSERT_TRUE(isRecorded()) << "round " << i;
+    }
+}
+
 } // namespace cardamompaddle
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -471,6 +471,8 @@
 void Scheduler::addWorkerRecords(std::vector<KeyedRecord> &records)
 {
     for (const WorkerId &id : m_usedWorkersToRemove) {
+        if (m_links->contains(id))
+            continue; // listed again
         records.push_back({work_key::usedWorker(id), "", true, 0});
         m_storedUsedWorkers.erase(id);
         m_suspendedLeases.erase(id);
