Take over the runs of a worker whose registry entry is invalid

A task ran twice: it was started elsewhere at a takeover while its worker was up.

Cause: a new scheduler opens links to the workers that the former one used: by their entries, or by the stored address if they have none. A worker with an entry that cannot be decoded got neither. A worker without a link counts as reconciled, so the tasks placed on it were started elsewhere at once. One odd entry written under the key of a worker is enough.

Evidence: InstanceTakeoverTest.RunsOfAWorkerWithAnInvalidEntryAreTakenOver before the fix:

Expected equality of these values: m_workers.starts (which is 2), 1 Value of: m_workers.ranTwice, Actual: true, Expected: false

Why it works: such a worker is treated as one that is not listed. It is polled at its stored address, its runs are adopted, and it gets no starts.

--- a/src/control/instance_takeover_test.cc
+++ b/src/control/instance_takeover_test.cc
@@ -78,5 +78,22 @@
     EXPECT_TRUE(runUntil([this] { return m_workers.starts == 2; }, Duration(8'000)));
 }
 
+// Guards against a task that runs twice: a takeover takes a worker whose registry entry cannot be
+// decoded for one that is gone.
+TEST_F(InstanceTakeoverTest, RunsOfAWorkerWithAnInvalidEntryAreTakenOver)
+{
+    startJob();
+    for (const auto &[id, worker] : m_workers.workers) {
+        if (!worker.running.empty())
+            m_model.put(RegistryTopic, id, "bad");
+    }
+    replaceScheduler();
+    runFor(Duration(1'000));
+    EXPECT_EQ(m_workers.starts, 1);
+    EXPECT_FALSE(m_workers.ranTwice);
+    m_workers.finishAllRuns(RunOutcome::Succeeded);
+    EXPECT_TRUE(reached(scheduler(), "job", work::JobState::Completed));
+}
+
 } // namespace
 } // namespace cardamompaddle
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -258,7 +258,8 @@
 void Scheduler::onRegistryLoaded(const std::set<std::string> &ids)
 {
     for (const auto &[id, used] : m_context.jobTable.usedWorkers()) {
-        if (!ids.contains(id)) {
+        // An entry that cannot be decoded tells nothing about the worker.
+        if (!ids.contains(id) || !m_links->contains(id)) {
             m_dispatcher.adoptWorker(id);
             m_dispatcher.removeWorker(id);
             WorkerEntry entry;
