Ask the policy service again about a worker that has restarted

A step waits until the tenure ends although workers with room are there, since the service left them out when it was asked about their former incarnations.

Cause: a worker that an answer leaves out counts as denied for the step, and nothing ever took that back; approvals of a former incarnation stayed too, and were used until the worker refused a start with them. The service answers for one incarnation of a worker.

Evidence, before the fix, each with no pending approval where one is expected ("Actual: false, Expected: true"):

DispatcherTest.ARestartedWorkerIsAskedForAgain DispatcherTest.AWorkerThatIsListedAgainIsAskedForAgain DispatcherTest.AnAnswerAboutAFormerIncarnationIsIgnored

Why it works: what is known about a worker is forgotten when a report shows another incarnation and when the dispatcher forgets the worker, and an answer to a question from before the restart counts for nothing. A worker that is only unresponsive and comes back in the same incarnation keeps its approvals and denials: both hold for that incarnation.

--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -115,6 +115,17 @@
     return pending;
 }
 
+// Forgets all answers about the worker, approvals and denials.
+void Dispatcher::Impl::forgetApprovals(const WorkerId &id)
+{
+    for (const auto &[jobId, job] : m_jobs) {
+        for (const auto &step : job->steps) {
+            step->approvals.erase(id);
+            step->deniedWorkers.erase(id);
+        }
+    }
+}
+
 void Dispatcher::Impl::approvalAnswered(const PendingApproval &pending,
                                         const std::vector<work::Approval> *answer, Instant at,
                                         Instant now)
@@ -127,13 +138,20 @@
         now + (answer == nullptr ? ApprovalCallRetryInterval : ApprovalCallInterval);
     if (answer == nullptr)
         return;
+    // The policy service answers for one incarnation of a worker.
+    const auto restartedSince = [this, at](const WorkerId &id) {
+        const auto it = m_workers.find(id);
+        return it != m_workers.end() && it->second->restartedAt >= at;
+    };
     std::set<WorkerId> approved;
     for (const work::Approval &approval : *answer) {
+        if (restartedSince(approval.worker))
+            continue;
         approved.insert(approval.worker);
         step->approvals[approval.worker] = {approval.ticket, at + pending.validity};
     }
     for (const WorkerId &worker : pending.workers) {
-        if (approved.contains(worker))
+        if (approved.contains(worker) || restartedSince(worker))
             continue;
         step->deniedWorkers.insert(worker);
         if (step->approvals.contains(worker))
--- a/src/dispatch/dispatcher_test.cc
+++ b/src/dispatch/dispatcher_test.cc
@@ -297,4 +297,64 @@
 }
 
 } // namespace
+// Guards against a task that waits until the tenure ends: the policy service left out a worker that
+// was down when it was asked, and the worker is not asked for again once it is back.
+TEST_F(DispatcherTest, ARestartedWorkerIsAskedForAgain)
+{
+    m_route.approval = ApprovalPolicy{Duration(20), 0.5, Duration(2'000)};
+    setCatalog();
+    join(entry("v"));
+    add("job", {step(1)});
+    const auto pending = m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration(1'000));
+    ASSERT_TRUE(pending);
+    m_dispatcher.approvalRequested(pending->step);
+    const std::vector<work::Approval> none;
+    m_dispatcher.approvalAnswered(*pending, &none, m_now, m_now + Duration(50));
+    m_now += Duration(1'000);
+    EXPECT_FALSE(m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration(1'000)));
+    report("v", {}, {}, 2);
+    const auto again = m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration(1'000));
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->workers, std::vector<WorkerId>{"v"});
+}
+
+// Guards against the same if the worker left the registry in between.
+TEST_F(DispatcherTest, AWorkerThatIsListedAgainIsAskedForAgain)
+{
+    m_route.approval = ApprovalPolicy{Duration(20), 0.5, Duration(2'000)};
+    setCatalog();
+    join(entry("v"));
+    add("job", {step(1)});
+    const auto pending = m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration(1'000));
+    ASSERT_TRUE(pending);
+    m_dispatcher.approvalRequested(pending->step);
+    const std::vector<work::Approval> none;
+    m_dispatcher.approvalAnswered(*pending, &none, m_now, m_now + Duration(50));
+    m_dispatcher.removeWorker("v");
+    m_now += Duration(1'000);
+    m_dispatcher.setWorker(entry("v"));
+    report("v", {}, {}, 2);
+    m_dispatcher.setReachable("v", true);
+    EXPECT_TRUE(m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration(1'000)));
+}
+
+// Guards against the same if the worker restarts while the policy service is asked.
+TEST_F(DispatcherTest, AnAnswerAboutAFormerIncarnationIsIgnored)
+{
+    m_route.approval = ApprovalPolicy{Duration(20), 0.5, Duration(2'000)};
+    setCatalog();
+    join(entry("v"));
+    add("job", {step(1)});
+    const auto pending = m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration(1'000));
+    ASSERT_TRUE(pending);
+    m_dispatcher.approvalRequested(pending->step);
+    const Instant askedAt = m_now;
+    m_now += Duration(20);
+    report("v", {}, {}, 2);
+    const std::vector<work::Approval> none;
+    m_dispatcher.approvalAnswered(*pending, &none, askedAt, m_now + Duration(30));
+    m_now += Duration(1'000);
+    EXPECT_TRUE(m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration(1'000)));
+}
+
 } // namespace cardamompaddle
--- a/src/dispatch/dispatcher_workers.cc
+++ b/src/dispatch/dispatcher_workers.cc
@@ -82,10 +82,15 @@
     m_total -= it->second->entry.capacity;
     emitEvent("worker_left", "",
               "worker=" + id + " runs=" + std::to_string(it->second->attempts.size()));
-    if (it->second->attempts.empty()) {
-        releaseOrphanedUse(*it->second);
-        m_workers.erase(it);
-    }
+    if (it->second->attempts.empty())
+        eraseWorker(id);
+}
+
+void Dispatcher::Impl::eraseWorker(const WorkerId &id)
+{
+    releaseOrphanedUse(*m_workers.at(id));
+    forgetApprovals(id);
+    m_workers.erase(id);
 }
 
 void Dispatcher::Impl::workerLost(const WorkerId &id)
@@ -98,7 +103,7 @@
     it->second->reported = false;
     it->second->reachable = false;
     if (!it->second->listed)
-        m_workers.erase(it);
+        eraseWorker(id);
 }
 
 void Dispatcher::Impl::updateFailureStreak(Worker &worker, RunOutcome outcome,
@@ -141,6 +146,8 @@
         requeueAllRuns(worker, "worker_restarted");
         worker.endPosition = 0;
         worker.slowdown = 1;
+        worker.restartedAt = now;
+        forgetApprovals(id);
     }
     worker.incarnationStartedAtMs = report.startedAtMs;
     if (!worker.reported)
@@ -164,10 +171,8 @@
     stopStalledRuns(worker, now);
     detectSlowWorker(worker, now);
     throttleIdleCpuTasks(worker, now);
-    if (!worker.listed && worker.attempts.empty()) {
-        releaseOrphanedUse(worker);
-        m_workers.erase(id);
-    }
+    if (!worker.listed && worker.attempts.empty())
+        eraseWorker(id);
 }
 
 void Dispatcher::Impl::stopStalledRuns(Worker &worker, Instant now)
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -41,6 +41,7 @@
                                                    bool &settled);
     void approvalAnswered(const PendingApproval &pending, const std::vector<work::Approval> *answer,
                           Instant at, Instant now);
+    void forgetApprovals(const WorkerId &id);
     dispatch::Step *findStep(const StepRef &ref);
 
     // dispatcher_overdue.cc
@@ -97,6 +98,7 @@
     void detectSlowWorker(Worker &worker, Instant now);
     void throttleIdleCpuTasks(Worker &worker, Instant now);
     void releaseDraining(Worker &worker);
+    void eraseWorker(const WorkerId &id);
 
     // dispatcher_place.cc
     std::string checkpointForStart(const Step &step, int32_t index) const;
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -167,6 +167,7 @@
     std::vector<std::pair<Resources *, Resources>> orphanedUse;
     Resources used;
     std::optional<int64_t> incarnationStartedAtMs; // from the last report; Unix time
+    Instant restartedAt = Instant::min(); // when a report first showed the present incarnation
     int64_t endPosition = 0; // see Dispatcher::endPosition()
     AttemptSet attempts;
     int32_t servingTasks = 0; // active tasks with a latency target
