Take no worker from a registry entry that names none

Callers saw nothing yet.

Deep nesting (100,000 levels, as the value and as a member), numbers too large (1e400, 1e30, 2^63, 2^64, a thousand digits) and ports out of range (65536, , -1, empty) were skipped by the code as it stood: Boost.JSON stops at 32 levels, and every number and port is checked. Nor did any decoder of outside messages throw or crash on 3,000 mutated messages each.

Seventeen other entries were taken for workers before this change. OddEntryTest.NamesNoWorker failed for CapacityThatNoMachineHas, NegativeCapacity, NegativeAccelerators, PortZero, HostIsAName, HostOctetTooLarge, HostUnspecified, HostMulticast, HostBroadcast, AddressWithHeader, AddressWithScope, AddressVeryLong, KeyEmpty, KeyWithHeader, KeyWithNul, KeyWithInvalidUtf8 and KeyTooLongForOurRecord, each with

Value of: entry Actual: true Expected: false

Cause: only the port's range was checked, not the host, the key or the amounts. Such an entry under the key of a real worker replaced its valid one; a capacity of 9e15 entered the total by which teams are ranked; a key with CR LF went into the header of each call, and an address with a NUL byte or a '%' kept what follows it when it was parsed and sent as Host.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -41,6 +41,16 @@
 
 } // namespace
 
+bool isHostAddress(const std::string &address)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint || endpoint->port() == 0)
+        return false;
+    const asio::ip::address ip = endpoint->address();
+    const bool broadcast = ip == asio::ip::address_v4::broadcast();
+    return !ip.is_unspecified() && !ip.is_multicast() && !broadcast;
+}
+
 class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl>
 {
 public:
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -17,6 +17,10 @@
 
 namespace cardamompaddle {
 
+// Whether `address` is an "IP:PORT" to which a client can connect: of a single host and with a port
+// from 1 on.
+bool isHostAddress(const std::string &address);
+
 struct HttpClientOptions
 {
     size_t maxIdlePerAddress = 8;
--- a/src/net/internal/listen.cc
+++ b/src/net/internal/listen.cc
@@ -2,6 +2,8 @@
 
 #include "net/http_types.h"
 
+#include <algorithm>
+
 namespace cardamompaddle {
 
 namespace asio = boost::asio;
@@ -10,12 +12,16 @@
 
 Result<tcp::endpoint> parseEndpoint(const std::string &address)
 {
+    // make_address() ignores what follows a NUL byte, and most of what follows a '%'.
+    const bool printable =
+        std::all_of(address.begin(), address.end(), [](char c) { return c > ' ' && c <= '~'; });
     HostPort parsed;
     error_code ec;
-    const bool split = parseHostPort(address, parsed);
+    const bool split = printable && parseHostPort(address, parsed);
     const auto ip = asio::ip::make_address(parsed.host, ec);
     if (!split || ec)
-        return Error{ErrorCode::InvalidArgument, "not a valid IP:PORT: " + address};
+        return Error{ErrorCode::InvalidArgument,
+                     "not a valid IP:PORT: " + (printable ? address : "unprintable text")};
     return tcp::endpoint(ip, parsed.port);
 }
 
