Refuse jobs that exhaust the scheduler's memory

One job could end each scheduler in turn: the limits were 100,000 tasks for each step and 10,000 occurrences, and the dispatcher allocates every task of every occurrence at once, also after each takeover. A stored job with a negative number of tasks, which another writer could leave, makes a vector throw, and a state that does not exist is used as an index of a table of names.

--- a/src/control/job_table.cc
+++ b/src/control/job_table.cc
@@ -1,6 +1,7 @@
 #include "control/job_table.h"
 
 #include "work/codec.h"
+#include "work/limits.h"
 
 namespace cardamompaddle {
 
@@ -51,6 +52,30 @@
     return {};
 }
 
+// Decodes the stored job `id`. Errors: InvalidArgument, also for a job beyond the limits.
+Result<work::Submission> decodeJob(const std::string &id, std::string_view value)
+{
+    auto job = decodeRecord<work::Submission>(value);
+    if (!job)
+        return job.error();
+    if (job->id != id)
+        return Error{ErrorCode::InvalidArgument, "the job has another id than its key"};
+    if (const auto checked = checkLimits(*job); !checked)
+        return checked.error();
+    return job;
+}
+
+// Decodes progress. Errors: InvalidArgument, also for a state that does not exist.
+Result<work::Progress> decodeProgress(std::string_view value)
+{
+    auto progress = decodeRecord<work::Progress>(value);
+    if (progress
+        && (progress->state < work::JobState::Queued
+            || progress->state > work::JobState::Cancelled))
+        return Error{ErrorCode::InvalidArgument, "unknown state"};
+    return progress;
+}
+
 bool isWaiting(const JobEntry &entry)
 {
     return entry.submission && entry.submission->repetitions == 0
@@ -120,14 +145,14 @@
         entry.cancelled = true;
         change = Change::Cancelled;
     } else if (kind == "progress") {
-        auto progress = decodeRecord<work::Progress>(record.value);
+        auto progress = decodeProgress(record.value);
         if (progress)
             entry.progress = std::make_unique<work::Progress>(std::move(*progress));
         change = progress ? Result<Change>(Change::Progressed) : progress.error();
     } else if (kind == "job" && entry.submission) {
         change = Change::None; // a repeated submission is ignored
     } else if (kind == "job") {
-        auto submission = decodeRecord<work::Submission>(record.value);
+        auto submission = decodeJob(id, record.value);
         if (submission) {
             entry.submission = std::make_shared<work::Submission>(std::move(*submission));
             entry.offset = record.offset;
--- a/src/control/job_table_test.cc
+++ b/src/control/job_table_test.cc
@@ -81,6 +81,38 @@
     EXPECT_EQ(m_jobTable.tenure().epoch, 0);
 }
 
+// Guards against a record that ends every instance that reads it, although it can be decoded.
+TEST_F(JobTableTest, RecordsBeyondTheLimitsChangeNothing)
+{
+    const auto isApplied = [this](const std::string &key, const std::string &value) {
+        std::string id;
+        return m_jobTable.apply({key, value, false, m_offset++}, id).ok();
+    };
+    const auto jobWith = [](int32_t tasks, int32_t repetitions, int64_t intervalMs) {
+        work::Submission job;
+        job.id = "a";
+        job.steps.resize(1);
+        job.steps[0].tasks = tasks;
+        job.repetitions = repetitions;
+        job.intervalMs = intervalMs;
+        return encodeRecord(job);
+    };
+    EXPECT_FALSE(isApplied("job/a", jobWith(-1, 0, 0)));
+    EXPECT_FALSE(isApplied("job/a", jobWith(INT32_MAX, 0, 0)));
+    EXPECT_FALSE(isApplied("job/a", jobWith(1, INT32_MAX, 0)));
+    EXPECT_FALSE(isApplied("job/a", jobWith(1, 2, INT64_MAX)));
+    EXPECT_FALSE(isApplied("job/b", jobWith(1, 0, 0))) << "the id is not that of the key";
+    EXPECT_EQ(m_jobTable.find("a"), nullptr);
+    EXPECT_EQ(m_jobTable.find("b"), nullptr);
+    EXPECT_TRUE(isApplied("job/a", jobWith(1, 0, 0)));
+    work::Progress progress;
+    for (const int state : {-1, 5, 99}) {
+        progress.state = static_cast<work::JobState::type>(state);
+        EXPECT_FALSE(isApplied("progress/a", encodeRecord(progress))) << state;
+    }
+    EXPECT_EQ(m_jobTable.find("a")->state(), work::JobState::Queued);
+}
+
 // Guards against a log that grows without bound, and against the removal of jobs that are not
 // terminal or that callers may still query.
 TEST_F(JobTableTest, GarbageCollectorRemovesOnlyOldTerminalJobs)
