Bound the time to the next event of the dispatcher

A job that is due in the far future (FirstRunMs of 9e15) set a timer for that time, in milliseconds that overflow when the timer converts them to nanoseconds. The timer may then expire at once, again and again.

DispatcherTest.TheNextEventIsSoonEnoughForATimer Expected: (*next - m_now) <= (Duration(86'400'000)), actual: 8999999999000000ms vs 86400000ms

Now the next event is at most an hour away; the pass that runs then asks again. That the timer spins was not measured.

--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -15,6 +15,8 @@
 
 // A stop order without an answer is sent again after this time.
 constexpr Duration StopRetryInterval{600};
+// Timers cannot wait for events of the far future.
+constexpr Duration MaxEventWait{3'600'000};
 // Each epoch owns this many run numbers per task, so a later tenure always uses higher ones.
 constexpr int64_t RunsPerTenure = 1'000;
 // Penalties added to a worker's placement score; the worker with the lowest score wins. Idle-CPU
@@ -419,7 +421,7 @@
     std::optional<Instant> next;
     const auto at = [&next, now](Instant when) {
         if (when > now && (!next || when < *next))
-            next = when;
+            next = std::min(when, now + MaxEventWait);
     };
     for (const Attempt *attempt : m_pendingStops)
         at(attempt->stopSentAt + StopRetryInterval);
--- a/src/dispatch/dispatcher_test.cc
+++ b/src/dispatch/dispatcher_test.cc
@@ -242,6 +242,23 @@
     EXPECT_EQ(m_dispatcher.decide(m_now, UnixNow + 1'500).starts.size(), 1U);
 }
 
+// Guards against a timer for the far future that overflows and expires at once, again and again.
+TEST_F(DispatcherTest, TheNextEventIsSoonEnoughForATimer)
+{
+    auto job = std::make_shared<work::Submission>();
+    job->id = "job";
+    job->route = "r";
+    job->team = "t";
+    job->steps = {step(1)};
+    job->repetitions = 2;
+    job->firstDueMs = 9'000'000'000'000'000;
+    m_dispatcher.addJob(job, nullptr, false);
+    const auto next = m_dispatcher.nextEvent(m_now, UnixNow);
+    ASSERT_TRUE(next);
+    EXPECT_GT(*next, m_now);
+    EXPECT_LE(*next - m_now, Duration(86'400'000));
+}
+
 // Guards against decisions that depend on the addresses of records in memory, as iteration over a
 // set of pointers does.
 TEST_F(DispatcherTest, OrdersDoNotDependOnMemoryLayout)
