Keep control characters out of log lines

Whoever chooses a registry key or a request's path could end a log line and forge another one.

Now the appender writes '?' for each control character of a line.

--- a/src/logging/bounded_appender.cc
+++ b/src/logging/bounded_appender.cc
@@ -47,7 +47,11 @@
                             .count();
     const auto &level = log4cplus::getLogLevelManager().toString(event.getLogLevel());
     std::string line = "t=" + std::to_string(unixMs) + " level=" + level
-                       + " instance=" + m_options.instance + " " + event.getMessage() + "\n";
+                       + " instance=" + m_options.instance + " " + event.getMessage();
+    // Messages hold keys and paths that anyone may choose.
+    const auto isControl = [](char c) { return (c >= 0 && c < ' ') || c == '\x7f'; };
+    std::replace_if(line.begin(), line.end(), isControl, '?');
+    line += '\n';
     if (line.size() > m_byteBudget
         || m_buffer.size() - m_written + line.size() > m_options.maxBufferedBytes) {
         ++m_unreportedDrops;
--- a/src/logging/bounded_appender_test.cc
+++ b/src/logging/bounded_appender_test.cc
@@ -4,6 +4,7 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
 
+#include <algorithm>
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -36,6 +37,17 @@
     Instant m_now = instantFromMs(10'000);
 };
 
+// Guards against a key or path from outside that forges a line or hides the rest of its own.
+TEST_F(BoundedAppenderTest, WritesOneLineForAMessageWithControlCharacters)
+{
+    BoundedAppender appender({m_pipe[1], 1 << 16, 1 << 16, "n1"});
+    log(appender, std::string("event=x key=i\r\nevent=forged\0\x1b[2J reason=y", 41));
+    appender.flush(m_now);
+    const std::string written = read();
+    EXPECT_EQ(std::count(written.begin(), written.end(), '\n'), 1);
+    EXPECT_NE(written.find("key=i??event=forged??[2J reason=y\n"), std::string::npos) << written;
+}
+
 TEST_F(BoundedAppenderTest, WritesLinesWithTheInstanceName)
 {
     BoundedAppender appender({m_pipe[1], 1 << 16, 1 << 16, "n1"});
