--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -133,6 +133,11 @@
         updateReconciliation();
         schedulePass();
     };
+    links.replaced = [this](const WorkerId &id) {
+        m_dispatcher.workerReplaced(id, m_context.clock.now());
+        updateReconciliation();
+        schedulePass();
+    };
     links.fenced = [this] { reportTenureLost("a worker has seen a higher epoch"); };
     links.busy = [this](const WorkerId &id) { return m_dispatcher.isBusy(id); };
     links.storedPosition = [this](const WorkerId &id) {
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -188,7 +188,7 @@
     link->workerTimeReadAt = now;
     const bool firstReport = !link->reported;
     link->reported = true;
-    link->lost = false;
+    link->lost = link->replaced = false;
     const bool hasFinishedRuns = !answer->report.ended.empty();
     m_callbacks.report(id, answer->report);
     if (!*m_alive)
@@ -234,15 +234,18 @@
         return m_callbacks.fenced();
     // Another worker has the address now, so this one is gone with all its runs.
     Link *link = error.code == ErrorCode::Conflict ? find(id) : nullptr;
-    if (link != nullptr && !link->lost)
-        markLost(*link, "another worker has its address");
+    if (link != nullptr && !link->replaced) {
+        link->replaced = true;
+        markLost(*link, "another worker has its address", m_callbacks.replaced);
+    }
 }
 
-void WorkerLinks::markLost(Link &link, const std::string &reason)
+void WorkerLinks::markLost(Link &link, const std::string &reason,
+                           const std::function<void(const WorkerId &)> &callback)
 {
     link.lost = true;
     logInfo("worker_lost", "worker=" + link.entry.id + " reason=\"" + reason + "\"");
-    m_callbacks.lost(link.entry.id);
+    callback(link.entry.id);
 }
 
 void WorkerLinks::enqueue(const WorkerId &id, std::function<void()> call)
@@ -383,7 +386,7 @@
             closable.push_back(id);
     }
     for (const WorkerId &id : expired)
-        markLost(m_links.at(id), "its leases have lapsed");
+        markLost(m_links.at(id), "its leases have lapsed", m_callbacks.lost);
     for (const WorkerId &id : closable) {
         // Kept while calls are in flight: queued calls still need the link.
         if (Link &link = m_links.at(id); !link.pollInFlight && link.inFlight == 0)
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -38,6 +38,8 @@
         std::function<void(const StopOrder &)> stopConfirmed;
         std::function<void(const WorkerId &, bool)> reachable;
         std::function<void(const WorkerId &)> lost; // no run is active there any more
+        // Another worker has its address, so no run is active there any more. May follow `lost`.
+        std::function<void(const WorkerId &)> replaced;
         std::function<void()> fenced; // a worker has seen a higher epoch
         std::function<bool(const WorkerId &)> busy; // whether runs are assigned to the worker
         // Returns the position up to which the worker's finished runs are stored in the log.
@@ -92,6 +94,7 @@
         bool hasUnstoredRuns = false; // reported finished runs are not stored yet
         bool reported = false; // at least one poll was answered
         bool lost = false; // reported as lost: no run can be active there
+        bool replaced = false; // reported as replaced
         bool reachable = false;
         Instant unreachableSince; // while it is not reachable
         int64_t workerTimeMs = 0; // worker's clock at workerTimeReadAt
@@ -124,7 +127,8 @@
     bool finishOrder(std::string_view failureEvent, const WorkerId &id, const TaskRef &task,
                      const Result<void> &answer);
     void handleError(const WorkerId &id, const Error &error);
-    void markLost(Link &link, const std::string &reason);
+    void markLost(Link &link, const std::string &reason,
+                  const std::function<void(const WorkerId &)> &callback);
 
     boost::asio::io_context &m_io;
     const Clock &m_clock;
--- a/src/control/worker_links_test.cc
+++ b/src/control/worker_links_test.cc
@@ -32,6 +32,7 @@
         callbacks.stopConfirmed = [](const StopOrder &) {};
         callbacks.reachable = [](const WorkerId &, bool) {};
         callbacks.lost = [](const WorkerId &) {};
+        callbacks.replaced = [](const WorkerId &) {};
         callbacks.fenced = [] {};
         callbacks.busy = [](const WorkerId &) { return true; };
         callbacks.storedPosition = [](const WorkerId &) -> int64_t { return 0; };
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -85,6 +85,11 @@
     m_impl->workerLost(id);
 }
 
+void Dispatcher::workerReplaced(const WorkerId &id, Instant now)
+{
+    m_impl->workerReplaced(id, now);
+}
+
 void Dispatcher::workerReported(const WorkerId &id, const RunReport &report, Instant now)
 {
     m_impl->workerReported(id, report, now);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -94,6 +94,9 @@
     void setReachable(const WorkerId &id, bool reachable);
     // Requeues all runs of the worker. Call it only once the leases of all its runs have expired.
     void workerLost(const WorkerId &id);
+    // Handles another worker at the address of this one, so that this one is gone with all its
+    // runs. Unlike workerLost(), counts as a crash unless the worker was draining.
+    void workerReplaced(const WorkerId &id, Instant now);
     // Reconciles the worker's runs with a report. Ignores a worker that is not known.
     void workerReported(const WorkerId &id, const RunReport &report, Instant now);
     // Handles the outcome of a start order.
--- a/src/dispatch/dispatcher_jobs.cc
+++ b/src/dispatch/dispatcher_jobs.cc
@@ -119,13 +119,20 @@
             if (isValid(index))
                 step->tasks[static_cast<size_t>(index)].previousWorker = worker;
         }
+        for (const auto &[index, runs] : stored.crashedRuns) {
+            if (!isValid(index) || runs.empty())
+                continue;
+            Task &task = step->tasks[static_cast<size_t>(index)];
+            task.crashedRuns.insert(runs.begin(), runs.end());
+            task.lastRun = std::max(task.lastRun, *task.crashedRuns.rbegin());
+        }
         for (const auto &[index, runs] : stored.failedRuns) {
             if (!isValid(index))
                 continue;
             Task &task = step->tasks[static_cast<size_t>(index)];
             task.failedRuns.insert(runs.begin(), runs.end());
             if (!runs.empty())
-                task.lastRun = *task.failedRuns.rbegin();
+                task.lastRun = std::max(task.lastRun, *task.failedRuns.rbegin());
         }
     }
 }
@@ -229,6 +236,8 @@
             out.succeeded.push_back(index);
         if (!task.failedRuns.empty() && !step.spec->longRunning)
             out.failedRuns[index].assign(task.failedRuns.begin(), task.failedRuns.end());
+        if (!task.crashedRuns.empty() && task.state != TaskState::Succeeded)
+            out.crashedRuns[index].assign(task.crashedRuns.begin(), task.crashedRuns.end());
     }
     return out;
 }
@@ -242,7 +251,8 @@
         progress.state = job->state;
         for (const auto &step : job->steps) {
             work::StepProgress stored = progressOf(*step);
-            if (!stored.succeeded.empty() || !stored.failedRuns.empty() || !stored.placedOn.empty())
+            if (!stored.succeeded.empty() || !stored.failedRuns.empty() || !stored.placedOn.empty()
+                || !stored.crashedRuns.empty())
                 progress.steps.push_back(std::move(stored));
         }
         out.push_back(std::move(progress));
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -215,7 +215,8 @@
     Worker *best = nullptr;
     double bestScore = 0;
     for (Worker *worker : candidates) {
-        if (!hasRoom(*worker, step) || reachedMaxPerWorker(*worker, step))
+        if (!hasRoom(*worker, step) || reachedMaxPerWorker(*worker, step)
+            || mustStartApart(*worker, task, now))
             continue;
         const double score = placementScore(*worker, step, task, now);
         if (best == nullptr || score < bestScore) {
@@ -247,7 +248,7 @@
         score += InterferencePenalty;
     if (task.lastFailedOn == worker.entry.id)
         score += PreviousFailurePenalty;
-    return score;
+    return score + crashPenalty(worker, task);
 }
 
 // Returns the number of the next run of a task. It exceeds the number of any run under an earlier
--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -95,6 +95,8 @@
     ++step.perWorker[worker.entry.id];
     worker.used += step.taskResources;
     worker.attempts.insert(&attempt);
+    attempt.suspect = !task.crashedRuns.empty();
+    worker.newSuspects += attempt.suspect ? 1 : 0;
     worker.servingTasks += hasLatencyTarget(step) ? 1 : 0;
     worker.idleCpuTasks += step.spec->usesIdleCpu ? 1 : 0;
     *step.job->teamUse += step.taskResources;
@@ -117,6 +119,7 @@
         step.perWorker.erase(worker.entry.id);
     worker.used -= step.taskResources;
     worker.attempts.erase(&attempt);
+    worker.newSuspects -= attempt.suspect && !attempt.survived ? 1 : 0;
     worker.servingTasks -= hasLatencyTarget(step) ? 1 : 0;
     worker.idleCpuTasks -= step.spec->usesIdleCpu ? 1 : 0;
     *step.job->teamUse -= step.taskResources;
@@ -229,6 +232,8 @@
             known->phase = AttemptPhase::Running;
             known->confirmedAt = std::min(known->confirmedAt, now);
         }
+        known->started = true;
+        updateSurvival(*known, requestedAt);
         if (run.percent != known->percent)
             known->lastProgressAt = now;
         if (!known->firstProgressAt && run.percent > known->percent && known->percentReported) {
@@ -259,6 +264,7 @@
     Attempt &adopted = createAttempt(*step, run.task.index, run.run, worker, now);
     adopted.phase = AttemptPhase::Running;
     adopted.confirmedAt = requestedAt;
+    adopted.started = true;
     updateFromReport(adopted, run);
     emitEvent("run_adopted", step->job->spec->id,
               "task=" + run.task.toString() + " run=" + std::to_string(run.run)
@@ -298,6 +304,8 @@
         return;
     if (answer == StartOutcome::Started) {
         attempt->confirmedAt = std::min(attempt->confirmedAt, now);
+        attempt->started = true;
+        attempt->worker->lastAnswerAt = std::max(attempt->worker->lastAnswerAt, now);
         if (attempt->phase == AttemptPhase::Ordered) {
             // The order may have waited for its log record to be stored before it was sent, so the
             // run time counts from the answer.
--- a/src/dispatch/dispatcher_workers.cc
+++ b/src/dispatch/dispatcher_workers.cc
@@ -55,6 +55,7 @@
         m_total += entry.capacity - worker.entry.capacity;
     worker.listed = true;
     worker.entry = entry;
+    worker.drained = worker.drained || entry.draining;
     if (startsDraining) {
         emitEvent("worker_draining", "", "worker=" + entry.id);
         releaseDraining(worker);
@@ -98,6 +99,7 @@
     const auto it = m_workers.find(id);
     if (it == m_workers.end())
         return;
+    recordNewRuns(*it->second);
     requeueAllRuns(*it->second, "lease_lapsed");
     releaseOrphanedUse(*it->second);
     it->second->reported = false;
@@ -140,6 +142,8 @@
     if (it == m_workers.end())
         return;
     Worker &worker = *it->second;
+    settleLostRuns(worker, report.startedAtMs, now);
+    worker.lastAnswerAt = now;
     // Also a worker that was lost may come back restarted.
     if (worker.incarnationStartedAtMs.value_or(report.startedAtMs) != report.startedAtMs) {
         emitEvent("worker_restarted", "", "worker=" + id);
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -134,6 +134,16 @@
     int64_t nextRunNumber(int64_t lastRun) const;
     void collectStops(Instant now, Orders &out);
 
+    // dispatcher_crashes.cc
+    void workerReplaced(const WorkerId &id, Instant now);
+    void recordNewRuns(const Worker &worker);
+    void settleLostRuns(Worker &worker, int64_t startedAtMs, Instant now);
+    void blameNewRuns(const WorkerId &id, Instant now);
+    void taskCrashedWorker(const dispatch::LostRun &lost, const WorkerId &workerId, Instant now);
+    void updateSurvival(Attempt &attempt, Instant listedAt);
+    static bool mustStartApart(const Worker &worker, const Task &task, Instant now);
+    static double crashPenalty(const Worker &worker, const Task &task);
+
     // dispatcher_takeover.cc
     void updateUnreportedUse(int64_t unixMs);
     bool mayHaveUnreportedRuns(const Job &job) const;
@@ -160,6 +170,8 @@
     std::set<std::string> m_zonesOut;
     std::map<std::string, std::unique_ptr<Job>> m_jobs;
     std::map<WorkerId, std::unique_ptr<Worker>> m_workers;
+    // Lost workers with new runs, until a report shows whether they have crashed.
+    std::map<WorkerId, dispatch::LostWorker> m_lostWorkers;
     dispatch::JobSet m_dirty; // changed since takeProgress()
     std::set<WorkerId> m_unreconciled; // may have runs that no report has shown yet
     std::map<std::string, Resources> m_teamUse; // resources in use, by team
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -55,6 +55,25 @@
     std::optional<Instant> firstProgressAt;
     int32_t firstProgressPercent = 0;
     bool percentReported = false; // a report has shown `percent`
+    bool started = false; // the worker has confirmed the start or listed the run
+    bool survived = false; // too old to be blamed for a crash of its worker
+    bool suspect = false; // its task had crashes on record when it was ordered
+};
+
+// A run that had started shortly before its worker stopped answering.
+struct LostRun
+{
+    TaskRef task;
+    int64_t run = 0;
+};
+
+// What is needed to tell later whether a lost worker has crashed.
+struct LostWorker
+{
+    std::string address; // IP:PORT
+    int64_t startedAtMs = 0; // of the lost incarnation; Unix time
+    bool drained = false;
+    std::vector<LostRun> newRuns;
 };
 
 enum class TaskState : uint8_t { Waiting, Active, Succeeded };
@@ -63,6 +82,9 @@
 {
     TaskState state = TaskState::Waiting;
     std::set<int64_t> failedRuns; // run numbers; a gang records them in task 0
+    // Numbers of the runs whose worker crashed soon after they had started. Emptied once a run has
+    // survived.
+    std::set<int64_t> crashedRuns;
     int64_t lastRun = 0; // highest run number ordered or reported
     Instant notBefore; // end of the backoff after a failure
     // Since when it could have started and waits, as reportOverdueTasks() has seen it.
@@ -172,6 +194,9 @@
     AttemptSet attempts;
     int32_t servingTasks = 0; // active tasks with a latency target
     int32_t idleCpuTasks = 0; // active tasks with usesIdleCpu
+    Instant lastAnswerAt; // of the present incarnation: report or start
+    int32_t newSuspects = 0; // suspect attempts that have not survived yet
+    bool drained = false; // the present incarnation has been draining
 
     // Health.
     int32_t failuresInRow = 0;
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -969,6 +969,10 @@
 void StepProgress::__set_placedOn(const std::map<int32_t, std::string> & val) {
   this->placedOn = val;
 }
+
+void StepProgress::__set_crashedRuns(const std::map<int32_t, std::vector<int64_t> > & val) {
+  this->crashedRuns = val;
+}
 std::ostream& operator<<(std::ostream& out, const StepProgress& obj)
 {
   obj.printTo(out);
@@ -1091,6 +1095,41 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->crashedRuns.clear();
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _ktype45;
+            ::apache::thrift::protocol::TType _vtype46;
+            xfer += iprot->readMapBegin(_ktype45, _vtype46, _size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
+            {
+              int32_t _key49;
+              xfer += iprot->readI32(_key49);
+              std::vector<int64_t> & _val50 = this->crashedRuns[_key49];
+              {
+                _val50.clear();
+                uint32_t _size51;
+                ::apache::thrift::protocol::TType _etype54;
+                xfer += iprot->readListBegin(_etype54, _size51);
+                _val50.resize(_size51);
+                uint32_t _i55;
+                for (_i55 = 0; _i55 < _size51; ++_i55)
+                {
+                  xfer += iprot->readI64(_val50[_i55]);
+                }
+                xfer += iprot->readListEnd();
+              }
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.crashedRuns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1119,10 +1158,10 @@
   xfer += oprot->writeFieldBegin("succeeded", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->succeeded.size()));
-    std::vector<int32_t> ::const_iterator _iter44;
-    for (_iter44 = this->succeeded.begin(); _iter44 != this->succeeded.end(); ++_iter44)
+    std::vector<int32_t> ::const_iterator _iter56;
+    for (_iter56 = this->succeeded.begin(); _iter56 != this->succeeded.end(); ++_iter56)
     {
-      xfer += oprot->writeI32((*_iter44));
+      xfer += oprot->writeI32((*_iter56));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1131,16 +1170,16 @@
   xfer += oprot->writeFieldBegin("failedRuns", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->failedRuns.size()));
-    std::map<int32_t, std::vector<int64_t> > ::const_iterator _iter45;
-    for (_iter45 = this->failedRuns.begin(); _iter45 != this->failedRuns.end(); ++_iter45)
+    std::map<int32_t, std::vector<int64_t> > ::const_iterator _iter57;
+    for (_iter57 = this->failedRuns.begin(); _iter57 != this->failedRuns.end(); ++_iter57)
     {
-      xfer += oprot->writeI32(_iter45->first);
+      xfer += oprot->writeI32(_iter57->first);
       {
-        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter45->second.size()));
-        std::vector<int64_t> ::const_iterator _iter46;
-        for (_iter46 = _iter45->second.begin(); _iter46 != _iter45->second.end(); ++_iter46)
+        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter57->second.size()));
+        std::vector<int64_t> ::const_iterator _iter58;
+        for (_iter58 = _iter57->second.begin(); _iter58 != _iter57->second.end(); ++_iter58)
         {
-          xfer += oprot->writeI64((*_iter46));
+          xfer += oprot->writeI64((*_iter58));
         }
         xfer += oprot->writeListEnd();
       }
@@ -1152,11 +1191,32 @@
   xfer += oprot->writeFieldBegin("placedOn", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->placedOn.size()));
-    std::map<int32_t, std::string> ::const_iterator _iter47;
-    for (_iter47 = this->placedOn.begin(); _iter47 != this->placedOn.end(); ++_iter47)
+    std::map<int32_t, std::string> ::const_iterator _iter59;
+    for (_iter59 = this->placedOn.begin(); _iter59 != this->placedOn.end(); ++_iter59)
     {
-      xfer += oprot->writeI32(_iter47->first);
-      xfer += oprot->writeString(_iter47->second);
+      xfer += oprot->writeI32(_iter59->first);
+      xfer += oprot->writeString(_iter59->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashedRuns", ::apache::thrift::protocol::T_MAP, 6);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->crashedRuns.size()));
+    std::map<int32_t, std::vector<int64_t> > ::const_iterator _iter60;
+    for (_iter60 = this->crashedRuns.begin(); _iter60 != this->crashedRuns.end(); ++_iter60)
+    {
+      xfer += oprot->writeI32(_iter60->first);
+      {
+        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter60->second.size()));
+        std::vector<int64_t> ::const_iterator _iter61;
+        for (_iter61 = _iter60->second.begin(); _iter61 != _iter60->second.end(); ++_iter61)
+        {
+          xfer += oprot->writeI64((*_iter61));
+        }
+        xfer += oprot->writeListEnd();
+      }
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1174,41 +1234,46 @@
   swap(a.succeeded, b.succeeded);
   swap(a.failedRuns, b.failedRuns);
   swap(a.placedOn, b.placedOn);
+  swap(a.crashedRuns, b.crashedRuns);
   swap(a.__isset, b.__isset);
 }
 
-StepProgress::StepProgress(const StepProgress& other48) {
-  occurrence = other48.occurrence;
-  step = other48.step;
-  succeeded = other48.succeeded;
-  failedRuns = other48.failedRuns;
-  placedOn = other48.placedOn;
-  __isset = other48.__isset;
-}
-StepProgress::StepProgress(StepProgress&& other49) noexcept {
-  occurrence = other49.occurrence;
-  step = other49.step;
-  succeeded = std::move(other49.succeeded);
-  failedRuns = std::move(other49.failedRuns);
-  placedOn = std::move(other49.placedOn);
-  __isset = other49.__isset;
-}
-StepProgress& StepProgress::operator=(const StepProgress& other50) {
-  occurrence = other50.occurrence;
-  step = other50.step;
-  succeeded = other50.succeeded;
-  failedRuns = other50.failedRuns;
-  placedOn = other50.placedOn;
-  __isset = other50.__isset;
+StepProgress::StepProgress(const StepProgress& other62) {
+  occurrence = other62.occurrence;
+  step = other62.step;
+  succeeded = other62.succeeded;
+  failedRuns = other62.failedRuns;
+  placedOn = other62.placedOn;
+  crashedRuns = other62.crashedRuns;
+  __isset = other62.__isset;
+}
+StepProgress::StepProgress(StepProgress&& other63) noexcept {
+  occurrence = other63.occurrence;
+  step = other63.step;
+  succeeded = std::move(other63.succeeded);
+  failedRuns = std::move(other63.failedRuns);
+  placedOn = std::move(other63.placedOn);
+  crashedRuns = std::move(other63.crashedRuns);
+  __isset = other63.__isset;
+}
+StepProgress& StepProgress::operator=(const StepProgress& other64) {
+  occurrence = other64.occurrence;
+  step = other64.step;
+  succeeded = other64.succeeded;
+  failedRuns = other64.failedRuns;
+  placedOn = other64.placedOn;
+  crashedRuns = other64.crashedRuns;
+  __isset = other64.__isset;
   return *this;
 }
-StepProgress& StepProgress::operator=(StepProgress&& other51) noexcept {
-  occurrence = other51.occurrence;
-  step = other51.step;
-  succeeded = std::move(other51.succeeded);
-  failedRuns = std::move(other51.failedRuns);
-  placedOn = std::move(other51.placedOn);
-  __isset = other51.__isset;
+StepProgress& StepProgress::operator=(StepProgress&& other65) noexcept {
+  occurrence = other65.occurrence;
+  step = other65.step;
+  succeeded = std::move(other65.succeeded);
+  failedRuns = std::move(other65.failedRuns);
+  placedOn = std::move(other65.placedOn);
+  crashedRuns = std::move(other65.crashedRuns);
+  __isset = other65.__isset;
   return *this;
 }
 void StepProgress::printTo(std::ostream& out) const {
@@ -1219,6 +1284,7 @@
   out << ", " << "succeeded=" << to_string(succeeded);
   out << ", " << "failedRuns=" << to_string(failedRuns);
   out << ", " << "placedOn=" << to_string(placedOn);
+  out << ", " << "crashedRuns=" << to_string(crashedRuns);
   out << ")";
 }
 
@@ -1276,9 +1342,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast52;
-          xfer += iprot->readI32(ecast52);
-          this->state = static_cast<JobState::type>(ecast52);
+          int32_t ecast66;
+          xfer += iprot->readI32(ecast66);
+          this->state = static_cast<JobState::type>(ecast66);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1288,14 +1354,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->steps.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->steps.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->steps.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += this->steps[_i57].read(iprot);
+              xfer += this->steps[_i71].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1332,10 +1398,10 @@
   xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
-    std::vector<StepProgress> ::const_iterator _iter58;
-    for (_iter58 = this->steps.begin(); _iter58 != this->steps.end(); ++_iter58)
+    std::vector<StepProgress> ::const_iterator _iter72;
+    for (_iter72 = this->steps.begin(); _iter72 != this->steps.end(); ++_iter72)
     {
-      xfer += (*_iter58).write(oprot);
+      xfer += (*_iter72).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1354,30 +1420,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Progress::Progress(const Progress& other59) {
-  id = other59.id;
-  state = other59.state;
-  steps = other59.steps;
-  __isset = other59.__isset;
+Progress::Progress(const Progress& other73) {
+  id = other73.id;
+  state = other73.state;
+  steps = other73.steps;
+  __isset = other73.__isset;
 }
-Progress::Progress(Progress&& other60) noexcept {
-  id = std::move(other60.id);
-  state = other60.state;
-  steps = std::move(other60.steps);
-  __isset = other60.__isset;
+Progress::Progress(Progress&& other74) noexcept {
+  id = std::move(other74.id);
+  state = other74.state;
+  steps = std::move(other74.steps);
+  __isset = other74.__isset;
 }
-Progress& Progress::operator=(const Progress& other61) {
-  id = other61.id;
-  state = other61.state;
-  steps = other61.steps;
-  __isset = other61.__isset;
+Progress& Progress::operator=(const Progress& other75) {
+  id = other75.id;
+  state = other75.state;
+  steps = other75.steps;
+  __isset = other75.__isset;
   return *this;
 }
-Progress& Progress::operator=(Progress&& other62) noexcept {
-  id = std::move(other62.id);
-  state = other62.state;
-  steps = std::move(other62.steps);
-  __isset = other62.__isset;
+Progress& Progress::operator=(Progress&& other76) noexcept {
+  id = std::move(other76.id);
+  state = other76.state;
+  steps = std::move(other76.steps);
+  __isset = other76.__isset;
   return *this;
 }
 void Progress::printTo(std::ostream& out) const {
@@ -1567,46 +1633,46 @@
   swap(a.__isset, b.__isset);
 }
 
-Tenure::Tenure(const Tenure& other63) {
-  holder = other63.holder;
-  address = other63.address;
-  epoch = other63.epoch;
-  released = other63.released;
-  startsRecorded = other63.startsRecorded;
-  handedOverAtMs = other63.handedOverAtMs;
-  successor = other63.successor;
-  __isset = other63.__isset;
+Tenure::Tenure(const Tenure& other77) {
+  holder = other77.holder;
+  address = other77.address;
+  epoch = other77.epoch;
+  released = other77.released;
+  startsRecorded = other77.startsRecorded;
+  handedOverAtMs = other77.handedOverAtMs;
+  successor = other77.successor;
+  __isset = other77.__isset;
 }
-Tenure::Tenure(Tenure&& other64) noexcept {
-  holder = std::move(other64.holder);
-  address = std::move(other64.address);
-  epoch = other64.epoch;
-  released = other64.released;
-  startsRecorded = other64.startsRecorded;
-  handedOverAtMs = other64.handedOverAtMs;
-  successor = std::move(other64.successor);
-  __isset = other64.__isset;
+Tenure::Tenure(Tenure&& other78) noexcept {
+  holder = std::move(other78.holder);
+  address = std::move(other78.address);
+  epoch = other78.epoch;
+  released = other78.released;
+  startsRecorded = other78.startsRecorded;
+  handedOverAtMs = other78.handedOverAtMs;
+  successor = std::move(other78.successor);
+  __isset = other78.__isset;
 }
-Tenure& Tenure::operator=(const Tenure& other65) {
-  holder = other65.holder;
-  address = other65.address;
-  epoch = other65.epoch;
-  released = other65.released;
-  startsRecorded = other65.startsRecorded;
-  handedOverAtMs = other65.handedOverAtMs;
-  successor = other65.successor;
-  __isset = other65.__isset;
+Tenure& Tenure::operator=(const Tenure& other79) {
+  holder = other79.holder;
+  address = other79.address;
+  epoch = other79.epoch;
+  released = other79.released;
+  startsRecorded = other79.startsRecorded;
+  handedOverAtMs = other79.handedOverAtMs;
+  successor = other79.successor;
+  __isset = other79.__isset;
   return *this;
 }
-Tenure& Tenure::operator=(Tenure&& other66) noexcept {
-  holder = std::move(other66.holder);
-  address = std::move(other66.address);
-  epoch = other66.epoch;
-  released = other66.released;
-  startsRecorded = other66.startsRecorded;
-  handedOverAtMs = other66.handedOverAtMs;
-  successor = std::move(other66.successor);
-  __isset = other66.__isset;
+Tenure& Tenure::operator=(Tenure&& other80) noexcept {
+  holder = std::move(other80.holder);
+  address = std::move(other80.address);
+  epoch = other80.epoch;
+  released = other80.released;
+  startsRecorded = other80.startsRecorded;
+  handedOverAtMs = other80.handedOverAtMs;
+  successor = std::move(other80.successor);
+  __isset = other80.__isset;
   return *this;
 }
 void Tenure::printTo(std::ostream& out) const {
@@ -1749,34 +1815,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other67) {
-  name = other67.name;
-  address = other67.address;
-  cpuMilli = other67.cpuMilli;
-  availabilityZone = other67.availabilityZone;
-  __isset = other67.__isset;
-}
-Member::Member(Member&& other68) noexcept {
-  name = std::move(other68.name);
-  address = std::move(other68.address);
-  cpuMilli = other68.cpuMilli;
-  availabilityZone = std::move(other68.availabilityZone);
-  __isset = other68.__isset;
-}
-Member& Member::operator=(const Member& other69) {
-  name = other69.name;
-  address = other69.address;
-  cpuMilli = other69.cpuMilli;
-  availabilityZone = other69.availabilityZone;
-  __isset = other69.__isset;
+Member::Member(const Member& other81) {
+  name = other81.name;
+  address = other81.address;
+  cpuMilli = other81.cpuMilli;
+  availabilityZone = other81.availabilityZone;
+  __isset = other81.__isset;
+}
+Member::Member(Member&& other82) noexcept {
+  name = std::move(other82.name);
+  address = std::move(other82.address);
+  cpuMilli = other82.cpuMilli;
+  availabilityZone = std::move(other82.availabilityZone);
+  __isset = other82.__isset;
+}
+Member& Member::operator=(const Member& other83) {
+  name = other83.name;
+  address = other83.address;
+  cpuMilli = other83.cpuMilli;
+  availabilityZone = other83.availabilityZone;
+  __isset = other83.__isset;
   return *this;
 }
-Member& Member::operator=(Member&& other70) noexcept {
-  name = std::move(other70.name);
-  address = std::move(other70.address);
-  cpuMilli = other70.cpuMilli;
-  availabilityZone = std::move(other70.availabilityZone);
-  __isset = other70.__isset;
+Member& Member::operator=(Member&& other84) noexcept {
+  name = std::move(other84.name);
+  address = std::move(other84.address);
+  cpuMilli = other84.cpuMilli;
+  availabilityZone = std::move(other84.availabilityZone);
+  __isset = other84.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -1845,14 +1911,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->workers.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->workers.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
             {
-              xfer += iprot->readString(this->workers[_i75]);
+              xfer += iprot->readString(this->workers[_i89]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1893,10 +1959,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->workers.size()));
-    std::vector<std::string> ::const_iterator _iter76;
-    for (_iter76 = this->workers.begin(); _iter76 != this->workers.end(); ++_iter76)
+    std::vector<std::string> ::const_iterator _iter90;
+    for (_iter90 = this->workers.begin(); _iter90 != this->workers.end(); ++_iter90)
     {
-      xfer += oprot->writeString((*_iter76));
+      xfer += oprot->writeString((*_iter90));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1919,30 +1985,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ApprovalRequest::ApprovalRequest(const ApprovalRequest& other77) {
-  step = other77.step;
-  workers = other77.workers;
-  timeoutMs = other77.timeoutMs;
-  __isset = other77.__isset;
+ApprovalRequest::ApprovalRequest(const ApprovalRequest& other91) {
+  step = other91.step;
+  workers = other91.workers;
+  timeoutMs = other91.timeoutMs;
+  __isset = other91.__isset;
 }
-ApprovalRequest::ApprovalRequest(ApprovalRequest&& other78) noexcept {
-  step = std::move(other78.step);
-  workers = std::move(other78.workers);
-  timeoutMs = other78.timeoutMs;
-  __isset = other78.__isset;
+ApprovalRequest::ApprovalRequest(ApprovalRequest&& other92) noexcept {
+  step = std::move(other92.step);
+  workers = std::move(other92.workers);
+  timeoutMs = other92.timeoutMs;
+  __isset = other92.__isset;
 }
-ApprovalRequest& ApprovalRequest::operator=(const ApprovalRequest& other79) {
-  step = other79.step;
-  workers = other79.workers;
-  timeoutMs = other79.timeoutMs;
-  __isset = other79.__isset;
+ApprovalRequest& ApprovalRequest::operator=(const ApprovalRequest& other93) {
+  step = other93.step;
+  workers = other93.workers;
+  timeoutMs = other93.timeoutMs;
+  __isset = other93.__isset;
   return *this;
 }
-ApprovalRequest& ApprovalRequest::operator=(ApprovalRequest&& other80) noexcept {
-  step = std::move(other80.step);
-  workers = std::move(other80.workers);
-  timeoutMs = other80.timeoutMs;
-  __isset = other80.__isset;
+ApprovalRequest& ApprovalRequest::operator=(ApprovalRequest&& other94) noexcept {
+  step = std::move(other94.step);
+  workers = std::move(other94.workers);
+  timeoutMs = other94.timeoutMs;
+  __isset = other94.__isset;
   return *this;
 }
 void ApprovalRequest::printTo(std::ostream& out) const {
@@ -2047,26 +2113,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Approval::Approval(const Approval& other81) {
-  worker = other81.worker;
-  ticket = other81.ticket;
-  __isset = other81.__isset;
+Approval::Approval(const Approval& other95) {
+  worker = other95.worker;
+  ticket = other95.ticket;
+  __isset = other95.__isset;
 }
-Approval::Approval(Approval&& other82) noexcept {
-  worker = std::move(other82.worker);
-  ticket = std::move(other82.ticket);
-  __isset = other82.__isset;
+Approval::Approval(Approval&& other96) noexcept {
+  worker = std::move(other96.worker);
+  ticket = std::move(other96.ticket);
+  __isset = other96.__isset;
 }
-Approval& Approval::operator=(const Approval& other83) {
-  worker = other83.worker;
-  ticket = other83.ticket;
-  __isset = other83.__isset;
+Approval& Approval::operator=(const Approval& other97) {
+  worker = other97.worker;
+  ticket = other97.ticket;
+  __isset = other97.__isset;
   return *this;
 }
-Approval& Approval::operator=(Approval&& other84) noexcept {
-  worker = std::move(other84.worker);
-  ticket = std::move(other84.ticket);
-  __isset = other84.__isset;
+Approval& Approval::operator=(Approval&& other98) noexcept {
+  worker = std::move(other98.worker);
+  ticket = std::move(other98.ticket);
+  __isset = other98.__isset;
   return *this;
 }
 void Approval::printTo(std::ostream& out) const {
@@ -2133,14 +2199,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->approved.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->approved.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->approved.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += this->approved[_i89].read(iprot);
+              xfer += this->approved[_i103].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2181,10 +2247,10 @@
   xfer += oprot->writeFieldBegin("approved", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->approved.size()));
-    std::vector<Approval> ::const_iterator _iter90;
-    for (_iter90 = this->approved.begin(); _iter90 != this->approved.end(); ++_iter90)
+    std::vector<Approval> ::const_iterator _iter104;
+    for (_iter104 = this->approved.begin(); _iter104 != this->approved.end(); ++_iter104)
     {
-      xfer += (*_iter90).write(oprot);
+      xfer += (*_iter104).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2207,30 +2273,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ApprovalAnswer::ApprovalAnswer(const ApprovalAnswer& other91) {
-  ok = other91.ok;
-  approved = other91.approved;
-  error = other91.error;
-  __isset = other91.__isset;
+ApprovalAnswer::ApprovalAnswer(const ApprovalAnswer& other105) {
+  ok = other105.ok;
+  approved = other105.approved;
+  error = other105.error;
+  __isset = other105.__isset;
 }
-ApprovalAnswer::ApprovalAnswer(ApprovalAnswer&& other92) noexcept {
-  ok = other92.ok;
-  approved = std::move(other92.approved);
-  error = std::move(other92.error);
-  __isset = other92.__isset;
+ApprovalAnswer::ApprovalAnswer(ApprovalAnswer&& other106) noexcept {
+  ok = other106.ok;
+  approved = std::move(other106.approved);
+  error = std::move(other106.error);
+  __isset = other106.__isset;
 }
-ApprovalAnswer& ApprovalAnswer::operator=(const ApprovalAnswer& other93) {
-  ok = other93.ok;
-  approved = other93.approved;
-  error = other93.error;
-  __isset = other93.__isset;
+ApprovalAnswer& ApprovalAnswer::operator=(const ApprovalAnswer& other107) {
+  ok = other107.ok;
+  approved = other107.approved;
+  error = other107.error;
+  __isset = other107.__isset;
   return *this;
 }
-ApprovalAnswer& ApprovalAnswer::operator=(ApprovalAnswer&& other94) noexcept {
-  ok = other94.ok;
-  approved = std::move(other94.approved);
-  error = std::move(other94.error);
-  __isset = other94.__isset;
+ApprovalAnswer& ApprovalAnswer::operator=(ApprovalAnswer&& other108) noexcept {
+  ok = other108.ok;
+  approved = std::move(other108.approved);
+  error = std::move(other108.error);
+  __isset = other108.__isset;
   return *this;
 }
 void ApprovalAnswer::printTo(std::ostream& out) const {
@@ -2352,30 +2418,30 @@
   swap(a.__isset, b.__isset);
 }
 
-UsedWorker::UsedWorker(const UsedWorker& other95) {
-  id = other95.id;
-  address = other95.address;
-  leasesExpireWithinMs = other95.leasesExpireWithinMs;
-  __isset = other95.__isset;
+UsedWorker::UsedWorker(const UsedWorker& other109) {
+  id = other109.id;
+  address = other109.address;
+  leasesExpireWithinMs = other109.leasesExpireWithinMs;
+  __isset = other109.__isset;
 }
-UsedWorker::UsedWorker(UsedWorker&& other96) noexcept {
-  id = std::move(other96.id);
-  address = std::move(other96.address);
-  leasesExpireWithinMs = other96.leasesExpireWithinMs;
-  __isset = other96.__isset;
+UsedWorker::UsedWorker(UsedWorker&& other110) noexcept {
+  id = std::move(other110.id);
+  address = std::move(other110.address);
+  leasesExpireWithinMs = other110.leasesExpireWithinMs;
+  __isset = other110.__isset;
 }
-UsedWorker& UsedWorker::operator=(const UsedWorker& other97) {
-  id = other97.id;
-  address = other97.address;
-  leasesExpireWithinMs = other97.leasesExpireWithinMs;
-  __isset = other97.__isset;
+UsedWorker& UsedWorker::operator=(const UsedWorker& other111) {
+  id = other111.id;
+  address = other111.address;
+  leasesExpireWithinMs = other111.leasesExpireWithinMs;
+  __isset = other111.__isset;
   return *this;
 }
-UsedWorker& UsedWorker::operator=(UsedWorker&& other98) noexcept {
-  id = std::move(other98.id);
-  address = std::move(other98.address);
-  leasesExpireWithinMs = other98.leasesExpireWithinMs;
-  __isset = other98.__isset;
+UsedWorker& UsedWorker::operator=(UsedWorker&& other112) noexcept {
+  id = std::move(other112.id);
+  address = std::move(other112.address);
+  leasesExpireWithinMs = other112.leasesExpireWithinMs;
+  __isset = other112.__isset;
   return *this;
 }
 void UsedWorker::printTo(std::ostream& out) const {
@@ -2514,34 +2580,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredRecord::StoredRecord(const StoredRecord& other99) {
-  key = other99.key;
-  value = other99.value;
-  removed = other99.removed;
-  offset = other99.offset;
-  __isset = other99.__isset;
-}
-StoredRecord::StoredRecord(StoredRecord&& other100) noexcept {
-  key = std::move(other100.key);
-  value = std::move(other100.value);
-  removed = other100.removed;
-  offset = other100.offset;
-  __isset = other100.__isset;
-}
-StoredRecord& StoredRecord::operator=(const StoredRecord& other101) {
-  key = other101.key;
-  value = other101.value;
-  removed = other101.removed;
-  offset = other101.offset;
-  __isset = other101.__isset;
+StoredRecord::StoredRecord(const StoredRecord& other113) {
+  key = other113.key;
+  value = other113.value;
+  removed = other113.removed;
+  offset = other113.offset;
+  __isset = other113.__isset;
+}
+StoredRecord::StoredRecord(StoredRecord&& other114) noexcept {
+  key = std::move(other114.key);
+  value = std::move(other114.value);
+  removed = other114.removed;
+  offset = other114.offset;
+  __isset = other114.__isset;
+}
+StoredRecord& StoredRecord::operator=(const StoredRecord& other115) {
+  key = other115.key;
+  value = other115.value;
+  removed = other115.removed;
+  offset = other115.offset;
+  __isset = other115.__isset;
   return *this;
 }
-StoredRecord& StoredRecord::operator=(StoredRecord&& other102) noexcept {
-  key = std::move(other102.key);
-  value = std::move(other102.value);
-  removed = other102.removed;
-  offset = other102.offset;
-  __isset = other102.__isset;
+StoredRecord& StoredRecord::operator=(StoredRecord&& other116) noexcept {
+  key = std::move(other116.key);
+  value = std::move(other116.value);
+  removed = other116.removed;
+  offset = other116.offset;
+  __isset = other116.__isset;
   return *this;
 }
 void StoredRecord::printTo(std::ostream& out) const {
@@ -2626,14 +2692,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size103;
-            ::apache::thrift::protocol::TType _etype106;
-            xfer += iprot->readListBegin(_etype106, _size103);
-            this->records.resize(_size103);
-            uint32_t _i107;
-            for (_i107 = 0; _i107 < _size103; ++_i107)
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->records.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
             {
-              xfer += this->records[_i107].read(iprot);
+              xfer += this->records[_i121].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2654,14 +2720,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relayTo.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->relayTo.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->relayTo.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
             {
-              xfer += iprot->readString(this->relayTo[_i112]);
+              xfer += iprot->readString(this->relayTo[_i126]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2718,10 +2784,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StoredRecord> ::const_iterator _iter113;
-    for (_iter113 = this->records.begin(); _iter113 != this->records.end(); ++_iter113)
+    std::vector<StoredRecord> ::const_iterator _iter127;
+    for (_iter127 = this->records.begin(); _iter127 != this->records.end(); ++_iter127)
     {
-      xfer += (*_iter113).write(oprot);
+      xfer += (*_iter127).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2734,10 +2800,10 @@
   xfer += oprot->writeFieldBegin("relayTo", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->relayTo.size()));
-    std::vector<std::string> ::const_iterator _iter114;
-    for (_iter114 = this->relayTo.begin(); _iter114 != this->relayTo.end(); ++_iter114)
+    std::vector<std::string> ::const_iterator _iter128;
+    for (_iter128 = this->relayTo.begin(); _iter128 != this->relayTo.end(); ++_iter128)
     {
-      xfer += oprot->writeString((*_iter114));
+      xfer += oprot->writeString((*_iter128));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2772,46 +2838,46 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredRecords::StoredRecords(const StoredRecords& other115) {
-  topic = other115.topic;
-  records = other115.records;
-  topicEnd = other115.topicEnd;
-  relayTo = other115.relayTo;
-  epoch = other115.epoch;
-  publishedAtMs = other115.publishedAtMs;
-  appendMs = other115.appendMs;
-  __isset = other115.__isset;
+StoredRecords::StoredRecords(const StoredRecords& other129) {
+  topic = other129.topic;
+  records = other129.records;
+  topicEnd = other129.topicEnd;
+  relayTo = other129.relayTo;
+  epoch = other129.epoch;
+  publishedAtMs = other129.publishedAtMs;
+  appendMs = other129.appendMs;
+  __isset = other129.__isset;
 }
-StoredRecords::StoredRecords(StoredRecords&& other116) noexcept {
-  topic = std::move(other116.topic);
-  records = std::move(other116.records);
-  topicEnd = other116.topicEnd;
-  relayTo = std::move(other116.relayTo);
-  epoch = other116.epoch;
-  publishedAtMs = other116.publishedAtMs;
-  appendMs = other116.appendMs;
-  __isset = other116.__isset;
+StoredRecords::StoredRecords(StoredRecords&& other130) noexcept {
+  topic = std::move(other130.topic);
+  records = std::move(other130.records);
+  topicEnd = other130.topicEnd;
+  relayTo = std::move(other130.relayTo);
+  epoch = other130.epoch;
+  publishedAtMs = other130.publishedAtMs;
+  appendMs = other130.appendMs;
+  __isset = other130.__isset;
 }
-StoredRecords& StoredRecords::operator=(const StoredRecords& other117) {
-  topic = other117.topic;
-  records = other117.records;
-  topicEnd = other117.topicEnd;
-  relayTo = other117.relayTo;
-  epoch = other117.epoch;
-  publishedAtMs = other117.publishedAtMs;
-  appendMs = other117.appendMs;
-  __isset = other117.__isset;
+StoredRecords& StoredRecords::operator=(const StoredRecords& other131) {
+  topic = other131.topic;
+  records = other131.records;
+  topicEnd = other131.topicEnd;
+  relayTo = other131.relayTo;
+  epoch = other131.epoch;
+  publishedAtMs = other131.publishedAtMs;
+  appendMs = other131.appendMs;
+  __isset = other131.__isset;
   return *this;
 }
-StoredRecords& StoredRecords::operator=(StoredRecords&& other118) noexcept {
-  topic = std::move(other118.topic);
-  records = std::move(other118.records);
-  topicEnd = other118.topicEnd;
-  relayTo = std::move(other118.relayTo);
-  epoch = other118.epoch;
-  publishedAtMs = other118.publishedAtMs;
-  appendMs = other118.appendMs;
-  __isset = other118.__isset;
+StoredRecords& StoredRecords::operator=(StoredRecords&& other132) noexcept {
+  topic = std::move(other132.topic);
+  records = std::move(other132.records);
+  topicEnd = other132.topicEnd;
+  relayTo = std::move(other132.relayTo);
+  epoch = other132.epoch;
+  publishedAtMs = other132.publishedAtMs;
+  appendMs = other132.appendMs;
+  __isset = other132.__isset;
   return *this;
 }
 void StoredRecords::printTo(std::ostream& out) const {
@@ -2895,17 +2961,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _ktype120;
-            ::apache::thrift::protocol::TType _vtype121;
-            xfer += iprot->readMapBegin(_ktype120, _vtype121, _size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _ktype134;
+            ::apache::thrift::protocol::TType _vtype135;
+            xfer += iprot->readMapBegin(_ktype134, _vtype135, _size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
             {
-              std::string _key124;
-              xfer += iprot->readString(_key124);
-              std::string& _val125 = this->headers[_key124];
-              xfer += iprot->readString(_val125);
+              std::string _key138;
+              xfer += iprot->readString(_key138);
+              std::string& _val139 = this->headers[_key138];
+              xfer += iprot->readString(_val139);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2950,11 +3016,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter126;
-    for (_iter126 = this->headers.begin(); _iter126 != this->headers.end(); ++_iter126)
+    std::map<std::string, std::string> ::const_iterator _iter140;
+    for (_iter140 = this->headers.begin(); _iter140 != this->headers.end(); ++_iter140)
     {
-      xfer += oprot->writeString(_iter126->first);
-      xfer += oprot->writeString(_iter126->second);
+      xfer += oprot->writeString(_iter140->first);
+      xfer += oprot->writeString(_iter140->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2978,34 +3044,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CallerRequest::CallerRequest(const CallerRequest& other127) {
-  method = other127.method;
-  path = other127.path;
-  headers = other127.headers;
-  body = other127.body;
-  __isset = other127.__isset;
-}
-CallerRequest::CallerRequest(CallerRequest&& other128) noexcept {
-  method = std::move(other128.method);
-  path = std::move(other128.path);
-  headers = std::move(other128.headers);
-  body = std::move(other128.body);
-  __isset = other128.__isset;
-}
-CallerRequest& CallerRequest::operator=(const CallerRequest& other129) {
-  method = other129.method;
-  path = other129.path;
-  headers = other129.headers;
-  body = other129.body;
-  __isset = other129.__isset;
+CallerRequest::CallerRequest(const CallerRequest& other141) {
+  method = other141.method;
+  path = other141.path;
+  headers = other141.headers;
+  body = other141.body;
+  __isset = other141.__isset;
+}
+CallerRequest::CallerRequest(CallerRequest&& other142) noexcept {
+  method = std::move(other142.method);
+  path = std::move(other142.path);
+  headers = std::move(other142.headers);
+  body = std::move(other142.body);
+  __isset = other142.__isset;
+}
+CallerRequest& CallerRequest::operator=(const CallerRequest& other143) {
+  method = other143.method;
+  path = other143.path;
+  headers = other143.headers;
+  body = other143.body;
+  __isset = other143.__isset;
   return *this;
 }
-CallerRequest& CallerRequest::operator=(CallerRequest&& other130) noexcept {
-  method = std::move(other130.method);
-  path = std::move(other130.path);
-  headers = std::move(other130.headers);
-  body = std::move(other130.body);
-  __isset = other130.__isset;
+CallerRequest& CallerRequest::operator=(CallerRequest&& other144) noexcept {
+  method = std::move(other144.method);
+  path = std::move(other144.path);
+  headers = std::move(other144.headers);
+  body = std::move(other144.body);
+  __isset = other144.__isset;
   return *this;
 }
 void CallerRequest::printTo(std::ostream& out) const {
@@ -3128,30 +3194,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CallerResponse::CallerResponse(const CallerResponse& other131) {
-  status = other131.status;
-  body = other131.body;
-  retryAfterMs = other131.retryAfterMs;
-  __isset = other131.__isset;
+CallerResponse::CallerResponse(const CallerResponse& other145) {
+  status = other145.status;
+  body = other145.body;
+  retryAfterMs = other145.retryAfterMs;
+  __isset = other145.__isset;
 }
-CallerResponse::CallerResponse(CallerResponse&& other132) noexcept {
-  status = other132.status;
-  body = std::move(other132.body);
-  retryAfterMs = other132.retryAfterMs;
-  __isset = other132.__isset;
+CallerResponse::CallerResponse(CallerResponse&& other146) noexcept {
+  status = other146.status;
+  body = std::move(other146.body);
+  retryAfterMs = other146.retryAfterMs;
+  __isset = other146.__isset;
 }
-CallerResponse& CallerResponse::operator=(const CallerResponse& other133) {
-  status = other133.status;
-  body = other133.body;
-  retryAfterMs = other133.retryAfterMs;
-  __isset = other133.__isset;
+CallerResponse& CallerResponse::operator=(const CallerResponse& other147) {
+  status = other147.status;
+  body = other147.body;
+  retryAfterMs = other147.retryAfterMs;
+  __isset = other147.__isset;
   return *this;
 }
-CallerResponse& CallerResponse::operator=(CallerResponse&& other134) noexcept {
-  status = other134.status;
-  body = std::move(other134.body);
-  retryAfterMs = other134.retryAfterMs;
-  __isset = other134.__isset;
+CallerResponse& CallerResponse::operator=(CallerResponse&& other148) noexcept {
+  status = other148.status;
+  body = std::move(other148.body);
+  retryAfterMs = other148.retryAfterMs;
+  __isset = other148.__isset;
   return *this;
 }
 void CallerResponse::printTo(std::ostream& out) const {
@@ -3257,9 +3323,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast135;
-          xfer += iprot->readI32(ecast135);
-          this->kind = static_cast<WorkerCallKind::type>(ecast135);
+          int32_t ecast149;
+          xfer += iprot->readI32(ecast149);
+          this->kind = static_cast<WorkerCallKind::type>(ecast149);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3445,70 +3511,70 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerCall::WorkerCall(const WorkerCall& other136) {
-  id = other136.id;
-  kind = other136.kind;
-  worker = other136.worker;
-  address = other136.address;
-  leaseEndMs = other136.leaseEndMs;
-  timeoutMs = other136.timeoutMs;
-  waitMs = other136.waitMs;
-  acknowledged = other136.acknowledged;
-  task = other136.task;
-  run = other136.run;
-  speedPercent = other136.speedPercent;
-  checkpoint = other136.checkpoint;
-  ticket = other136.ticket;
-  __isset = other136.__isset;
-}
-WorkerCall::WorkerCall(WorkerCall&& other137) noexcept {
-  id = other137.id;
-  kind = other137.kind;
-  worker = std::move(other137.worker);
-  address = std::move(other137.address);
-  leaseEndMs = other137.leaseEndMs;
-  timeoutMs = other137.timeoutMs;
-  waitMs = other137.waitMs;
-  acknowledged = other137.acknowledged;
-  task = std::move(other137.task);
-  run = other137.run;
-  speedPercent = other137.speedPercent;
-  checkpoint = std::move(other137.checkpoint);
-  ticket = std::move(other137.ticket);
-  __isset = other137.__isset;
-}
-WorkerCall& WorkerCall::operator=(const WorkerCall& other138) {
-  id = other138.id;
-  kind = other138.kind;
-  worker = other138.worker;
-  address = other138.address;
-  leaseEndMs = other138.leaseEndMs;
-  timeoutMs = other138.timeoutMs;
-  waitMs = other138.waitMs;
-  acknowledged = other138.acknowledged;
-  task = other138.task;
-  run = other138.run;
-  speedPercent = other138.speedPercent;
-  checkpoint = other138.checkpoint;
-  ticket = other138.ticket;
-  __isset = other138.__isset;
+WorkerCall::WorkerCall(const WorkerCall& other150) {
+  id = other150.id;
+  kind = other150.kind;
+  worker = other150.worker;
+  address = other150.address;
+  leaseEndMs = other150.leaseEndMs;
+  timeoutMs = other150.timeoutMs;
+  waitMs = other150.waitMs;
+  acknowledged = other150.acknowledged;
+  task = other150.task;
+  run = other150.run;
+  speedPercent = other150.speedPercent;
+  checkpoint = other150.checkpoint;
+  ticket = other150.ticket;
+  __isset = other150.__isset;
+}
+WorkerCall::WorkerCall(WorkerCall&& other151) noexcept {
+  id = other151.id;
+  kind = other151.kind;
+  worker = std::move(other151.worker);
+  address = std::move(other151.address);
+  leaseEndMs = other151.leaseEndMs;
+  timeoutMs = other151.timeoutMs;
+  waitMs = other151.waitMs;
+  acknowledged = other151.acknowledged;
+  task = std::move(other151.task);
+  run = other151.run;
+  speedPercent = other151.speedPercent;
+  checkpoint = std::move(other151.checkpoint);
+  ticket = std::move(other151.ticket);
+  __isset = other151.__isset;
+}
+WorkerCall& WorkerCall::operator=(const WorkerCall& other152) {
+  id = other152.id;
+  kind = other152.kind;
+  worker = other152.worker;
+  address = other152.address;
+  leaseEndMs = other152.leaseEndMs;
+  timeoutMs = other152.timeoutMs;
+  waitMs = other152.waitMs;
+  acknowledged = other152.acknowledged;
+  task = other152.task;
+  run = other152.run;
+  speedPercent = other152.speedPercent;
+  checkpoint = other152.checkpoint;
+  ticket = other152.ticket;
+  __isset = other152.__isset;
   return *this;
 }
-WorkerCall& WorkerCall::operator=(WorkerCall&& other139) noexcept {
-  id = other139.id;
-  kind = other139.kind;
-  worker = std::move(other139.worker);
-  address = std::move(other139.address);
-  leaseEndMs = other139.leaseEndMs;
-  timeoutMs = other139.timeoutMs;
-  waitMs = other139.waitMs;
-  acknowledged = other139.acknowledged;
-  task = std::move(other139.task);
-  run = other139.run;
-  speedPercent = other139.speedPercent;
-  checkpoint = std::move(other139.checkpoint);
-  ticket = std::move(other139.ticket);
-  __isset = other139.__isset;
+WorkerCall& WorkerCall::operator=(WorkerCall&& other153) noexcept {
+  id = other153.id;
+  kind = other153.kind;
+  worker = std::move(other153.worker);
+  address = std::move(other153.address);
+  leaseEndMs = other153.leaseEndMs;
+  timeoutMs = other153.timeoutMs;
+  waitMs = other153.waitMs;
+  acknowledged = other153.acknowledged;
+  task = std::move(other153.task);
+  run = other153.run;
+  speedPercent = other153.speedPercent;
+  checkpoint = std::move(other153.checkpoint);
+  ticket = std::move(other153.ticket);
+  __isset = other153.__isset;
   return *this;
 }
 void WorkerCall::printTo(std::ostream& out) const {
@@ -3622,14 +3688,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->calls.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->calls.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->calls.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += this->calls[_i144].read(iprot);
+              xfer += this->calls[_i158].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3642,17 +3708,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->payloads.clear();
-            uint32_t _size145;
-            ::apache::thrift::protocol::TType _ktype146;
-            ::apache::thrift::protocol::TType _vtype147;
-            xfer += iprot->readMapBegin(_ktype146, _vtype147, _size145);
-            uint32_t _i149;
-            for (_i149 = 0; _i149 < _size145; ++_i149)
+            uint32_t _size159;
+            ::apache::thrift::protocol::TType _ktype160;
+            ::apache::thrift::protocol::TType _vtype161;
+            xfer += iprot->readMapBegin(_ktype160, _vtype161, _size159);
+            uint32_t _i163;
+            for (_i163 = 0; _i163 < _size159; ++_i163)
             {
-              std::string _key150;
-              xfer += iprot->readString(_key150);
-              std::string& _val151 = this->payloads[_key150];
-              xfer += iprot->readBinary(_val151);
+              std::string _key164;
+              xfer += iprot->readString(_key164);
+              std::string& _val165 = this->payloads[_key164];
+              xfer += iprot->readBinary(_val165);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3697,10 +3763,10 @@
   xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->calls.size()));
-    std::vector<WorkerCall> ::const_iterator _iter152;
-    for (_iter152 = this->calls.begin(); _iter152 != this->calls.end(); ++_iter152)
+    std::vector<WorkerCall> ::const_iterator _iter166;
+    for (_iter166 = this->calls.begin(); _iter166 != this->calls.end(); ++_iter166)
     {
-      xfer += (*_iter152).write(oprot);
+      xfer += (*_iter166).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3709,11 +3775,11 @@
   xfer += oprot->writeFieldBegin("payloads", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->payloads.size()));
-    std::map<std::string, std::string> ::const_iterator _iter153;
-    for (_iter153 = this->payloads.begin(); _iter153 != this->payloads.end(); ++_iter153)
+    std::map<std::string, std::string> ::const_iterator _iter167;
+    for (_iter167 = this->payloads.begin(); _iter167 != this->payloads.end(); ++_iter167)
     {
-      xfer += oprot->writeString(_iter153->first);
-      xfer += oprot->writeBinary(_iter153->second);
+      xfer += oprot->writeString(_iter167->first);
+      xfer += oprot->writeBinary(_iter167->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3735,42 +3801,42 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerCalls::WorkerCalls(const WorkerCalls& other154) {
-  session = other154.session;
-  epoch = other154.epoch;
-  replyTo = other154.replyTo;
-  sentAtMs = other154.sentAtMs;
-  calls = other154.calls;
-  payloads = other154.payloads;
-  __isset = other154.__isset;
-}
-WorkerCalls::WorkerCalls(WorkerCalls&& other155) noexcept {
-  session = std::move(other155.session);
-  epoch = other155.epoch;
-  replyTo = std::move(other155.replyTo);
-  sentAtMs = other155.sentAtMs;
-  calls = std::move(other155.calls);
-  payloads = std::move(other155.payloads);
-  __isset = other155.__isset;
-}
-WorkerCalls& WorkerCalls::operator=(const WorkerCalls& other156) {
-  session = other156.session;
-  epoch = other156.epoch;
-  replyTo = other156.replyTo;
-  sentAtMs = other156.sentAtMs;
-  calls = other156.calls;
-  payloads = other156.payloads;
-  __isset = other156.__isset;
+WorkerCalls::WorkerCalls(const WorkerCalls& other168) {
+  session = other168.session;
+  epoch = other168.epoch;
+  replyTo = other168.replyTo;
+  sentAtMs = other168.sentAtMs;
+  calls = other168.calls;
+  payloads = other168.payloads;
+  __isset = other168.__isset;
+}
+WorkerCalls::WorkerCalls(WorkerCalls&& other169) noexcept {
+  session = std::move(other169.session);
+  epoch = other169.epoch;
+  replyTo = std::move(other169.replyTo);
+  sentAtMs = other169.sentAtMs;
+  calls = std::move(other169.calls);
+  payloads = std::move(other169.payloads);
+  __isset = other169.__isset;
+}
+WorkerCalls& WorkerCalls::operator=(const WorkerCalls& other170) {
+  session = other170.session;
+  epoch = other170.epoch;
+  replyTo = other170.replyTo;
+  sentAtMs = other170.sentAtMs;
+  calls = other170.calls;
+  payloads = other170.payloads;
+  __isset = other170.__isset;
   return *this;
 }
-WorkerCalls& WorkerCalls::operator=(WorkerCalls&& other157) noexcept {
-  session = std::move(other157.session);
-  epoch = other157.epoch;
-  replyTo = std::move(other157.replyTo);
-  sentAtMs = other157.sentAtMs;
-  calls = std::move(other157.calls);
-  payloads = std::move(other157.payloads);
-  __isset = other157.__isset;
+WorkerCalls& WorkerCalls::operator=(WorkerCalls&& other171) noexcept {
+  session = std::move(other171.session);
+  epoch = other171.epoch;
+  replyTo = std::move(other171.replyTo);
+  sentAtMs = other171.sentAtMs;
+  calls = std::move(other171.calls);
+  payloads = std::move(other171.payloads);
+  __isset = other171.__isset;
   return *this;
 }
 void WorkerCalls::printTo(std::ostream& out) const {
@@ -3861,22 +3927,22 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerCallsReceived::WorkerCallsReceived(const WorkerCallsReceived& other158) {
-  incarnation = other158.incarnation;
-  __isset = other158.__isset;
+WorkerCallsReceived::WorkerCallsReceived(const WorkerCallsReceived& other172) {
+  incarnation = other172.incarnation;
+  __isset = other172.__isset;
 }
-WorkerCallsReceived::WorkerCallsReceived(WorkerCallsReceived&& other159) noexcept {
-  incarnation = std::move(other159.incarnation);
-  __isset = other159.__isset;
+WorkerCallsReceived::WorkerCallsReceived(WorkerCallsReceived&& other173) noexcept {
+  incarnation = std::move(other173.incarnation);
+  __isset = other173.__isset;
 }
-WorkerCallsReceived& WorkerCallsReceived::operator=(const WorkerCallsReceived& other160) {
-  incarnation = other160.incarnation;
-  __isset = other160.__isset;
+WorkerCallsReceived& WorkerCallsReceived::operator=(const WorkerCallsReceived& other174) {
+  incarnation = other174.incarnation;
+  __isset = other174.__isset;
   return *this;
 }
-WorkerCallsReceived& WorkerCallsReceived::operator=(WorkerCallsReceived&& other161) noexcept {
-  incarnation = std::move(other161.incarnation);
-  __isset = other161.__isset;
+WorkerCallsReceived& WorkerCallsReceived::operator=(WorkerCallsReceived&& other175) noexcept {
+  incarnation = std::move(other175.incarnation);
+  __isset = other175.__isset;
   return *this;
 }
 void WorkerCallsReceived::printTo(std::ostream& out) const {
@@ -4030,38 +4096,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ListedRun::ListedRun(const ListedRun& other162) {
-  task = other162.task;
-  run = other162.run;
-  checkpoint = other162.checkpoint;
-  percent = other162.percent;
-  loadMetric = other162.loadMetric;
-  __isset = other162.__isset;
-}
-ListedRun::ListedRun(ListedRun&& other163) noexcept {
-  task = std::move(other163.task);
-  run = other163.run;
-  checkpoint = std::move(other163.checkpoint);
-  percent = other163.percent;
-  loadMetric = other163.loadMetric;
-  __isset = other163.__isset;
-}
-ListedRun& ListedRun::operator=(const ListedRun& other164) {
-  task = other164.task;
-  run = other164.run;
-  checkpoint = other164.checkpoint;
-  percent = other164.percent;
-  loadMetric = other164.loadMetric;
-  __isset = other164.__isset;
+ListedRun::ListedRun(const ListedRun& other176) {
+  task = other176.task;
+  run = other176.run;
+  checkpoint = other176.checkpoint;
+  percent = other176.percent;
+  loadMetric = other176.loadMetric;
+  __isset = other176.__isset;
+}
+ListedRun::ListedRun(ListedRun&& other177) noexcept {
+  task = std::move(other177.task);
+  run = other177.run;
+  checkpoint = std::move(other177.checkpoint);
+  percent = other177.percent;
+  loadMetric = other177.loadMetric;
+  __isset = other177.__isset;
+}
+ListedRun& ListedRun::operator=(const ListedRun& other178) {
+  task = other178.task;
+  run = other178.run;
+  checkpoint = other178.checkpoint;
+  percent = other178.percent;
+  loadMetric = other178.loadMetric;
+  __isset = other178.__isset;
   return *this;
 }
-ListedRun& ListedRun::operator=(ListedRun&& other165) noexcept {
-  task = std::move(other165.task);
-  run = other165.run;
-  checkpoint = std::move(other165.checkpoint);
-  percent = other165.percent;
-  loadMetric = other165.loadMetric;
-  __isset = other165.__isset;
+ListedRun& ListedRun::operator=(ListedRun&& other179) noexcept {
+  task = std::move(other179.task);
+  run = other179.run;
+  checkpoint = std::move(other179.checkpoint);
+  percent = other179.percent;
+  loadMetric = other179.loadMetric;
+  __isset = other179.__isset;
   return *this;
 }
 void ListedRun::printTo(std::ostream& out) const {
@@ -4153,9 +4219,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast166;
-          xfer += iprot->readI32(ecast166);
-          this->outcome = static_cast<RunEnd::type>(ecast166);
+          int32_t ecast180;
+          xfer += iprot->readI32(ecast180);
+          this->outcome = static_cast<RunEnd::type>(ecast180);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4221,38 +4287,38 @@
   swap(a.__isset, b.__isset);
 }
 
-FinishedRun::FinishedRun(const FinishedRun& other167) {
-  position = other167.position;
-  task = other167.task;
-  run = other167.run;
-  outcome = other167.outcome;
-  checkpoint = other167.checkpoint;
-  __isset = other167.__isset;
-}
-FinishedRun::FinishedRun(FinishedRun&& other168) noexcept {
-  position = other168.position;
-  task = std::move(other168.task);
-  run = other168.run;
-  outcome = other168.outcome;
-  checkpoint = std::move(other168.checkpoint);
-  __isset = other168.__isset;
-}
-FinishedRun& FinishedRun::operator=(const FinishedRun& other169) {
-  position = other169.position;
-  task = other169.task;
-  run = other169.run;
-  outcome = other169.outcome;
-  checkpoint = other169.checkpoint;
-  __isset = other169.__isset;
+FinishedRun::FinishedRun(const FinishedRun& other181) {
+  position = other181.position;
+  task = other181.task;
+  run = other181.run;
+  outcome = other181.outcome;
+  checkpoint = other181.checkpoint;
+  __isset = other181.__isset;
+}
+FinishedRun::FinishedRun(FinishedRun&& other182) noexcept {
+  position = other182.position;
+  task = std::move(other182.task);
+  run = other182.run;
+  outcome = other182.outcome;
+  checkpoint = std::move(other182.checkpoint);
+  __isset = other182.__isset;
+}
+FinishedRun& FinishedRun::operator=(const FinishedRun& other183) {
+  position = other183.position;
+  task = other183.task;
+  run = other183.run;
+  outcome = other183.outcome;
+  checkpoint = other183.checkpoint;
+  __isset = other183.__isset;
   return *this;
 }
-FinishedRun& FinishedRun::operator=(FinishedRun&& other170) noexcept {
-  position = other170.position;
-  task = std::move(other170.task);
-  run = other170.run;
-  outcome = other170.outcome;
-  checkpoint = std::move(other170.checkpoint);
-  __isset = other170.__isset;
+FinishedRun& FinishedRun::operator=(FinishedRun&& other184) noexcept {
+  position = other184.position;
+  task = std::move(other184.task);
+  run = other184.run;
+  outcome = other184.outcome;
+  checkpoint = std::move(other184.checkpoint);
+  __isset = other184.__isset;
   return *this;
 }
 void FinishedRun::printTo(std::ostream& out) const {
@@ -4356,9 +4422,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast171;
-          xfer += iprot->readI32(ecast171);
-          this->startResult = static_cast<StartResult::type>(ecast171);
+          int32_t ecast185;
+          xfer += iprot->readI32(ecast185);
+          this->startResult = static_cast<StartResult::type>(ecast185);
           this->__isset.startResult = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4384,14 +4450,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size172;
-            ::apache::thrift::protocol::TType _etype175;
-            xfer += iprot->readListBegin(_etype175, _size172);
-            this->running.resize(_size172);
-            uint32_t _i176;
-            for (_i176 = 0; _i176 < _size172; ++_i176)
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->running.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
             {
-              xfer += this->running[_i176].read(iprot);
+              xfer += this->running[_i190].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4404,14 +4470,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->finished.clear();
-            uint32_t _size177;
-            ::apache::thrift::protocol::TType _etype180;
-            xfer += iprot->readListBegin(_etype180, _size177);
-            this->finished.resize(_size177);
-            uint32_t _i181;
-            for (_i181 = 0; _i181 < _size177; ++_i181)
+            uint32_t _size191;
+            ::apache::thrift::protocol::TType _etype194;
+            xfer += iprot->readListBegin(_etype194, _size191);
+            this->finished.resize(_size191);
+            uint32_t _i195;
+            for (_i195 = 0; _i195 < _size191; ++_i195)
             {
-              xfer += this->finished[_i181].read(iprot);
+              xfer += this->finished[_i195].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4464,10 +4530,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<ListedRun> ::const_iterator _iter182;
-    for (_iter182 = this->running.begin(); _iter182 != this->running.end(); ++_iter182)
+    std::vector<ListedRun> ::const_iterator _iter196;
+    for (_iter196 = this->running.begin(); _iter196 != this->running.end(); ++_iter196)
     {
-      xfer += (*_iter182).write(oprot);
+      xfer += (*_iter196).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4476,10 +4542,10 @@
   xfer += oprot->writeFieldBegin("finished", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->finished.size()));
-    std::vector<FinishedRun> ::const_iterator _iter183;
-    for (_iter183 = this->finished.begin(); _iter183 != this->finished.end(); ++_iter183)
+    std::vector<FinishedRun> ::const_iterator _iter197;
+    for (_iter197 = this->finished.begin(); _iter197 != this->finished.end(); ++_iter197)
     {
-      xfer += (*_iter183).write(oprot);
+      xfer += (*_iter197).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4503,50 +4569,50 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerAnswer::WorkerAnswer(const WorkerAnswer& other184) {
-  id = other184.id;
-  error = other184.error;
-  reason = other184.reason;
-  startResult = other184.startResult;
-  workerTimeMs = other184.workerTimeMs;
-  startedAtMs = other184.startedAtMs;
-  running = other184.running;
-  finished = other184.finished;
-  __isset = other184.__isset;
-}
-WorkerAnswer::WorkerAnswer(WorkerAnswer&& other185) noexcept {
-  id = other185.id;
-  error = std::move(other185.error);
-  reason = std::move(other185.reason);
-  startResult = other185.startResult;
-  workerTimeMs = other185.workerTimeMs;
-  startedAtMs = other185.startedAtMs;
-  running = std::move(other185.running);
-  finished = std::move(other185.finished);
-  __isset = other185.__isset;
-}
-WorkerAnswer& WorkerAnswer::operator=(const WorkerAnswer& other186) {
-  id = other186.id;
-  error = other186.error;
-  reason = other186.reason;
-  startResult = other186.startResult;
-  workerTimeMs = other186.workerTimeMs;
-  startedAtMs = other186.startedAtMs;
-  running = other186.running;
-  finished = other186.finished;
-  __isset = other186.__isset;
+WorkerAnswer::WorkerAnswer(const WorkerAnswer& other198) {
+  id = other198.id;
+  error = other198.error;
+  reason = other198.reason;
+  startResult = other198.startResult;
+  workerTimeMs = other198.workerTimeMs;
+  startedAtMs = other198.startedAtMs;
+  running = other198.running;
+  finished = other198.finished;
+  __isset = other198.__isset;
+}
+WorkerAnswer::WorkerAnswer(WorkerAnswer&& other199) noexcept {
+  id = other199.id;
+  error = std::move(other199.error);
+  reason = std::move(other199.reason);
+  startResult = other199.startResult;
+  workerTimeMs = other199.workerTimeMs;
+  startedAtMs = other199.startedAtMs;
+  running = std::move(other199.running);
+  finished = std::move(other199.finished);
+  __isset = other199.__isset;
+}
+WorkerAnswer& WorkerAnswer::operator=(const WorkerAnswer& other200) {
+  id = other200.id;
+  error = other200.error;
+  reason = other200.reason;
+  startResult = other200.startResult;
+  workerTimeMs = other200.workerTimeMs;
+  startedAtMs = other200.startedAtMs;
+  running = other200.running;
+  finished = other200.finished;
+  __isset = other200.__isset;
   return *this;
 }
-WorkerAnswer& WorkerAnswer::operator=(WorkerAnswer&& other187) noexcept {
-  id = other187.id;
-  error = std::move(other187.error);
-  reason = std::move(other187.reason);
-  startResult = other187.startResult;
-  workerTimeMs = other187.workerTimeMs;
-  startedAtMs = other187.startedAtMs;
-  running = std::move(other187.running);
-  finished = std::move(other187.finished);
-  __isset = other187.__isset;
+WorkerAnswer& WorkerAnswer::operator=(WorkerAnswer&& other201) noexcept {
+  id = other201.id;
+  error = std::move(other201.error);
+  reason = std::move(other201.reason);
+  startResult = other201.startResult;
+  workerTimeMs = other201.workerTimeMs;
+  startedAtMs = other201.startedAtMs;
+  running = std::move(other201.running);
+  finished = std::move(other201.finished);
+  __isset = other201.__isset;
   return *this;
 }
 void WorkerAnswer::printTo(std::ostream& out) const {
@@ -4615,14 +4681,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->answers.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->answers.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              xfer += this->answers[_i192].read(iprot);
+              xfer += this->answers[_i206].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4655,10 +4721,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<WorkerAnswer> ::const_iterator _iter193;
-    for (_iter193 = this->answers.begin(); _iter193 != this->answers.end(); ++_iter193)
+    std::vector<WorkerAnswer> ::const_iterator _iter207;
+    for (_iter207 = this->answers.begin(); _iter207 != this->answers.end(); ++_iter207)
     {
-      xfer += (*_iter193).write(oprot);
+      xfer += (*_iter207).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4676,26 +4742,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerAnswers::WorkerAnswers(const WorkerAnswers& other194) {
-  session = other194.session;
-  answers = other194.answers;
-  __isset = other194.__isset;
+WorkerAnswers::WorkerAnswers(const WorkerAnswers& other208) {
+  session = other208.session;
+  answers = other208.answers;
+  __isset = other208.__isset;
 }
-WorkerAnswers::WorkerAnswers(WorkerAnswers&& other195) noexcept {
-  session = std::move(other195.session);
-  answers = std::move(other195.answers);
-  __isset = other195.__isset;
+WorkerAnswers::WorkerAnswers(WorkerAnswers&& other209) noexcept {
+  session = std::move(other209.session);
+  answers = std::move(other209.answers);
+  __isset = other209.__isset;
 }
-WorkerAnswers& WorkerAnswers::operator=(const WorkerAnswers& other196) {
-  session = other196.session;
-  answers = other196.answers;
-  __isset = other196.__isset;
+WorkerAnswers& WorkerAnswers::operator=(const WorkerAnswers& other210) {
+  session = other210.session;
+  answers = other210.answers;
+  __isset = other210.__isset;
   return *this;
 }
-WorkerAnswers& WorkerAnswers::operator=(WorkerAnswers&& other197) noexcept {
-  session = std::move(other197.session);
-  answers = std::move(other197.answers);
-  __isset = other197.__isset;
+WorkerAnswers& WorkerAnswers::operator=(WorkerAnswers&& other211) noexcept {
+  session = std::move(other211.session);
+  answers = std::move(other211.answers);
+  __isset = other211.__isset;
   return *this;
 }
 void WorkerAnswers::printTo(std::ostream& out) const {
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -391,12 +391,13 @@
 std::ostream& operator<<(std::ostream& out, const Submission& obj);
 
 typedef struct _StepProgress__isset {
-  _StepProgress__isset() : occurrence(false), step(false), succeeded(false), failedRuns(false), placedOn(false) {}
+  _StepProgress__isset() : occurrence(false), step(false), succeeded(false), failedRuns(false), placedOn(false), crashedRuns(false) {}
   bool occurrence :1;
   bool step :1;
   bool succeeded :1;
   bool failedRuns :1;
   bool placedOn :1;
+  bool crashedRuns :1;
 } _StepProgress__isset;
 
 class StepProgress : public virtual ::apache::thrift::TBase {
@@ -417,6 +418,7 @@
   std::vector<int32_t>  succeeded;
   std::map<int32_t, std::vector<int64_t> >  failedRuns;
   std::map<int32_t, std::string>  placedOn;
+  std::map<int32_t, std::vector<int64_t> >  crashedRuns;
 
   _StepProgress__isset __isset;
 
@@ -430,6 +432,8 @@
 
   void __set_placedOn(const std::map<int32_t, std::string> & val);
 
+  void __set_crashedRuns(const std::map<int32_t, std::vector<int64_t> > & val);
+
   bool operator == (const StepProgress & rhs) const
   {
     if (!(occurrence == rhs.occurrence))
@@ -442,6 +446,8 @@
       return false;
     if (!(placedOn == rhs.placedOn))
       return false;
+    if (!(crashedRuns == rhs.crashedRuns))
+      return false;
     return true;
   }
   bool operator != (const StepProgress &rhs) const {
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -49,6 +49,8 @@
   4: map<i32, list<i64>> failedRuns;
   // The worker on which a run of the task may exist, by task index.
   5: map<i32, string> placedOn;
+  // Numbers of the runs whose worker crashed soon after they had started, by task index.
+  6: map<i32, list<i64>> crashedRuns;
 }
 
 enum JobState { Queued = 0, Running = 1, Completed = 2, Failed = 3, Cancelled = 4 }
