Give the stored enums a fixed underlying type

Evidence: MalformedInputTest.NoDecoderThrowsOrCrashesOnMutatedMessages under UBSan: work_types.cpp:1365, load of value, which is not a valid value for type 'type'. Every int32 is a value of an enum with a fixed type; the decoders' own checks of the range stay as they are.

--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -22,7 +22,7 @@
 namespace cardamompaddle { namespace work {
 
 struct JobState {
-  enum type {
+  enum type : int32_t {
     Queued = 0,
     Running = 1,
     Completed = 2,
@@ -38,7 +38,7 @@
 std::string to_string(const JobState::type& val);
 
 struct WorkerCallKind {
-  enum type {
+  enum type : int32_t {
     Poll = 0,
     Start = 1,
     Stop = 2,
@@ -53,7 +53,7 @@
 std::string to_string(const WorkerCallKind::type& val);
 
 struct StartResult {
-  enum type {
+  enum type : int32_t {
     Started = 0,
     NoRoom = 1,
     StaleRun = 2,
@@ -69,7 +69,7 @@
 std::string to_string(const StartResult::type& val);
 
 struct RunEnd {
-  enum type {
+  enum type : int32_t {
     Succeeded = 0,
     Failed = 1,
     Stopped = 2,
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -2,6 +2,8 @@
 // log, and the messages between entry instances. The code uses the generated structs as its own
 // types, not only for encoding. The generated code in gen/ is committed:
 //   thrift --gen cpp:no_skeleton,moveable_types -out src/work/gen src/work/work.thrift
+//   sed -i "s/  enum type {/  enum type : int32_t {/" src/work/gen/work_types.h
+// The second command makes every value of an enum that a message may hold a defined one.
 namespace cpp cardamompaddle.work
 
 // A group of equal tasks of a job.
