Count the right to extend leases from when an append was sent

A holder extends leases for 2.5 s after the log last took something of its tenure, and its successor relies on that. The time was taken when the answer arrived. With an answer that comes more than 0.4 s late, a holder that has been replaced and is cut off together with a worker may extend a lease there for longer than its successor waits.

The append may have been stored, and a claim after it, at any time since its first try, so that is what counts. An append that took long is followed by the next one at once, so a holder that is in office loses little.

--- a/src/control/fenced_writer.cc
+++ b/src/control/fenced_writer.cc
@@ -37,6 +37,7 @@
     request.writer = m_writer;
     m_request = std::move(request);
     m_retried = false;
+    m_firstSentAt = m_clock.now();
     m_onStored = std::move(stored);
     send();
 }
--- a/src/control/fenced_writer.h
+++ b/src/control/fenced_writer.h
@@ -36,6 +36,8 @@
     // When the last try was sent. From there to its answer is how long the log takes; failed tries
     // before it tell that the log was away, not that it is slow.
     Instant sentAt() const { return m_sentAt; }
+    // When the first try of the append was sent. The log may have stored it at any time since.
+    Instant firstSentAt() const { return m_firstSentAt; }
     // Receives the stored records with their offsets, or no records if the offsets are unknown.
     using Stored = std::function<void(const std::vector<KeyedRecord> &)>;
     // Requires !busy(). Calls `stored` once the log has stored the records.
@@ -52,6 +54,7 @@
     std::function<void(const std::string &)> m_onFenced;
     boost::asio::steady_timer m_retryTimer;
     std::optional<AppendRequest> m_request; // the append in flight or to be retried
+    Instant m_firstSentAt;
     Instant m_sentAt;
     bool m_retried = false; // a try of m_request has failed
     Stored m_onStored;
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -59,7 +59,7 @@
 WorkerLinks::WorkerLinks(boost::asio::io_context &io, const Clock &clock, WorkerGateway &gateway,
                          WorkerLinksOptions options, Callbacks callbacks)
     : m_io(io), m_clock(clock), m_gateway(gateway), m_options(options),
-      m_callbacks(std::move(callbacks)), m_lastStoredAt(clock.now())
+      m_callbacks(std::move(callbacks)), m_tenureHeldAt(clock.now())
 { }
 
 WorkerLinks::~WorkerLinks()
@@ -122,7 +122,7 @@
         || m_callbacks.suspendedLeaseExpiry(link.entry.id))
         return out;
     const Instant now = m_clock.now();
-    if (now - m_lastStoredAt > LeaseExtensionWindow)
+    if (now - m_tenureHeldAt > LeaseExtensionWindow)
         return out;
     const Duration lease = std::min(RequestedLease, m_options.maxLease);
     out.leaseEndMs = link.workerTimeMs + (now - link.workerTimeReadAt).count() + lease.count();
@@ -204,9 +204,9 @@
     schedulePoll(id, hasFinishedRuns ? UnstoredPollInterval : Duration::zero());
 }
 
-void WorkerLinks::onAppendStored()
+void WorkerLinks::onAppendStored(Instant sentAt)
 {
-    m_lastStoredAt = m_clock.now();
+    m_tenureHeldAt = std::max(m_tenureHeldAt, sentAt);
     for (auto &[id, link] : m_links) {
         if (!link.hasUnstoredRuns || link.pollInFlight)
             continue;
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -64,9 +64,10 @@
     void start(const StartOrder &order);
     void stop(const StopOrder &order);
     void throttle(const ThrottleOrder &order);
-    // Call after each successful append of this tenure. Schedules the polls that waited for
-    // finished runs to be stored. Without such calls, lease extension stops after a short time.
-    void onAppendStored();
+    // Call after each successful append of this tenure, with the time at which it was first sent: a
+    // successor may have claimed the tenure at any time after that. Schedules the polls that waited
+    // for finished runs to be stored. Without such calls, lease extension stops after a short time.
+    void onAppendStored(Instant sentAt);
     // Detects expired leases and closes unneeded links. Call several times a second.
     void tick();
     bool contains(const WorkerId &id) const { return m_links.contains(id); }
@@ -137,7 +138,7 @@
     Callbacks m_callbacks;
     std::map<WorkerId, Link> m_links;
     Instant m_lossyUntil = Instant::min(); // until then, calls may lose their answers
-    Instant m_lastStoredAt; // time of the last successful append, or of construction
+    Instant m_tenureHeldAt; // when the last successful append was sent, or time of construction
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // false: callbacks are dropped
 };
 
--- a/src/control/worker_links_test.cc
+++ b/src/control/worker_links_test.cc
@@ -147,19 +147,31 @@
     EXPECT_EQ(startOne(), StartOutcome::Started);
 }
 
+// Guards against tasks that run twice: a former scheduler that gets an answer of the log late, and
+// meanwhile has been replaced, extends leases for longer than its successor expects.
+TEST_F(WorkerLinksTest, AnAppendPermitsToExtendLeasesFromWhenItWasSent)
+{
+    m_links->onAppendStored(m_clock.now());
+    run(Duration(3'300));
+    m_workers.workers["w"].leaseEndMs = 0;
+    m_links->onAppendStored(m_clock.now() - Duration(2'600));
+    run(Duration(1'500));
+    EXPECT_EQ(m_workers.workers["w"].leaseEndMs, 0) << "the tenure may have been lost since";
+}
+
 // Guards against tasks that run twice: a former scheduler in a zone that is partitioned off
 // together with its workers keeps extending their leases, while its successor expects them to
 // expire.
 TEST_F(WorkerLinksTest, StopsExtendingLeasesAfterATimeWithoutAppends)
 {
-    m_links->onAppendStored();
+    m_links->onAppendStored(m_clock.now());
     run(Duration(1'500));
     EXPECT_GT(m_workers.workers["w"].leaseEndMs, 0);
     run(Duration(1'800));
     m_workers.workers["w"].leaseEndMs = 0;
     run(Duration(1'500));
     EXPECT_EQ(m_workers.workers["w"].leaseEndMs, 0) << "extended without the log";
-    m_links->onAppendStored();
+    m_links->onAppendStored(m_clock.now());
     run(Duration(1'500));
     EXPECT_GT(m_workers.workers["w"].leaseEndMs, 0);
 }
