--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -145,8 +145,8 @@
     // Returns the orders to send now. `unixMs` is the Unix time, which due times refer to.
     Orders decide(Instant now, int64_t unixMs);
     // Returns the earliest time after `now` at which decide() may return orders even if nothing
-    // else is called before, or nullopt if there is no such time. At most an hour after `now`: for a
-    // later event, ask again then.
+    // else is called before, or nullopt if there is no such time. At most an hour after `now`: for
+    // a later event, ask again then.
     std::optional<Instant> nextEvent(Instant now, int64_t unixMs) const;
 
     // Emits a "task_overdue" event, with the reasons, for steps that have tasks which could have
