Store what is left of a suspended lease again while it runs

Found in review.

The span is stored again every 0.5 s while it runs and once after its end, with appends that go out anyway. Only the first record of a suspension is published at once.

--- a/src/control/instance_takeover_test.cc
+++ b/src/control/instance_takeover_test.cc
@@ -95,5 +95,30 @@
     EXPECT_TRUE(reached(scheduler(), "job", work::JobState::Completed));
 }
 
+// Guards against a wait that hardly gets shorter because each successor has just started: it knows
+// how much of the wait was left when that was stored, but not how long ago that was.
+TEST_F(InstanceTakeoverTest, AnInstanceThatRestartsWaitsOnlyForTheRest)
+{
+    addNode("a");
+    ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+    ASSERT_EQ(submit(scheduler(), "job"), SubmitOutcome::Accepted);
+    ASSERT_TRUE(runUntil([this] { return m_workers.runningCount() == 1; }));
+    for (auto &[id, worker] : m_workers.workers) {
+        if (!worker.running.empty()) {
+            worker.unresponsive = true;
+            worker.running.clear();
+        }
+    }
+    const Instant lostAt = m_clock.now();
+    while (m_workers.starts == 1 && m_clock.now() - lostAt < Duration(7'000)) {
+        m_nodes["a"].instance.reset();
+        addNode("a");
+        ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+        runUntil([this] { return m_workers.starts == 2; }, Duration(2'000));
+    }
+    EXPECT_EQ(m_workers.starts, 2)
+        << "not started again within " << (m_clock.now() - lostAt).count() << " ms";
+}
+
 } // namespace
 } // namespace cardamompaddle
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -34,6 +34,9 @@
 constexpr Duration HeartbeatInterval{150}; // longest time without an append
 // Longer than it takes a worker that is up to answer the next poll after a lost answer.
 constexpr Duration MinSilenceToSuspendLease{600};
+// The time that is left of the leases is stored again this often, so that an instance which starts
+// meanwhile does not count the whole of it.
+constexpr Duration SuspensionStoreInterval{500};
 constexpr int TicksBetweenTenureRecords = 10; // the tenure record is stored again
 constexpr Duration RegistryPollInterval{300};
 constexpr Duration LoadLogInterval{1'000};
@@ -99,8 +102,6 @@
       m_releaseTimer(m_context.io)
 {
     m_suspendedLeases = m_options.suspendedLeases;
-    for (const auto &[id, expiry] : m_suspendedLeases)
-        m_inheritedSuspensions.insert(id);
     m_startedAt = m_lastStoredAt = m_lastPublishedAt = m_loadLoggedAt = m_context.clock.now();
     WorkerLinks::Callbacks links;
     links.report = [this](const WorkerId &id, const RunReport &report) { onReport(id, report); };
@@ -508,13 +509,20 @@
     for (const WorkerId &id : m_links->unreachableSince(now - MinSilenceToSuspendLease)) {
         if (!m_storedUsedWorkers.contains(id) || m_batchUsedWorkers.contains(id))
             continue;
-        // A promise of a former scheduler is stored once more with the time that is left.
-        if (m_suspendedLeases.contains(id) && m_inheritedSuspensions.erase(id) == 0)
+        const bool renewed = m_suspendedLeases.contains(id);
+        const auto storedAt = m_suspensionsStoredAt.find(id);
+        if (renewed && storedAt != m_suspensionsStoredAt.end()
+            && (now - storedAt->second < SuspensionStoreInterval
+                || storedAt->second >= m_suspendedLeases.at(id)))
             continue;
-        const Instant expiry = std::max(m_links->leaseExpiry(id), now + Duration(1));
-        m_suspendedLeases[id] = expiry;
-        records.push_back(usedWorkerRecord(id, expiry - now));
-        m_batchUrgent.insert(records.back().key);
+        // A span of 0 would withdraw the promise.
+        const Duration left = std::max(m_links->leaseExpiry(id) - now, Duration(1));
+        if (!renewed)
+            m_suspendedLeases[id] = now + left;
+        m_suspensionsStoredAt[id] = now;
+        records.push_back(usedWorkerRecord(id, left));
+        if (!renewed)
+            m_batchUrgent.insert(records.back().key);
     }
 }
 
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -152,8 +152,8 @@
     // Workers whose lease must not be extended until their record is stored without the promise
     // that it is not, and when all leases on them have expired. A later scheduler relies on it.
     std::map<WorkerId, Instant> m_suspendedLeases;
-    // Of these, the ones that only a former scheduler has stored.
-    std::set<WorkerId> m_inheritedSuspensions;
+    // When the promise was last put into an append of this tenure.
+    std::map<WorkerId, Instant> m_suspensionsStoredAt;
     std::set<WorkerId> m_usedWorkersToRemove;
     std::set<WorkerId> m_reachable;
     // Position up to which each worker's finished runs are stored. Workers may discard these.
