--- a/src/control/instance_testing.h
+++ b/src/control/instance_testing.h
@@ -85,7 +85,7 @@
         node.instance = std::make_unique<Instance>(
             [this, &node](const JobTable &jobTable) {
                 SchedulerContext context{
-                    m_io,      m_clock,       [] { return int64_t{1'000'000}; },
+                    m_io,      m_clock,       [this] { return m_unixMs; },
                     *node.log, m_workers,     m_policy,
                     m_policy,  jobTable,      WorkTopic,
                     JobsTopic, RegistryTopic, decodeWorker};
@@ -196,6 +196,7 @@
     }
 
     Duration m_maxLease{1'000};
+    int64_t m_unixMs = 1'000'000; // time of day of all instances; accepted jobs are of that time
     std::map<std::string, SubmitOutcome> m_outcomes; // of submissions, by job ID
     boost::asio::io_context m_io;
     testing::TestClock m_clock;
--- a/src/control/job_garbage_collector.cc
+++ b/src/control/job_garbage_collector.cc
@@ -34,7 +34,7 @@
     AppendRequest work;
     jobs.topic = m_jobsTopic;
     work.topic = m_workTopic;
-    for (const std::string &id : m_jobTable.terminalBefore(unixMs, MaxJobsPerRun)) {
+    for (const std::string &id : m_jobTable.endedBefore(unixMs, MaxJobsPerRun)) {
         jobs.records.push_back({work_key::cancel(id), "", true, 0});
         jobs.records.push_back({work_key::job(id), "", true, 0});
         work.records.push_back({work_key::progress(id), "", true, 0});
--- a/src/control/job_garbage_collector.h
+++ b/src/control/job_garbage_collector.h
@@ -21,9 +21,9 @@
     JobGarbageCollector(const JobGarbageCollector &) = delete;
     JobGarbageCollector &operator=(const JobGarbageCollector &) = delete;
 
-    // Removes terminal jobs that were accepted before `unixMs`. Must be called periodically: each
-    // run is limited in size, and a failed removal is repeated by a later run. A call that comes
-    // too soon after the previous run does nothing.
+    // Removes jobs that ended before `unixMs`. Must be called periodically: each run is limited in
+    // size, and a failed removal is repeated by a later run. A call that comes too soon after the
+    // previous run does nothing.
     void collect(Instant now, int64_t unixMs);
 
 private:
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -46,6 +46,9 @@
 constexpr Duration MaxCountedLag{60}; // limits the effect of a single long pause
 constexpr double LagAverageWeight = 0.2; // of the latest tick in the average
 constexpr Duration MinTenureBeforeHandOver{2'000};
+// Added to the retention of ended jobs. The time of an end is taken before it is stored, and callers
+// see it once it is stored; the instance that removes the job may have another clock.
+constexpr Duration EndTimeTolerance{10'000};
 // A scheduler that was replaced is fenced or learns of its successor within this time.
 constexpr Duration FormerSchedulerFencingTime{1'000};
 
@@ -60,13 +63,11 @@
     return out;
 }
 
-// Returns whether runs of the job may still exist although it has ended or was cancelled.
+// Returns whether runs of a job that has ended may still exist.
 bool isBeingStopped(const JobEntry &entry)
 {
     if (!entry.progress)
         return false;
-    if (entry.progress->state < work::JobState::Completed)
-        return entry.cancelled;
     const auto &steps = entry.progress->steps;
     return std::any_of(steps.begin(), steps.end(),
                        [](const work::StepProgress &it) { return !it.placedOn.empty(); });
@@ -175,8 +176,8 @@
     }
     std::vector<const JobEntry *> open;
     for (const auto &[id, entry] : m_context.jobTable.entries()) {
-        if (entry.submission
-            && (entry.state() < work::JobState::Completed || isBeingStopped(entry)))
+        // Of a job that has ended, the end may not be stored yet.
+        if (entry.submission && (entry.endedAtMs() == 0 || isBeingStopped(entry)))
             open.push_back(&entry);
     }
     std::sort(open.begin(), open.end(),
@@ -220,12 +221,17 @@
     const Instant now = m_context.clock.now();
     if (entry == nullptr)
         return;
-    if (change == JobTable::Change::Submitted && entry->state() < work::JobState::Completed) {
+    if (change == JobTable::Change::Submitted && entry->endedAtMs() == 0) {
         // The former scheduler may have read the job and started its tasks before it was fenced.
         const bool mayBeRunning = !m_allReconciled && !m_options.tenure.startsRecorded
                                   && now - m_startedAt < FormerSchedulerFencingTime;
         m_dispatcher.addJob(entry->submission, entry->progress.get(), mayBeRunning);
+        // The cancellation may have been read first.
+        if (entry->cancelled)
+            m_dispatcher.cancelJob(id);
         schedulePass();
+        if (m_dispatcher.hasProgress())
+            scheduleFlush(FlushDelay);
     } else if (change == JobTable::Change::Cancelled) {
         m_dispatcher.cancelJob(id);
         schedulePass();
@@ -436,7 +442,7 @@
     for (const WorkerId &id : m_storedUsedWorkers)
         m_batchPositions[id] = m_dispatcher.endPosition(id);
     m_batchUrgent.clear();
-    for (const work::Progress &progress : m_dispatcher.takeProgress()) {
+    for (const work::Progress &progress : m_dispatcher.takeProgress(m_context.unixClock())) {
         const std::string key = work_key::progress(progress.id);
         if (progress.state >= work::JobState::Completed)
             m_batchUrgent.insert(key);
@@ -563,7 +569,8 @@
     reportSlowAppend(now);
     updateWorkerGateway();
     m_links->tick();
-    m_jobGarbageCollector.collect(now, m_context.unixClock() - m_options.terminalRetention.count());
+    const Duration retention = m_options.terminalRetention + EndTimeTolerance;
+    m_jobGarbageCollector.collect(now, m_context.unixClock() - retention.count());
     if (!m_allReconciled)
         updateReconciliation();
     for (const WorkerId &id : m_storedUsedWorkers) {
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -106,7 +106,7 @@
                 m_model.append(request);
             return later(timeout, [done] { done({AppendOutcome::Unknown, "no answer"}); });
         }
-        if (refuses)
+        if (refuses || request.topic == refusedTopic)
             return later(Duration(1), [done] { done({AppendOutcome::NotStored, "refused"}); });
         later(appendTime, [this, request, done] { done(m_model.append(request)); });
     }
@@ -162,6 +162,7 @@
     // Called with the topic and the preceding key before a page is read.
     std::function<void(const std::string &, const std::string &)> beforePage;
     std::string unreadableTopic; // reads of this topic fail
+    std::string refusedTopic; // appends to this topic fail and are not stored
     bool claimsFail = false; // appends that claim the tenure fail and are not stored
     int appendCalls = 0;
     int claimCalls = 0; // appends that claim the tenure
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -187,9 +187,9 @@
     m_impl->reportOverdueTasks(now, unixMs);
 }
 
-std::vector<work::Progress> Dispatcher::takeProgress()
+std::vector<work::Progress> Dispatcher::takeProgress(int64_t unixMs)
 {
-    return m_impl->takeProgress();
+    return m_impl->takeProgress(unixMs);
 }
 
 bool Dispatcher::hasProgress() const
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -70,7 +70,8 @@
 
     // Adds a job; does nothing if the job is already known. `progress` is what an earlier scheduler
     // stored, or null. `mayBeRunning` means that an earlier scheduler may have started tasks of the
-    // job without recording it; the job's tasks then start only once no worker is unreconciled.
+    // job without recording it; the job's tasks then start only once no worker is unreconciled. A
+    // terminal job whose progress does not tell when it ended is returned by takeProgress().
     void addJob(std::shared_ptr<const work::Submission> job, const work::Progress *progress,
                 bool mayBeRunning);
     // Cancels a job and stops its runs. Does nothing if the job is unknown or terminal.
@@ -154,9 +155,10 @@
     void reportOverdueTasks(Instant now, int64_t unixMs);
 
     // Returns the progress of the jobs that changed since the last call. That of a terminal job
-    // names the workers of its runs that are still being stopped. Forgets the jobs that are
-    // terminal and have no active run.
-    std::vector<work::Progress> takeProgress();
+    // names the workers of its runs that are still being stopped, and when it ended: `unixMs` of
+    // the first call that returned it as terminal. Forgets the jobs that are terminal and have no
+    // active run.
+    std::vector<work::Progress> takeProgress(int64_t unixMs);
     // Returns whether takeProgress() would return anything.
     bool hasProgress() const;
 
--- a/src/dispatch/dispatcher_jobs.cc
+++ b/src/dispatch/dispatcher_jobs.cc
@@ -72,6 +72,8 @@
     emitEvent("job_queued", job.spec->id,
               "steps=" + std::to_string(job.spec->steps.size())
                   + " restored=" + (progress != nullptr ? "true" : "false"));
+    if (job.isTerminal() && job.endedAtMs == 0)
+        markDirty(job);
     checkCompleted(job);
 }
 
@@ -100,6 +102,7 @@
 void Dispatcher::Impl::restoreProgress(Job &job, const work::Progress &progress)
 {
     job.state = progress.state;
+    job.endedAtMs = progress.endedAtMs;
     for (const work::StepProgress &stored : progress.steps) {
         Step *step = job.step(stored.occurrence, stored.step);
         if (step == nullptr)
@@ -242,13 +245,16 @@
     return out;
 }
 
-std::vector<work::Progress> Dispatcher::Impl::takeProgress()
+std::vector<work::Progress> Dispatcher::Impl::takeProgress(int64_t unixMs)
 {
     std::vector<work::Progress> out;
     for (Job *job : std::exchange(m_dirty, {})) {
+        if (job->isTerminal() && job->endedAtMs == 0)
+            job->endedAtMs = unixMs;
         work::Progress progress;
         progress.id = job->spec->id;
         progress.state = job->state;
+        progress.endedAtMs = job->endedAtMs;
         for (const auto &step : job->steps) {
             work::StepProgress stored = progressOf(*step);
             if (!stored.succeeded.empty() || !stored.failedRuns.empty() || !stored.placedOn.empty()
--- a/src/dispatch/dispatcher_testing.h
+++ b/src/dispatch/dispatcher_testing.h
@@ -122,7 +122,7 @@
     // Returns the state that takeProgress() last showed for the job.
     work::JobState::type state(const std::string &id)
     {
-        for (const work::Progress &progress : m_dispatcher.takeProgress())
+        for (const work::Progress &progress : m_dispatcher.takeProgress(UnixNow))
             m_states[progress.id] = progress.state;
         return m_states[id];
     }
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -18,7 +18,7 @@
     void addJob(std::shared_ptr<const work::Submission> spec, const work::Progress *progress,
                 bool mayBeRunning);
     void cancelJob(const std::string &id);
-    std::vector<work::Progress> takeProgress();
+    std::vector<work::Progress> takeProgress(int64_t unixMs);
 
     // dispatcher_workers.cc
     void setWorker(const WorkerEntry &entry);
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -157,6 +157,7 @@
     std::shared_ptr<const work::Submission> spec;
     uint64_t sequence = 0;
     work::JobState::type state = work::JobState::Queued;
+    int64_t endedAtMs = 0; // Unix time; see work::Progress
     bool mayBeRunning = false;
     Resources *teamUse = nullptr; // resources in use by all jobs of its team
     std::vector<std::unique_ptr<Step>> steps; // by occurrence, then number
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -1304,6 +1304,10 @@
 void Progress::__set_steps(const std::vector<StepProgress> & val) {
   this->steps = val;
 }
+
+void Progress::__set_endedAtMs(const int64_t val) {
+  this->endedAtMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const Progress& obj)
 {
   obj.printTo(out);
@@ -1370,6 +1374,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->endedAtMs);
+          this->__isset.endedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1407,6 +1419,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("endedAtMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->endedAtMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1417,6 +1433,7 @@
   swap(a.id, b.id);
   swap(a.state, b.state);
   swap(a.steps, b.steps);
+  swap(a.endedAtMs, b.endedAtMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1424,18 +1441,21 @@
   id = other73.id;
   state = other73.state;
   steps = other73.steps;
+  endedAtMs = other73.endedAtMs;
   __isset = other73.__isset;
 }
 Progress::Progress(Progress&& other74) noexcept {
   id = std::move(other74.id);
   state = other74.state;
   steps = std::move(other74.steps);
+  endedAtMs = other74.endedAtMs;
   __isset = other74.__isset;
 }
 Progress& Progress::operator=(const Progress& other75) {
   id = other75.id;
   state = other75.state;
   steps = other75.steps;
+  endedAtMs = other75.endedAtMs;
   __isset = other75.__isset;
   return *this;
 }
@@ -1443,6 +1463,7 @@
   id = std::move(other76.id);
   state = other76.state;
   steps = std::move(other76.steps);
+  endedAtMs = other76.endedAtMs;
   __isset = other76.__isset;
   return *this;
 }
@@ -1452,6 +1473,7 @@
   out << "id=" << to_string(id);
   out << ", " << "state=" << to_string(state);
   out << ", " << "steps=" << to_string(steps);
+  out << ", " << "endedAtMs=" << to_string(endedAtMs);
   out << ")";
 }
 
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -467,10 +467,11 @@
 std::ostream& operator<<(std::ostream& out, const StepProgress& obj);
 
 typedef struct _Progress__isset {
-  _Progress__isset() : id(false), state(false), steps(false) {}
+  _Progress__isset() : id(false), state(false), steps(false), endedAtMs(false) {}
   bool id :1;
   bool state :1;
   bool steps :1;
+  bool endedAtMs :1;
 } _Progress__isset;
 
 class Progress : public virtual ::apache::thrift::TBase {
@@ -482,7 +483,8 @@
   Progress& operator=(Progress&&) noexcept;
   Progress() noexcept
            : id(),
-             state(static_cast<JobState::type>(0)) {
+             state(static_cast<JobState::type>(0)),
+             endedAtMs(0) {
   }
 
   virtual ~Progress() noexcept;
@@ -493,6 +495,7 @@
    */
   JobState::type state;
   std::vector<StepProgress>  steps;
+  int64_t endedAtMs;
 
   _Progress__isset __isset;
 
@@ -502,6 +505,8 @@
 
   void __set_steps(const std::vector<StepProgress> & val);
 
+  void __set_endedAtMs(const int64_t val);
+
   bool operator == (const Progress & rhs) const
   {
     if (!(id == rhs.id))
@@ -510,6 +515,8 @@
       return false;
     if (!(steps == rhs.steps))
       return false;
+    if (!(endedAtMs == rhs.endedAtMs))
+      return false;
     return true;
   }
   bool operator != (const Progress &rhs) const {
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -62,6 +62,9 @@
   1: string id;
   2: JobState state;
   3: list<StepProgress> steps; // steps with an entry in one of the lists or maps
+  // Unix time at which the job reached a terminal state; 0 before that, and in records of versions
+  // that did not store it.
+  4: i64 endedAtMs;
 }
 
 // The scheduler's leadership term. `epoch` is also the fencing token of the commands to workers.
