--- a/src/bench/dispatcher_bench.cc
+++ b/src/bench/dispatcher_bench.cc
@@ -165,7 +165,7 @@
             job->steps.push_back(step);
             job->steps.back().after = {0};
         }
-        m_dispatcher.addJob(job, nullptr, false);
+        m_dispatcher.addJob(job, {}, false);
         ++m_openJobs;
     }
     void addArrivals()
--- a/src/control/fenced_writer.h
+++ b/src/control/fenced_writer.h
@@ -1,6 +1,9 @@
 // Appends records under one tenure: one append at a time, retried under its sequence number until
 // the log has stored it, so that every append is stored exactly once and in order.
 //
+// What the log can never take must not hold up the rest: records that are too many for one append
+// go out in several, and a record that the log rejects by itself is dropped and reported.
+//
 // Not thread-safe: use it only on the event loop's thread.
 #pragma once
 
@@ -9,6 +12,9 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -20,11 +26,18 @@
 class FencedWriter
 {
 public:
-    // `writer.sequence` is the number of the next append under `writer.epoch`. `fenced` is called
-    // with the reason when the log refuses the writer's epoch or sequence; nothing is appended
-    // after that.
+    struct Callbacks
+    {
+        // Called with the reason when the log refuses the writer's epoch or sequence; nothing is
+        // appended after that.
+        std::function<void(const std::string &reason)> fenced;
+        // Called with a record that can never be stored, before `stored` of its append.
+        std::function<void(const KeyedRecord &record, const std::string &reason)> rejected;
+    };
+
+    // `writer.sequence` is the number of the next append under `writer.epoch`.
     FencedWriter(boost::asio::io_context &io, const Clock &clock, KeyedLog &log, std::string topic,
-                 AppendRequest::Writer writer, std::function<void(const std::string &)> fenced);
+                 AppendRequest::Writer writer, LogLimits limits, Callbacks callbacks);
     ~FencedWriter();
     FencedWriter(const FencedWriter &) = delete;
     FencedWriter &operator=(const FencedWriter &) = delete;
@@ -38,22 +51,32 @@
     Instant sentAt() const { return m_sentAt; }
     // When the first try of the append was sent. The log may have stored it at any time since.
     Instant firstSentAt() const { return m_firstSentAt; }
-    // Receives the stored records with their offsets, or no records if the offsets are unknown.
+    // Receives the stored records with their offsets, without those whose offset is unknown.
     using Stored = std::function<void(const std::vector<KeyedRecord> &)>;
-    // Requires !busy(). Calls `stored` once the log has stored the records.
+    // Requires !busy(). Calls `stored` once the log has stored all records that it takes, in the
+    // given order.
     void append(std::vector<KeyedRecord> records, Stored stored);
 
 private:
+    // Sends the next records that fit into one append, or ends the append if none are left.
+    void sendNext();
     void send();
     void onAnswer(const AppendResult &answer);
+    void onStored(const AppendResult &answer);
+    void onRejected(const AppendResult &answer);
+    void drop(const KeyedRecord &record, const std::string &reason);
 
     const Clock &m_clock;
     KeyedLog &m_log;
     std::string m_topic;
     AppendRequest::Writer m_writer;
-    std::function<void(const std::string &)> m_onFenced;
+    LogLimits m_limits;
+    Callbacks m_callbacks;
     boost::asio::steady_timer m_retryTimer;
     std::optional<AppendRequest> m_request; // the append in flight or to be retried
+    size_t m_maxRecords = SIZE_MAX; // in the next append; fewer after the log has rejected one
+    std::deque<KeyedRecord> m_waiting; // for the appends that follow
+    std::vector<KeyedRecord> m_storedRecords; // by the appends before
     Instant m_firstSentAt;
     Instant m_sentAt;
     bool m_retried = false; // a try of m_request has failed
--- a/src/control/gateways.h
+++ b/src/control/gateways.h
@@ -28,6 +28,16 @@
     int64_t offset = 0;
 };
 
+// What the log takes at most.
+struct LogLimits
+{
+    size_t maxRecordBytes = 262'144; // see storedBytes()
+    size_t maxAppendBytes = 2'097'152; // sum over the records of an append
+};
+
+// Returns how many bytes the record counts in an append.
+size_t storedBytes(const KeyedRecord &record);
+
 // Consecutive records of a topic.
 struct LogSlice
 {
@@ -64,6 +74,7 @@
     NotStored, // may be retried
     ConditionFailed, // not stored: the topic's end differs from `expectedEnd`
     Fenced, // not stored: a higher epoch was seen, or the sequence number is not the next
+    Rejected, // not stored and never will be: the log does not take such records
     Unknown, // no answer: may have been stored
 };
 // Returns a stable lower-case name, for example "end_moved".
--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -94,6 +94,7 @@
         LogFollowerOptions{m_context.operatorTopic, Duration::zero()}, std::move(operators));
     m_submitter = std::make_unique<JobSubmitter>(
         scheduler.io, scheduler.clock, scheduler.log, m_jobTable, *m_jobs, scheduler.jobsTopic,
+        scheduler.logLimits,
         [this](const std::vector<KeyedRecord> &records) { onJobsStored(records); },
         [this] {
             return LogCondition{m_jobs->availableSince() != Instant::max(), appendTime(),
--- a/src/control/instance_testing.h
+++ b/src/control/instance_testing.h
@@ -84,11 +84,11 @@
         options.cpuMilli = cpuMilli;
         node.instance = std::make_unique<Instance>(
             [this, &node](const JobTable &jobTable) {
-                SchedulerContext context{
-                    m_io,      m_clock,       [this] { return m_unixMs; },
-                    *node.log, m_workers,     m_policy,
-                    m_policy,  jobTable,      WorkTopic,
-                    JobsTopic, RegistryTopic, decodeWorker};
+                SchedulerContext context{m_io,       m_clock,       [this] { return m_unixMs; },
+                                         *node.log,  m_workers,     m_policy,
+                                         m_policy,   jobTable,      WorkTopic,
+                                         JobsTopic,  RegistryTopic, decodeWorker,
+                                         m_logLimits};
                 return InstanceContext{std::move(context), OperatorTopic, decodeOperators};
             },
             options);
@@ -149,7 +149,7 @@
         }
         throw std::logic_error("no follower");
     }
-    static work::Submission makeJob(const std::string &id, int32_t tasks = 1)
+    work::Submission makeJob(const std::string &id, int32_t tasks = 1) const
     {
         work::Submission job;
         job.id = id;
@@ -157,7 +157,7 @@
         job.acceptedAtMs = 1'000'000;
         work::StepSpec step;
         step.tasks = tasks;
-        step.cpuMilli = 1'000;
+        step.cpuMilli = m_cpuMilli;
         step.estimatedMs = 1'000;
         job.steps = {step};
         return job;
@@ -196,6 +196,8 @@
     }
 
     Duration m_maxLease{1'000};
+    int64_t m_cpuMilli = 1'000; // of each task
+    LogLimits m_logLimits; // as the instances know them
     int64_t m_unixMs = 1'000'000; // time of day of all instances; accepted jobs are of that time
     std::map<std::string, SubmitOutcome> m_outcomes; // of submissions, by job ID
     boost::asio::io_context m_io;
--- a/src/control/job_garbage_collector.cc
+++ b/src/control/job_garbage_collector.cc
@@ -11,6 +11,7 @@
 constexpr Duration CollectInterval{2'000};
 constexpr Duration AppendTimeout{900};
 constexpr size_t MaxJobsPerRun = 200;
+constexpr size_t MaxRecordsPerRun = 1'000; // of the work topic, before the last job
 
 } // namespace
 
@@ -35,9 +36,12 @@
     jobs.topic = m_jobsTopic;
     work.topic = m_workTopic;
     for (const std::string &id : m_jobTable.endedBefore(unixMs, MaxJobsPerRun)) {
+        if (work.records.size() >= MaxRecordsPerRun)
+            break;
         jobs.records.push_back({work_key::cancel(id), "", true, 0});
         jobs.records.push_back({work_key::job(id), "", true, 0});
-        work.records.push_back({work_key::progress(id), "", true, 0});
+        for (const work::Progress *part : m_jobTable.entries().at(id).progressParts())
+            work.records.push_back({work_key::progress(id, part->part), "", true, 0});
     }
     if (jobs.records.empty())
         return;
--- a/src/control/job_submitter.cc
+++ b/src/control/job_submitter.cc
@@ -24,6 +24,8 @@
         return AppendEnd::Stored;
     case AppendOutcome::Unknown:
         return AppendEnd::Unanswered;
+    case AppendOutcome::Rejected:
+        return AppendEnd::Rejected;
     default:
         return AppendEnd::NotStored;
     }
@@ -33,10 +35,10 @@
 
 JobSubmitter::JobSubmitter(boost::asio::io_context &io, const Clock &clock, KeyedLog &log,
                            const JobTable &jobTable, LogFollower &follower, std::string topic,
-                           Stored stored, std::function<LogCondition()> condition)
+                           LogLimits limits, Stored stored, std::function<LogCondition()> condition)
     : m_clock(clock), m_log(log), m_jobTable(jobTable), m_follower(follower),
-      m_topic(std::move(topic)), m_stored(std::move(stored)), m_condition(std::move(condition)),
-      m_timer(io)
+      m_topic(std::move(topic)), m_limits(limits), m_stored(std::move(stored)),
+      m_condition(std::move(condition)), m_queue(limits.maxAppendBytes), m_timer(io)
 { }
 
 JobSubmitter::~JobSubmitter()
@@ -49,6 +51,10 @@
     if (m_jobTable.find(job.id) != nullptr)
         return done(SubmitOutcome::Accepted, "known");
     KeyedRecord record{work_key::job(job.id), encodeRecord(job), false, 0};
+    if (storedBytes(record) > m_limits.maxRecordBytes)
+        return done(SubmitOutcome::Invalid, "the job takes " + std::to_string(storedBytes(record))
+                                                + " bytes, more than "
+                                                + std::to_string(m_limits.maxRecordBytes));
     enqueue({std::move(record), job.id, std::move(done)}, deadline);
 }
 
@@ -86,7 +92,7 @@
 
 void JobSubmitter::enqueue(Entry entry, Instant deadline)
 {
-    const auto number = m_queue.add(deadline, m_clock.now());
+    const auto number = m_queue.add(deadline, m_clock.now(), storedBytes(entry.record));
     m_entries.emplace(number, std::move(entry));
     armTimer(BatchDelay);
 }
--- a/src/control/job_submitter.h
+++ b/src/control/job_submitter.h
@@ -31,8 +31,8 @@
     // `stored` is called after each append that was stored. `condition` returns what else is known
     // of the log.
     JobSubmitter(boost::asio::io_context &io, const Clock &clock, KeyedLog &log,
-                 const JobTable &jobTable, LogFollower &follower, std::string topic, Stored stored,
-                 std::function<LogCondition()> condition);
+                 const JobTable &jobTable, LogFollower &follower, std::string topic,
+                 LogLimits limits, Stored stored, std::function<LogCondition()> condition);
     ~JobSubmitter();
     JobSubmitter(const JobSubmitter &) = delete;
     JobSubmitter &operator=(const JobSubmitter &) = delete;
@@ -40,7 +40,7 @@
     // Stores the job and calls `done` with the outcome. A job whose id is already in the job table
     // is Accepted and not stored again. `done` runs by `deadline`, and is Unknown earlier only if a
     // peer can store the job. While isLogUnresponsive(), the job is Refused at once without being
-    // sent.
+    // sent. A job that is too large for the log is Invalid.
     void submit(const work::Submission &job, Instant deadline, Done done);
     // Stores the cancellation of a job, with the same rules. Accepted without effect if the job is
     // in a terminal state.
@@ -77,6 +77,7 @@
     const JobTable &m_jobTable;
     LogFollower &m_follower;
     std::string m_topic;
+    LogLimits m_limits;
     Stored m_stored;
     std::function<LogCondition()> m_condition;
     AppendQueue m_queue;
--- a/src/control/job_table.cc
+++ b/src/control/job_table.cc
@@ -3,8 +3,29 @@
 #include "work/codec.h"
 #include "work/limits.h"
 
+#include <charconv>
+#include <utility>
+
 namespace cardamompaddle {
 
+namespace {
+
+// Splits the rest of a part's key, "PART/ID". Returns none if it does not have this form.
+std::optional<std::pair<int32_t, std::string>> parsePartKey(const std::string &rest)
+{
+    const size_t slash = rest.find('/');
+    if (slash == std::string::npos)
+        return std::nullopt;
+    int32_t part = 0;
+    const char *end = rest.data() + slash;
+    const auto [parsedTo, ec] = std::from_chars(rest.data(), end, part);
+    if (ec != std::errc() || parsedTo != end || part < 1 || part >= MaxProgressParts)
+        return std::nullopt;
+    return std::pair(part, rest.substr(slash + 1));
+}
+
+} // namespace
+
 namespace work_key {
 
 std::string job(const std::string &id)
@@ -17,9 +38,22 @@
     return "cancel/" + id;
 }
 
-std::string progress(const std::string &id)
+std::string progress(const std::string &id, int32_t part)
+{
+    return part == 0 ? "progress/" + id : "part/" + std::to_string(part) + "/" + id;
+}
+
+std::optional<std::string> jobOfProgress(const std::string &key)
 {
-    return "progress/" + id;
+    const size_t slash = key.find('/');
+    const std::string kind = key.substr(0, slash);
+    if (slash == std::string::npos || (kind != "progress" && kind != "part"))
+        return std::nullopt;
+    const std::string rest = key.substr(slash + 1);
+    if (kind == "progress")
+        return rest;
+    const auto parsed = parsePartKey(rest);
+    return parsed ? std::optional(parsed->second) : std::nullopt;
 }
 
 std::string member(const std::string &name)
@@ -65,10 +99,13 @@
     return job;
 }
 
-// Decodes progress. Errors: InvalidArgument, also for a state that does not exist.
-Result<work::Progress> decodeProgress(std::string_view value)
+// Decodes progress. Errors: InvalidArgument, also for a state that does not exist and for another
+// part than that of the key.
+Result<work::Progress> decodeProgress(std::string_view value, int32_t part)
 {
     auto progress = decodeRecord<work::Progress>(value);
+    if (progress && progress->part != part)
+        return Error{ErrorCode::InvalidArgument, "the progress has another part than its key"};
     if (progress
         && (progress->state < work::JobState::Queued
             || progress->state > work::JobState::Cancelled))
@@ -91,6 +128,18 @@
     return cancelled && stored < work::JobState::Completed ? work::JobState::Cancelled : stored;
 }
 
+std::vector<const work::Progress *> JobEntry::progressParts() const
+{
+    std::vector<const work::Progress *> out;
+    if (progress)
+        out.push_back(progress.get());
+    if (laterParts) {
+        for (const auto &[number, part] : *laterParts)
+            out.push_back(&part);
+    }
+    return out;
+}
+
 Result<JobTable::Change> JobTable::apply(const KeyedRecord &record, std::string &id)
 {
     if (record.key == work_key::Tenure) {
@@ -113,29 +162,59 @@
         const auto applied = applyToMap(m_usedWorkers, id, record);
         return applied ? Result<Change>(Change::UsedWorker) : applied.error();
     }
-    return applyJob(record, kind, id);
+    if (kind != "part")
+        return applyJob(record, kind, id, 0);
+    const auto parsed = parsePartKey(id);
+    if (!parsed)
+        return Error{ErrorCode::InvalidArgument, "unknown key " + record.key};
+    id = parsed->second;
+    return applyJob(record, kind, id, parsed->first);
+}
+
+void JobTable::setPart(JobEntry &entry, work::Progress progress)
+{
+    if (progress.part == 0) {
+        entry.progress = std::make_unique<work::Progress>(std::move(progress));
+        return;
+    }
+    if (!entry.laterParts)
+        entry.laterParts = std::make_unique<std::map<int32_t, work::Progress>>();
+    const int32_t part = progress.part;
+    (*entry.laterParts)[part] = std::move(progress);
+}
+
+void JobTable::removePart(JobEntry &entry, const std::string &kind, int32_t part)
+{
+    if (kind == "job") {
+        entry.submission.reset();
+    } else if (kind == "cancel") {
+        entry.cancelled = false;
+    } else if (part == 0) {
+        entry.progress.reset();
+    } else if (entry.laterParts) {
+        entry.laterParts->erase(part);
+        if (entry.laterParts->empty())
+            entry.laterParts.reset();
+    }
 }
 
 Result<JobTable::Change> JobTable::applyJob(const KeyedRecord &record, const std::string &kind,
-                                            const std::string &id)
+                                            const std::string &id, int32_t part)
 {
     if (record.removed) {
         // Each part of a job is removed by a record of its own; the entry goes with the last part.
         const auto it = m_entries.find(id);
         if (it == m_entries.end())
             return Change::None;
-        updateWaitingCount(it->second, -1);
-        if (kind == "job")
-            it->second.submission.reset();
-        else if (kind == "cancel")
-            it->second.cancelled = false;
-        else
-            it->second.progress.reset();
-        const bool empty = !it->second.submission && !it->second.cancelled && !it->second.progress;
+        JobEntry &entry = it->second;
+        updateWaitingCount(entry, -1);
+        removePart(entry, kind, part);
+        const bool empty =
+            !entry.submission && !entry.cancelled && !entry.progress && !entry.laterParts;
         if (empty)
             m_entries.erase(it);
         else
-            updateWaitingCount(it->second, 1);
+            updateWaitingCount(entry, 1);
         return Change::None;
     }
     JobEntry &entry = m_entries[id];
@@ -144,11 +223,11 @@
     if (kind == "cancel") {
         entry.cancelled = true;
         change = Change::Cancelled;
-    } else if (kind == "progress") {
-        auto progress = decodeProgress(record.value);
-        if (progress)
-            entry.progress = std::make_unique<work::Progress>(std::move(*progress));
+    } else if (kind == "progress" || kind == "part") {
+        auto progress = decodeProgress(record.value, part);
         change = progress ? Result<Change>(Change::Progressed) : progress.error();
+        if (progress)
+            setPart(entry, std::move(*progress));
     } else if (kind == "job" && entry.submission) {
         change = Change::None; // a repeated submission is ignored
     } else if (kind == "job") {
--- a/src/control/job_table.h
+++ b/src/control/job_table.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,7 +22,10 @@
 namespace work_key {
 std::string job(const std::string &id);
 std::string cancel(const std::string &id);
-std::string progress(const std::string &id);
+// `part` is that of work::Progress.
+std::string progress(const std::string &id, int32_t part = 0);
+// Returns the job of a key that progress() has returned; none for any other key.
+std::optional<std::string> jobOfProgress(const std::string &key);
 std::string member(const std::string &name);
 std::string usedWorker(const std::string &id);
 inline constexpr const char *Tenure = "tenure";
@@ -31,13 +35,17 @@
 {
     std::shared_ptr<const work::Submission> submission; // null if not read yet, or removed
     bool cancelled = false;
-    std::unique_ptr<work::Progress> progress; // null if none is stored
+    std::unique_ptr<work::Progress> progress; // part 0; null if none is stored
+    // The other parts by number; null if there are none.
+    std::unique_ptr<std::map<int32_t, work::Progress>> laterParts;
     int64_t offset = 0; // of the submission in the jobs topic
 
     work::JobState::type state() const;
     // Unix time at which the job ended; 0 if the log does not tell, also of a cancelled job whose
     // final record is not stored yet.
     int64_t endedAtMs() const { return progress ? progress->endedAtMs : 0; }
+    // All parts of the progress, part 0 first.
+    std::vector<const work::Progress *> progressParts() const;
 };
 
 class JobTable
@@ -63,7 +71,10 @@
 
 private:
     Result<Change> applyJob(const KeyedRecord &record, const std::string &kind,
-                            const std::string &id);
+                            const std::string &id, int32_t part);
+    static void setPart(JobEntry &entry, work::Progress progress);
+    // Removes the part of the entry that a record of this kind and part number holds.
+    static void removePart(JobEntry &entry, const std::string &kind, int32_t part);
     // Adds `delta` to the count of the entry's route if the entry counts as waiting.
     void updateWaitingCount(const JobEntry &entry, int64_t delta);
 
--- a/src/control/job_table_test.cc
+++ b/src/control/job_table_test.cc
@@ -114,6 +114,68 @@
     EXPECT_EQ(m_jobTable.find("a")->state(), work::JobState::Queued);
 }
 
+class ProgressPartsTest : public JobTableTest
+{
+protected:
+    void putPart(const std::string &id, int32_t part, int32_t succeeded)
+    {
+        work::Progress progress;
+        progress.id = id;
+        progress.part = part;
+        progress.steps.resize(1);
+        progress.steps[0].succeeded = {succeeded};
+        put(work_key::progress(id, part), encodeRecord(progress));
+    }
+};
+
+// Guards against parts of a job's progress that replace or remove each other.
+TEST_F(ProgressPartsTest, EachPartIsKeptByItself)
+{
+    putJob("a");
+    putPart("a", 2, 600);
+    putPart("a", 0, 1);
+    putPart("a", 1, 300);
+    auto parts = m_jobTable.find("a")->progressParts();
+    ASSERT_EQ(parts.size(), 3U);
+    for (size_t i = 0; i < parts.size(); ++i)
+        EXPECT_EQ(parts[i]->part, static_cast<int32_t>(i));
+    put(work_key::progress("a", 1), "");
+    parts = m_jobTable.find("a")->progressParts();
+    ASSERT_EQ(parts.size(), 2U);
+    EXPECT_EQ(parts[1]->part, 2);
+    put(work_key::job("a"), "");
+    put(work_key::progress("a"), "");
+    EXPECT_EQ(m_jobTable.entries().size(), 1U);
+    put(work_key::progress("a", 2), "");
+    EXPECT_TRUE(m_jobTable.entries().empty());
+}
+
+// Guards against a job whose id looks like a part of another one's key.
+TEST_F(ProgressPartsTest, KeysOfPartsBelongToOneJobOnly)
+{
+    putPart("1/a", 0, 1);
+    putPart("a", 1, 300);
+    EXPECT_EQ(m_jobTable.entries().size(), 2U);
+    EXPECT_EQ(work_key::jobOfProgress(work_key::progress("1/a")), "1/a");
+    EXPECT_EQ(work_key::jobOfProgress(work_key::progress("1/a", 7)), "1/a");
+    EXPECT_EQ(work_key::jobOfProgress(work_key::progress("a", 1)), "a");
+    for (const std::string &key : {work_key::job("a"), std::string(work_key::Tenure)})
+        EXPECT_FALSE(work_key::jobOfProgress(key)) << key;
+}
+
+TEST_F(ProgressPartsTest, PartsWithAnInvalidNumberChangeNothing)
+{
+    work::Progress progress;
+    progress.id = "a";
+    const std::string value = encodeRecord(progress);
+    for (const char *key : {"part/0/a", "part/-1/a", "part/x/a", "part/1x/a", "part//a", "part/1",
+                            "part/99999/a", "part/1/a"}) {
+        std::string id;
+        EXPECT_FALSE(m_jobTable.apply({key, value, false, m_offset++}, id)) << key;
+    }
+    EXPECT_EQ(m_jobTable.find("a"), nullptr);
+}
+
 class JobGarbageCollectorTest : public JobTableTest
 {
 protected:
@@ -167,6 +229,19 @@
     EXPECT_EQ(m_jobTable.find("long"), nullptr);
 }
 
+// Guards against parts of the progress of a large job that stay in the log for good.
+TEST_F(JobGarbageCollectorTest, RemovesAllPartsOfTheProgress)
+{
+    putJob("large");
+    putState("large", work::JobState::Completed, 1'000);
+    work::Progress progress;
+    progress.id = "large";
+    progress.part = 7;
+    put(work_key::progress("large", 7), encodeRecord(progress));
+    collectEndedBefore(5'000);
+    EXPECT_TRUE(m_jobTable.entries().empty());
+}
+
 // Guards against records that stay in the log for good because only the first of the two appends
 // that remove a job was stored.
 TEST_F(JobGarbageCollectorTest, RemovesWhatAnUnfinishedRemovalHasLeft)
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -46,8 +46,8 @@
 constexpr Duration MaxCountedLag{60}; // limits the effect of a single long pause
 constexpr double LagAverageWeight = 0.2; // of the latest tick in the average
 constexpr Duration MinTenureBeforeHandOver{2'000};
-// Added to the retention of ended jobs. The time of an end is taken before it is stored, and callers
-// see it once it is stored; the instance that removes the job may have another clock.
+// Added to the retention of ended jobs. The time of an end is taken before it is stored, and
+// callers see it once it is stored; the instance that removes the job may have another clock.
 constexpr Duration EndTimeTolerance{10'000};
 // A scheduler that was replaced is fenced or learns of its successor within this time.
 constexpr Duration FormerSchedulerFencingTime{1'000};
@@ -66,11 +66,11 @@
 // Returns whether runs of a job that has ended may still exist.
 bool isBeingStopped(const JobEntry &entry)
 {
-    if (!entry.progress)
-        return false;
-    const auto &steps = entry.progress->steps;
-    return std::any_of(steps.begin(), steps.end(),
-                       [](const work::StepProgress &it) { return !it.placedOn.empty(); });
+    const auto parts = entry.progressParts();
+    return std::any_of(parts.begin(), parts.end(), [](const work::Progress *part) {
+        return std::any_of(part->steps.begin(), part->steps.end(),
+                           [](const work::StepProgress &it) { return !it.placedOn.empty(); });
+    });
 }
 
 } // namespace
@@ -94,10 +94,13 @@
       m_passTimer(m_context.io), m_passDelay(MinPassDelay), m_eventTimer(m_context.io),
       m_flushTimer(m_context.io), m_tickTimer(m_context.io),
       m_writer(m_context.io, m_context.clock, m_context.log, m_context.workTopic,
-               {SchedulerWriter, m_options.tenure.epoch, nextSequence},
-               [this](const std::string &reason) {
-                   reportTenureLost("the log rejected this epoch: " + reason);
-               }),
+               {SchedulerWriter, m_options.tenure.epoch, nextSequence}, m_context.logLimits,
+               {[this](const std::string &reason) {
+                    reportTenureLost("the log rejected this epoch: " + reason);
+                },
+                [this](const KeyedRecord &record, const std::string &reason) {
+                    onRejected(record, reason);
+                }}),
       m_jobGarbageCollector(m_context.log, m_context.jobTable, m_context.jobsTopic,
                             m_context.workTopic),
       m_releaseTimer(m_context.io)
@@ -188,7 +191,7 @@
     for (const JobEntry *entry : open) {
         // The last record of a job that has ended names the workers of all runs that it had left.
         const bool ended = entry->progress && entry->progress->state >= work::JobState::Completed;
-        m_dispatcher.addJob(entry->submission, entry->progress.get(), mayBeRunning && !ended);
+        m_dispatcher.addJob(entry->submission, entry->progressParts(), mayBeRunning && !ended);
         if (entry->cancelled)
             m_dispatcher.cancelJob(entry->submission->id);
     }
@@ -225,7 +228,7 @@
         // The former scheduler may have read the job and started its tasks before it was fenced.
         const bool mayBeRunning = !m_allReconciled && !m_options.tenure.startsRecorded
                                   && now - m_startedAt < FormerSchedulerFencingTime;
-        m_dispatcher.addJob(entry->submission, entry->progress.get(), mayBeRunning);
+        m_dispatcher.addJob(entry->submission, entry->progressParts(), mayBeRunning);
         // The cancellation may have been read first.
         if (entry->cancelled)
             m_dispatcher.cancelJob(id);
@@ -443,10 +446,11 @@
         m_batchPositions[id] = m_dispatcher.endPosition(id);
     m_batchUrgent.clear();
     for (const work::Progress &progress : m_dispatcher.takeProgress(m_context.unixClock())) {
-        const std::string key = work_key::progress(progress.id);
+        const std::string key = work_key::progress(progress.id, progress.part);
         if (progress.state >= work::JobState::Completed)
             m_batchUrgent.insert(key);
-        records.push_back({key, encodeRecord(progress), false, 0});
+        const bool removed = progress.part != 0 && progress.steps.empty();
+        records.push_back({key, removed ? "" : encodeRecord(progress), removed, 0});
     }
     addWorkerRecords(records);
     const Instant now = m_context.clock.now();
@@ -558,6 +562,18 @@
         scheduleFlush(soon ? StartFlushDelay : FlushDelay);
 }
 
+// A part of a job's progress that the log does not take would keep the whole flush from being
+// stored. Its runs cannot be told to a later scheduler, so the job ends.
+void Scheduler::onRejected(const KeyedRecord &record, const std::string &reason)
+{
+    const auto jobId = work_key::jobOfProgress(record.key);
+    if (!jobId)
+        return;
+    m_dispatcher.giveUpJob(*jobId, "its progress cannot be stored: " + reason);
+    schedulePass();
+    scheduleFlush(Duration::zero());
+}
+
 void Scheduler::tick()
 {
     const Instant now = m_context.clock.now();
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -51,6 +51,7 @@
     std::string registryTopic; // worker registry
     // Decodes a registry entry. Errors: InvalidArgument if it describes no usable worker.
     std::function<Result<WorkerEntry>(const KeyedRecord &)> decodeWorker;
+    LogLimits logLimits;
 };
 
 struct SchedulerOptions
@@ -119,6 +120,7 @@
     void scheduleFlush(Duration wait);
     void flush();
     void onStored(const std::vector<KeyedRecord> &records);
+    void onRejected(const KeyedRecord &record, const std::string &reason);
     void publish(const std::vector<KeyedRecord> &records);
     void reportSlowAppend(Instant now);
     void updateWorkerGateway();
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -59,6 +59,8 @@
     }
     AppendResult append(const AppendRequest &request)
     {
+        if (!takes(request))
+            return {AppendOutcome::Rejected, "records"};
         Topic &topic = topics[request.topic];
         if (request.writer) {
             const auto &[name, epoch, sequence] = *request.writer;
@@ -85,7 +87,21 @@
     }
 
     std::map<std::string, Topic> topics;
+    LogLimits limits;
+    std::string rejectedKey; // appends that hold a record of this key are rejected
     int appends = 0;
+
+private:
+    bool takes(const AppendRequest &request) const
+    {
+        size_t bytes = 0;
+        for (const KeyedRecord &record : request.records) {
+            bytes += storedBytes(record);
+            if (storedBytes(record) > limits.maxRecordBytes || record.key == rejectedKey)
+                return false;
+        }
+        return bytes <= limits.maxAppendBytes;
+    }
 };
 
 // One instance's connection to the log.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -22,8 +22,8 @@
     m_impl->m_zonesOut = std::move(zones);
 }
 
-void Dispatcher::addJob(std::shared_ptr<const work::Submission> job, const work::Progress *progress,
-                        bool mayBeRunning)
+void Dispatcher::addJob(std::shared_ptr<const work::Submission> job,
+                        const std::vector<const work::Progress *> &progress, bool mayBeRunning)
 {
     m_impl->addJob(std::move(job), progress, mayBeRunning);
 }
@@ -33,6 +33,11 @@
     m_impl->cancelJob(id);
 }
 
+void Dispatcher::giveUpJob(const std::string &id, const std::string &why)
+{
+    m_impl->giveUpJob(id, why);
+}
+
 bool Dispatcher::hasJob(const std::string &id) const
 {
     return m_impl->m_jobs.contains(id);
@@ -44,7 +49,7 @@
     // Terminal jobs were kept while runs of theirs could be on one of the workers.
     for (const auto &[id, job] : m_impl->m_jobs) {
         if (job->isTerminal() && job->active == 0 && !m_impl->mayHaveUnreportedRuns(*job))
-            m_impl->markDirty(*job);
+            m_impl->markAllDirty(*job);
     }
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -68,14 +68,17 @@
     // Sets the availability zones that operators have taken out. Nothing starts there.
     void setZonesOut(std::set<std::string> zones);
 
-    // Adds a job; does nothing if the job is already known. `progress` is what an earlier scheduler
-    // stored, or null. `mayBeRunning` means that an earlier scheduler may have started tasks of the
-    // job without recording it; the job's tasks then start only once no worker is unreconciled. A
-    // terminal job whose progress does not tell when it ended is returned by takeProgress().
-    void addJob(std::shared_ptr<const work::Submission> job, const work::Progress *progress,
-                bool mayBeRunning);
+    // Adds a job; does nothing if the job is already known. `progress` holds the parts that earlier
+    // schedulers stored. `mayBeRunning` means that an earlier scheduler may have started tasks of
+    // the job without recording it; the job's tasks then start only once no worker is unreconciled.
+    // A terminal job whose progress does not tell when it ended is returned by takeProgress().
+    void addJob(std::shared_ptr<const work::Submission> job,
+                const std::vector<const work::Progress *> &progress, bool mayBeRunning);
     // Cancels a job and stops its runs. Does nothing if the job is unknown or terminal.
     void cancelJob(const std::string &id);
+    // Ends a job as failed and stops its runs, because its progress cannot be stored. Does nothing
+    // if the job is unknown or terminal.
+    void giveUpJob(const std::string &id, const std::string &why);
     // Returns whether the job is known; see takeProgress() for when it is forgotten.
     bool hasJob(const std::string &id) const;
     // Sets the workers of an earlier scheduler that may have runs which no report has shown yet. A
@@ -154,10 +157,11 @@
     // started long ago and still wait; a few steps in each call. Call it about once a second.
     void reportOverdueTasks(Instant now, int64_t unixMs);
 
-    // Returns the progress of the jobs that changed since the last call. That of a terminal job
-    // names the workers of its runs that are still being stopped, and when it ended: `unixMs` of
-    // the first call that returned it as terminal. Forgets the jobs that are terminal and have no
-    // active run.
+    // Returns the parts of the jobs' progress that changed since the last call; a part other than
+    // 0 without steps is to be removed. Store them in the given order: what was known of a job is
+    // then complete at any time. Part 0 of a terminal job tells when it ended: `unixMs` of the
+    // first call that returned it as terminal; its parts name the workers of its runs that are
+    // still being stopped. Forgets the jobs that are terminal and have no active run.
     std::vector<work::Progress> takeProgress(int64_t unixMs);
     // Returns whether takeProgress() would return anything.
     bool hasProgress() const;
--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -120,7 +120,7 @@
     const size_t crashes = task->crashedRuns.size();
     if (crashes > 1)
         task->notBefore = std::max(task->notBefore, now + CrashRetryDelay);
-    markDirty(*step->job);
+    markDirty(*step, lost.task.index);
     const std::string detail = "task=" + lost.task.toString() + " run=" + std::to_string(lost.run)
                                + " worker=" + workerId + " crashes=" + std::to_string(crashes);
     emitEvent("worker_crashed", lost.task.step.job, detail);
@@ -142,7 +142,7 @@
     attempt.worker->newSuspects -= attempt.suspect ? 1 : 0;
     Task &task = attempt.step->tasks[static_cast<size_t>(attempt.index)];
     if (!std::exchange(task.crashedRuns, {}).empty())
-        markDirty(*attempt.step->job);
+        markDirty(*attempt.step, attempt.index);
 }
 
 // Returns whether a start of the task on the worker has to wait, so that neither is blamed for the
--- a/src/dispatch/dispatcher_jobs.cc
+++ b/src/dispatch/dispatcher_jobs.cc
@@ -1,4 +1,4 @@
-// Jobs: their steps, the effect of task outcomes on them, and their stored progress.
+// Jobs: their steps and the effect of task outcomes on them.
 
 #include "dispatch/internal/impl.h"
 
@@ -42,7 +42,8 @@
 }
 
 void Dispatcher::Impl::addJob(std::shared_ptr<const work::Submission> spec,
-                              const work::Progress *progress, bool mayBeRunning)
+                              const std::vector<const work::Progress *> &progress,
+                              bool mayBeRunning)
 {
     if (m_jobs.contains(spec->id))
         return;
@@ -52,6 +53,7 @@
     job.sequence = m_nextSequence++;
     job.mayBeRunning = mayBeRunning;
     job.teamUse = &m_teamUse[job.spec->team];
+    int64_t taskCount = 0;
     for (int32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
         for (size_t number = 0; number < job.spec->steps.size(); ++number) {
             auto step = std::make_unique<Step>();
@@ -59,6 +61,8 @@
             step->spec = &job.spec->steps[number];
             step->occurrence = occurrence;
             step->number = static_cast<int32_t>(number);
+            step->firstTask = taskCount;
+            taskCount += step->spec->tasks;
             step->tasks.resize(static_cast<size_t>(step->spec->tasks));
             step->waiting = step->spec->tasks;
             step->taskResources = resourcesOfTask(*step->spec);
@@ -66,14 +70,16 @@
         }
     }
     computeRemainingChains(job);
-    if (progress != nullptr)
-        restoreProgress(job, *progress);
+    for (const work::Progress *part : progress)
+        restoreProgress(job, *part);
     m_jobs.emplace(job.spec->id, std::move(owned));
     emitEvent("job_queued", job.spec->id,
               "steps=" + std::to_string(job.spec->steps.size())
-                  + " restored=" + (progress != nullptr ? "true" : "false"));
+                  + " restored=" + (progress.empty() ? "false" : "true"));
+    if (!job.dirtyParts.empty())
+        m_dirty.insert(&job);
     if (job.isTerminal() && job.endedAtMs == 0)
-        markDirty(job);
+        markAllDirty(job);
     checkCompleted(job);
 }
 
@@ -99,52 +105,6 @@
         step->remainingChainMs = remainingMs[static_cast<size_t>(step->number)];
 }
 
-void Dispatcher::Impl::restoreProgress(Job &job, const work::Progress &progress)
-{
-    job.state = progress.state;
-    job.endedAtMs = progress.endedAtMs;
-    for (const work::StepProgress &stored : progress.steps) {
-        Step *step = job.step(stored.occurrence, stored.step);
-        if (step == nullptr)
-            continue;
-        const auto isValid = [step](int32_t index) {
-            return index >= 0 && index < static_cast<int32_t>(step->tasks.size());
-        };
-        for (const int32_t index : stored.succeeded) {
-            Task *task = isValid(index) ? &step->tasks[static_cast<size_t>(index)] : nullptr;
-            if (task == nullptr || task->state != TaskState::Waiting)
-                continue;
-            task->state = TaskState::Succeeded;
-            --step->waiting;
-            ++step->succeeded;
-        }
-        for (const auto &[index, worker] : stored.placedOn) {
-            if (isValid(index))
-                step->tasks[static_cast<size_t>(index)].previousWorker = worker;
-        }
-        for (const auto &[index, runs] : stored.crashedRuns) {
-            if (!isValid(index) || runs.empty())
-                continue;
-            Task &task = step->tasks[static_cast<size_t>(index)];
-            task.crashedRuns.insert(runs.begin(), runs.end());
-            task.lastRun = std::max(task.lastRun, *task.crashedRuns.rbegin());
-        }
-        for (const auto &[index, runs] : stored.failedRuns) {
-            if (!isValid(index))
-                continue;
-            Task &task = step->tasks[static_cast<size_t>(index)];
-            task.failedRuns.insert(runs.begin(), runs.end());
-            if (!runs.empty())
-                task.lastRun = std::max(task.lastRun, *task.failedRuns.rbegin());
-        }
-    }
-}
-
-void Dispatcher::Impl::markDirty(Job &job)
-{
-    m_dirty.insert(&job);
-}
-
 void Dispatcher::Impl::cancelJob(const std::string &id)
 {
     const auto it = m_jobs.find(id);
@@ -153,10 +113,17 @@
     finishJob(*it->second, work::JobState::Cancelled, "cancelled by the client");
 }
 
+void Dispatcher::Impl::giveUpJob(const std::string &id, const std::string &why)
+{
+    const auto it = m_jobs.find(id);
+    if (it != m_jobs.end() && !it->second->isTerminal())
+        finishJob(*it->second, work::JobState::Failed, why);
+}
+
 void Dispatcher::Impl::finishJob(Job &job, work::JobState::type state, const std::string &why)
 {
     job.state = state;
-    markDirty(job);
+    markAllDirty(job);
     emitEvent("job_final", job.spec->id,
               "state=" + std::string(jobStateName(state)) + " reason=\"" + why + "\"");
     for (const auto &step : job.steps) {
@@ -179,19 +146,22 @@
 
 void Dispatcher::Impl::taskSucceeded(Step &step, int32_t index)
 {
-    const auto succeed = [&step](Task &task) {
+    const auto succeed = [this, &step](int32_t number) {
+        Task &task = step.tasks[static_cast<size_t>(number)];
         if (task.state == TaskState::Succeeded)
             return;
         if (task.state == TaskState::Waiting)
             --step.waiting;
         task.state = TaskState::Succeeded;
         ++step.succeeded;
+        markDirty(step, number);
     };
-    succeed(step.tasks[static_cast<size_t>(index)]);
+    succeed(index);
     // A gang succeeds as a whole with its first member.
-    if (step.spec->gang)
-        std::for_each(step.tasks.begin(), step.tasks.end(), succeed);
-    markDirty(*step.job);
+    if (step.spec->gang) {
+        for (int32_t number = 0; number < step.spec->tasks; ++number)
+            succeed(number);
+    }
     checkCompleted(*step.job);
 }
 
@@ -202,14 +172,14 @@
     // Workers report a finished run until it is acknowledged, also to the next scheduler; the set
     // of run numbers makes each failure count once. A failure of a gang counts once for all
     // members.
-    std::set<int64_t> &failedRuns =
-        step.tasks[step.spec->gang ? 0 : static_cast<size_t>(index)].failedRuns;
+    const int32_t countedAt = step.spec->gang ? 0 : index;
+    std::set<int64_t> &failedRuns = step.tasks[static_cast<size_t>(countedAt)].failedRuns;
     if (!failedRuns.insert(run).second)
         return;
     const auto failures = static_cast<int32_t>(failedRuns.size());
     task.lastFailedOn = workerId;
     task.notBefore = now + RetryDelay * (1 << std::min(failures - 1, MaxRetryDoublings));
-    markDirty(*step.job);
+    markDirty(step, countedAt);
     const WorkRoute *route = routeOf(*step.job);
     if (route != nullptr && !step.spec->longRunning && failures >= route->maxAttempts
         && !step.job->isTerminal())
@@ -218,59 +188,4 @@
                       + " failed " + std::to_string(failures) + " times");
 }
 
-// Returns what a later scheduler has to know about the step. Of a terminal job only the runs that
-// are still being stopped matter, which count against the limit of its team.
-work::StepProgress Dispatcher::Impl::progressOf(const Step &step) const
-{
-    const bool terminal = step.job->isTerminal();
-    work::StepProgress out;
-    out.occurrence = step.occurrence;
-    out.step = step.number;
-    for (size_t i = 0; i < step.tasks.size(); ++i) {
-        const Task &task = step.tasks[i];
-        const auto index = static_cast<int32_t>(i);
-        if (task.attempt)
-            out.placedOn[index] = task.attempt->worker->entry.id;
-        else if (mayBeRunningUnreported(task))
-            out.placedOn[index] = task.previousWorker;
-        if (terminal)
-            continue;
-        if (task.state == TaskState::Succeeded)
-            out.succeeded.push_back(index);
-        if (!task.failedRuns.empty() && !step.spec->longRunning)
-            out.failedRuns[index].assign(task.failedRuns.begin(), task.failedRuns.end());
-        if (!task.crashedRuns.empty() && task.state != TaskState::Succeeded)
-            out.crashedRuns[index].assign(task.crashedRuns.begin(), task.crashedRuns.end());
-    }
-    return out;
-}
-
-std::vector<work::Progress> Dispatcher::Impl::takeProgress(int64_t unixMs)
-{
-    std::vector<work::Progress> out;
-    for (Job *job : std::exchange(m_dirty, {})) {
-        if (job->isTerminal() && job->endedAtMs == 0)
-            job->endedAtMs = unixMs;
-        work::Progress progress;
-        progress.id = job->spec->id;
-        progress.state = job->state;
-        progress.endedAtMs = job->endedAtMs;
-        for (const auto &step : job->steps) {
-            work::StepProgress stored = progressOf(*step);
-            if (!stored.succeeded.empty() || !stored.failedRuns.empty() || !stored.placedOn.empty()
-                || !stored.crashedRuns.empty())
-                progress.steps.push_back(std::move(stored));
-        }
-        out.push_back(std::move(progress));
-        eraseIfDone(*job);
-    }
-    return out;
-}
-
-void Dispatcher::Impl::eraseIfDone(Job &job)
-{
-    if (job.isTerminal() && job.active == 0 && !mayHaveUnreportedRuns(job))
-        m_jobs.erase(std::string(job.spec->id));
-}
-
 } // namespace cardamompaddle
--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -100,9 +100,11 @@
     worker.servingTasks += hasLatencyTarget(step) ? 1 : 0;
     worker.idleCpuTasks += step.spec->usesIdleCpu ? 1 : 0;
     *step.job->teamUse += step.taskResources;
-    if (step.job->state == work::JobState::Queued)
+    if (step.job->state == work::JobState::Queued) {
         step.job->state = work::JobState::Running;
-    markDirty(*step.job);
+        markStateDirty(*step.job);
+    }
+    markDirty(step, index);
     return attempt;
 }
 
@@ -133,7 +135,7 @@
     task.attempt.reset();
     // A terminal job is erased by takeProgress() once none of its runs is left.
     if (step.job->isTerminal() && step.job->active == 0)
-        markDirty(*step.job);
+        markAllDirty(*step.job);
 }
 
 void Dispatcher::Impl::requeue(Attempt &attempt)
--- a/src/dispatch/dispatcher_takeover_test.cc
+++ b/src/dispatch/dispatcher_takeover_test.cc
@@ -212,7 +212,7 @@
     job->id = "new";
     job->route = "r";
     job->steps = {step(4)};
-    dispatcher.addJob(job, nullptr, false);
+    dispatcher.addJob(job, {}, false);
     EXPECT_EQ(dispatcher.decide(now, UnixNow).starts.size(), 1U);
 }
 
--- a/src/dispatch/dispatcher_test.cc
+++ b/src/dispatch/dispatcher_test.cc
@@ -216,7 +216,7 @@
     RunReport empty;
     later.workerReported("v", empty, m_now);
     later.setReachable("v", true);
-    later.addJob(first[0].job, nullptr, false);
+    later.addJob(first[0].job, {}, false);
     const auto orders = later.decide(m_now, UnixNow);
     ASSERT_EQ(orders.starts.size(), 1U);
     EXPECT_GT(orders.starts[0].run, first[0].run);
@@ -233,7 +233,7 @@
     job->repetitions = 2;
     job->firstDueMs = UnixNow + 1'000;
     job->intervalMs = 500;
-    m_dispatcher.addJob(job, nullptr, false);
+    m_dispatcher.addJob(job, {}, false);
     EXPECT_TRUE(decide().starts.empty());
     const auto next = m_dispatcher.nextEvent(m_now, UnixNow);
     ASSERT_TRUE(next);
@@ -252,7 +252,7 @@
     job->steps = {step(1)};
     job->repetitions = 2;
     job->firstDueMs = 9'000'000'000'000'000;
-    m_dispatcher.addJob(job, nullptr, false);
+    m_dispatcher.addJob(job, {}, false);
     const auto next = m_dispatcher.nextEvent(m_now, UnixNow);
     ASSERT_TRUE(next);
     EXPECT_GT(*next, m_now);
@@ -289,7 +289,7 @@
             job->id = "job" + std::to_string(i);
             job->route = "r";
             job->steps = {step(3, 100)};
-            dispatcher.addJob(job, nullptr, false);
+            dispatcher.addJob(job, {}, false);
             for (const StartOrder &order : dispatcher.decide(m_now, UnixNow).starts)
                 decisions += order.task.toString() + " ";
         }
--- a/src/dispatch/dispatcher_testing.h
+++ b/src/dispatch/dispatcher_testing.h
@@ -81,13 +81,14 @@
     void add(const std::string &id, std::vector<work::StepSpec> steps,
              const work::Progress *progress = nullptr, bool mayBeRunning = false)
     {
+        const std::vector<const work::Progress *> parts(progress == nullptr ? 0 : 1, progress);
         auto job = std::make_shared<work::Submission>();
         job->id = id;
         job->route = m_jobRoute;
         job->team = "t";
         job->steps = std::move(steps);
         job->acceptedAtMs = UnixNow;
-        m_dispatcher.addJob(job, progress, mayBeRunning);
+        m_dispatcher.addJob(job, parts, mayBeRunning);
     }
     Orders decide() { return m_dispatcher.decide(m_now, UnixNow); }
     // Calls decide() and answers every start order with Started.
@@ -123,7 +124,7 @@
     work::JobState::type state(const std::string &id)
     {
         for (const work::Progress &progress : m_dispatcher.takeProgress(UnixNow))
-            m_states[progress.id] = progress.state;
+            m_states[progress.id] = progress.part == 0 ? progress.state : m_states[progress.id];
         return m_states[id];
     }
 
--- a/src/dispatch/dispatcher_urgency_test.cc
+++ b/src/dispatch/dispatcher_urgency_test.cc
@@ -67,7 +67,7 @@
     other->team = "t";
     other->steps = {step(3)};
     other->acceptedAtMs = UnixNow + Age;
-    m_dispatcher.addJob(other, nullptr, false);
+    m_dispatcher.addJob(other, {}, false);
     report("w", {}, {ended(runs[0], RunOutcome::Failed)});
     m_now += Duration(500); // the backoff of the failed task
     const auto starts = m_dispatcher.decide(m_now, UnixNow + Age).starts;
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -15,9 +15,12 @@
     Impl(DispatchOptions options, EventSink events);
 
     // dispatcher_jobs.cc
-    void addJob(std::shared_ptr<const work::Submission> spec, const work::Progress *progress,
-                bool mayBeRunning);
+    void addJob(std::shared_ptr<const work::Submission> spec,
+                const std::vector<const work::Progress *> &progress, bool mayBeRunning);
     void cancelJob(const std::string &id);
+    void giveUpJob(const std::string &id, const std::string &why);
+
+    // dispatcher_progress.cc
     std::vector<work::Progress> takeProgress(int64_t unixMs);
 
     // dispatcher_workers.cc
@@ -55,16 +58,21 @@
     using Worker = dispatch::Worker;
     using Attempt = dispatch::Attempt;
 
+    // dispatcher_progress.cc
+    void markDirty(Step &step, int32_t index); // the part that holds the task
+    void markStateDirty(Job &job); // the part that holds the job's state
+    void markAllDirty(Job &job);
+    work::StepProgress progressOf(const Step &step, int32_t from, int32_t to) const;
+    work::Progress progressOf(const Job &job, int32_t part) const;
+    static void restoreProgress(Job &job, const work::Progress &progress);
+    void eraseIfDone(Job &job);
+
     // dispatcher_jobs.cc
-    void markDirty(Job &job);
     void finishJob(Job &job, work::JobState::type state, const std::string &why);
     void checkCompleted(Job &job);
-    work::StepProgress progressOf(const Step &step) const;
-    void eraseIfDone(Job &job);
     void taskSucceeded(Step &step, int32_t index);
     void taskFailed(Step &step, int32_t index, int64_t run, const WorkerId &workerId, Instant now);
     static void computeRemainingChains(Job &job);
-    void restoreProgress(Job &job, const work::Progress &progress);
     void emitEvent(std::string_view name, const std::string &job, std::string detail) const;
 
     // dispatcher_runs.cc
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -132,6 +132,7 @@
     const work::StepSpec *spec = nullptr;
     int32_t occurrence = 0;
     int32_t number = 0;
+    int64_t firstTask = 0; // number of task 0 among all tasks of the job
     std::vector<Task> tasks;
     int32_t waiting = 0;
     int32_t active = 0;
@@ -158,6 +159,10 @@
     uint64_t sequence = 0;
     work::JobState::type state = work::JobState::Queued;
     int64_t endedAtMs = 0; // Unix time; see work::Progress
+    // Parts of the progress: those that have changed since takeProgress(), and those other than 0
+    // that are stored.
+    std::set<int32_t> dirtyParts;
+    std::set<int32_t> storedParts;
     bool mayBeRunning = false;
     Resources *teamUse = nullptr; // resources in use by all jobs of its team
     std::vector<std::unique_ptr<Step>> steps; // by occurrence, then number
--- a/src/intake/append_queue.cc
+++ b/src/intake/append_queue.cc
@@ -48,14 +48,15 @@
 
 std::string_view submitOutcomeName(SubmitOutcome outcome)
 {
-    static constexpr std::array<std::string_view, 4> Names = {"accepted", "refused", "unknown",
-                                                              "not_found"};
+    static constexpr std::array<std::string_view, 5> Names = {"accepted", "refused", "unknown",
+                                                              "not_found", "invalid"};
     return Names[static_cast<size_t>(outcome)];
 }
 
-AppendQueue::RecordNumber AppendQueue::add(Instant deadline, Instant now)
+AppendQueue::RecordNumber AppendQueue::add(Instant deadline, Instant now, size_t bytes)
 {
     Record record;
+    record.bytes = bytes;
     record.deadline = deadline;
     record.addedAt = record.notBefore = now;
     m_records.emplace(m_nextRecord, std::move(record));
@@ -84,6 +85,12 @@
             record.stored = true;
             continue;
         }
+        // Which of several records the log does not take shows once each is sent by itself.
+        if (end == AppendEnd::Rejected && append.records.size() > 1) {
+            record.sentAlone = true;
+            continue;
+        }
+        record.rejected = record.rejected || end == AppendEnd::Rejected;
         record.inDoubt = record.inDoubt || end == AppendEnd::Unanswered;
         ++record.failures;
         record.reason = reason;
@@ -119,6 +126,8 @@
     // An append in flight may be carried out, whatever the earlier ones came to.
     if (record.inFlight > 0)
         return pastDeadline ? std::optional(SubmitOutcome::Unknown) : std::nullopt;
+    if (record.rejected && !record.inDoubt)
+        return SubmitOutcome::Invalid;
     if (record.inDoubt)
         return pastDeadline || condition.peerCanStore ? std::optional(SubmitOutcome::Unknown)
                                                       : std::nullopt;
@@ -154,9 +163,19 @@
     const bool test = m_consecutiveUnanswered >= UnansweredBeforeRefusal && !hasRecordsInDoubt();
     const size_t most = test ? 1 : MaxRecordsPerAppend;
     std::vector<RecordNumber> out;
+    size_t bytes = 0;
     for (const auto &[number, record] : m_records) {
-        if (out.size() < most && maySend(record, condition, now))
-            out.push_back(number);
+        if (out.size() >= most)
+            break;
+        if (!maySend(record, condition, now))
+            continue;
+        const bool fits = bytes + record.bytes <= m_maxAppendBytes && !record.sentAlone;
+        if (!out.empty() && !fits)
+            continue;
+        bytes += record.bytes;
+        out.push_back(number);
+        if (record.sentAlone)
+            break;
     }
     return out;
 }
--- a/src/intake/append_queue.h
+++ b/src/intake/append_queue.h
@@ -27,6 +27,7 @@
     Refused, // certainly not stored: the job never runs
     Unknown, // may have been stored, or may still be
     NotFound, // the job to cancel does not exist
+    Invalid, // certainly not stored, and never will be: the log does not take such a record
 };
 // Returns the stable lower-case name, for example "not_found".
 std::string_view submitOutcomeName(SubmitOutcome outcome);
@@ -36,6 +37,7 @@
     Stored,
     NotStored, // certainly, for example because the connection failed before it was sent
     Unanswered, // may have been carried out, or may still be
+    Rejected, // certainly not stored: the log does not take at least one of the records
 };
 
 // From this average duration of an append on, a log is slow.
@@ -78,8 +80,11 @@
         std::vector<Settled> settled; // each record once, at its deadline at the latest
     };
 
-    // Adds a record whose caller waits until `deadline`.
-    RecordNumber add(Instant deadline, Instant now);
+    // Appends hold at most `maxAppendBytes`, but at least one record.
+    explicit AppendQueue(size_t maxAppendBytes = SIZE_MAX) : m_maxAppendBytes(maxAppendBytes) { }
+
+    // Adds a record of `bytes` in an append, whose caller waits until `deadline`.
+    RecordNumber add(Instant deadline, Instant now, size_t bytes = 0);
     // Handles the end of an append. `reason` is human-readable.
     void appendEnded(AppendNumber number, AppendEnd end, const std::string &reason, Instant now);
     // Handles a record that was read from the log, so it is stored. Ignored once it is settled.
@@ -102,6 +107,10 @@
     {
         Instant deadline;
         Instant addedAt;
+        size_t bytes = 0;
+        // An append of several records was rejected that held it, so it is sent by itself.
+        bool sentAlone = false;
+        bool rejected = false; // by itself
         bool inDoubt = false; // an append of it may have been carried out
         bool stored = false;
         int inFlight = 0; // number of appends that hold it
@@ -130,6 +139,7 @@
                        Instant now);
     bool hasRecordsInDoubt() const;
 
+    size_t m_maxAppendBytes;
     std::map<RecordNumber, Record> m_records; // not settled, oldest first
     std::map<AppendNumber, InFlight> m_inFlight;
     RecordNumber m_nextRecord = 1;
--- a/src/intake/append_queue_test.cc
+++ b/src/intake/append_queue_test.cc
@@ -207,6 +207,64 @@
     EXPECT_LT(other.decide({}, m_now).appends.at(0).timeout, Duration(500));
 }
 
+// Guards against a record that the log never takes and that has all others refused which are sent
+// in the same append.
+TEST_F(AppendQueueTest, ARejectedRecordDoesNotHoldUpTheOthers)
+{
+    const auto first = add();
+    const auto bad = add();
+    const auto last = add();
+    const auto together = decide();
+    ASSERT_EQ(together.size(), 1U);
+    end(together[0], AppendEnd::Rejected);
+    int appends = 0;
+    for (auto sent = decide(); !sent.empty(); sent = decide()) {
+        for (const auto &append : sent) {
+            ASSERT_EQ(append.records.size(), 1U);
+            ++appends;
+            end(append, append.records[0] == bad ? AppendEnd::Rejected : AppendEnd::Stored);
+        }
+    }
+    EXPECT_EQ(appends, 3);
+    EXPECT_EQ(m_outcomes.at(first), SubmitOutcome::Accepted);
+    EXPECT_EQ(m_outcomes.at(bad), SubmitOutcome::Invalid);
+    EXPECT_EQ(m_outcomes.at(last), SubmitOutcome::Accepted);
+}
+
+// Guards against a definite answer about a record that an earlier append may have stored, and
+// against repeating it without a pause.
+TEST_F(AppendQueueTest, ARejectionLeavesARecordInDoubt)
+{
+    const auto record = add();
+    end(decide().at(0), AppendEnd::Unanswered);
+    const int tries = run(AppendEnd::Rejected, CallerWait);
+    EXPECT_EQ(m_outcomes.at(record), SubmitOutcome::Unknown);
+    EXPECT_LE(tries, 10);
+}
+
+// Guards against an append that is rejected because its records together are more than the log
+// takes.
+TEST(AppendQueueLimitsTest, AppendsHoldNoMoreThanTheLogTakes)
+{
+    const Instant now = instantFromMs(100'000);
+    AppendQueue queue(100);
+    std::vector<AppendQueue::RecordNumber> records;
+    for (const size_t bytes : {60UL, 60UL, 40UL, 500UL, 1UL})
+        records.push_back(queue.add(now + CallerWait, now, bytes));
+    std::vector<std::vector<AppendQueue::RecordNumber>> sent;
+    for (auto decisions = queue.decide({}, now); !decisions.appends.empty();
+         decisions = queue.decide({}, now)) {
+        for (const auto &append : decisions.appends) {
+            sent.push_back(append.records);
+            queue.appendEnded(append.number, AppendEnd::Stored, "", now);
+        }
+    }
+    ASSERT_EQ(sent.size(), 3U);
+    EXPECT_EQ(sent[0], (std::vector{records[0], records[2]}));
+    EXPECT_EQ(sent[1], (std::vector{records[1], records[4]}));
+    EXPECT_EQ(sent[2], std::vector{records[3]}) << "sent by itself, so that the log decides";
+}
+
 // What one append comes to in the property below.
 enum class Fate { Answered, AnswerLost, StoredLate, Reset, Rejected };
 
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -1308,6 +1308,10 @@
 void Progress::__set_endedAtMs(const int64_t val) {
   this->endedAtMs = val;
 }
+
+void Progress::__set_part(const int32_t val) {
+  this->part = val;
+}
 std::ostream& operator<<(std::ostream& out, const Progress& obj)
 {
   obj.printTo(out);
@@ -1382,6 +1386,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1423,6 +1435,10 @@
   xfer += oprot->writeI64(this->endedAtMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->part);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1434,6 +1450,7 @@
   swap(a.state, b.state);
   swap(a.steps, b.steps);
   swap(a.endedAtMs, b.endedAtMs);
+  swap(a.part, b.part);
   swap(a.__isset, b.__isset);
 }
 
@@ -1442,6 +1459,7 @@
   state = other73.state;
   steps = other73.steps;
   endedAtMs = other73.endedAtMs;
+  part = other73.part;
   __isset = other73.__isset;
 }
 Progress::Progress(Progress&& other74) noexcept {
@@ -1449,6 +1467,7 @@
   state = other74.state;
   steps = std::move(other74.steps);
   endedAtMs = other74.endedAtMs;
+  part = other74.part;
   __isset = other74.__isset;
 }
 Progress& Progress::operator=(const Progress& other75) {
@@ -1456,6 +1475,7 @@
   state = other75.state;
   steps = other75.steps;
   endedAtMs = other75.endedAtMs;
+  part = other75.part;
   __isset = other75.__isset;
   return *this;
 }
@@ -1464,6 +1484,7 @@
   state = other76.state;
   steps = std::move(other76.steps);
   endedAtMs = other76.endedAtMs;
+  part = other76.part;
   __isset = other76.__isset;
   return *this;
 }
@@ -1474,6 +1495,7 @@
   out << ", " << "state=" << to_string(state);
   out << ", " << "steps=" << to_string(steps);
   out << ", " << "endedAtMs=" << to_string(endedAtMs);
+  out << ", " << "part=" << to_string(part);
   out << ")";
 }
 
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -467,11 +467,12 @@
 std::ostream& operator<<(std::ostream& out, const StepProgress& obj);
 
 typedef struct _Progress__isset {
-  _Progress__isset() : id(false), state(false), steps(false), endedAtMs(false) {}
+  _Progress__isset() : id(false), state(false), steps(false), endedAtMs(false), part(false) {}
   bool id :1;
   bool state :1;
   bool steps :1;
   bool endedAtMs :1;
+  bool part :1;
 } _Progress__isset;
 
 class Progress : public virtual ::apache::thrift::TBase {
@@ -484,7 +485,8 @@
   Progress() noexcept
            : id(),
              state(static_cast<JobState::type>(0)),
-             endedAtMs(0) {
+             endedAtMs(0),
+             part(0) {
   }
 
   virtual ~Progress() noexcept;
@@ -496,6 +498,7 @@
   JobState::type state;
   std::vector<StepProgress>  steps;
   int64_t endedAtMs;
+  int32_t part;
 
   _Progress__isset __isset;
 
@@ -507,6 +510,8 @@
 
   void __set_endedAtMs(const int64_t val);
 
+  void __set_part(const int32_t val);
+
   bool operator == (const Progress & rhs) const
   {
     if (!(id == rhs.id))
@@ -517,6 +522,8 @@
       return false;
     if (!(endedAtMs == rhs.endedAtMs))
       return false;
+    if (!(part == rhs.part))
+      return false;
     return true;
   }
   bool operator != (const Progress &rhs) const {
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -57,14 +57,17 @@
 
 enum JobState { Queued = 0, Running = 1, Completed = 2, Failed = 3, Cancelled = 4 }
 
-// The progress of a job; each record replaces the one before.
+// One part of the progress of a job; each record replaces the one before of that part. A part holds
+// the same number of tasks in each job, counted in the order of occurrences, steps and indices, so
+// that no record grows with the number of tasks. Versions that stored all tasks in part 0 are read.
 struct Progress {
   1: string id;
-  2: JobState state;
+  2: JobState state;           // part 0; the others leave it Queued
   3: list<StepProgress> steps; // steps with an entry in one of the lists or maps
   // Unix time at which the job reached a terminal state; 0 before that, and in records of versions
-  // that did not store it.
+  // that did not store it. Part 0 only.
   4: i64 endedAtMs;
+  5: i32 part;
 }
 
 // The scheduler's leadership term. `epoch` is also the fencing token of the commands to workers.
