--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -240,7 +240,10 @@
         answer.report.startedAtMs = worker.startedAtMs;
         for (const Run &run : worker.running)
             answer.report.running.push_back({run.task, run.run, "", 50, 0});
-        answer.report.ended = worker.ended;
+        const size_t listed = std::min(worker.ended.size(), maxEndsListed);
+        answer.report.ended.assign(worker.ended.begin(),
+                                   worker.ended.begin() + static_cast<std::ptrdiff_t>(listed));
+        answer.report.moreEnded = listed == maxEndsListed;
         later(Duration(1), [answer, done] { done(answer); });
     }
     void start(const WorkerEntry &entry, const CommandFence &fence, const StartOrder &order,
@@ -301,6 +304,7 @@
     }
 
     std::map<WorkerId, Worker> workers;
+    size_t maxEndsListed = 500; // finished runs in one answer to poll()
     std::set<TaskRef> succeeded;
     int starts = 0; // runs that began
     int startCalls = 0; // start calls, including repeated ones
--- a/src/control/worker_call_codec.cc
+++ b/src/control/worker_call_codec.cc
@@ -254,6 +254,7 @@
         out.running.push_back(encodeRun(run));
     for (const EndedRun &run : answer->report.ended)
         out.finished.push_back(encodeRun(run));
+    out.moreFinished = answer->report.moreEnded;
     return out;
 }
 
@@ -288,6 +289,7 @@
     out.workerTimeMs = answer.workerTimeMs;
     out.report.requestedAt = requestedAt;
     out.report.startedAtMs = answer.startedAtMs;
+    out.report.moreEnded = answer.moreFinished;
     if (!decodeRuns(answer.running, out.report.running)
         || !decodeRuns(answer.finished, out.report.ended))
         return unreadable("run");
--- a/src/control/worker_call_codec_test.cc
+++ b/src/control/worker_call_codec_test.cc
@@ -80,8 +80,10 @@
          {RunOutcome::Succeeded, RunOutcome::Failed, RunOutcome::Stopped, RunOutcome::LeaseLapsed,
           RunOutcome::GangBroken, RunOutcome::GangIncomplete})
         poll.report.ended.push_back({9, task, 5, outcome, "e"});
+    poll.report.moreEnded = true;
     const auto decoded = decodePollAnswer(sent(encodePollAnswer(3, poll)), instantFromMs(2'000));
     ASSERT_TRUE(decoded);
+    EXPECT_TRUE(decoded->report.moreEnded);
     EXPECT_EQ(decoded->workerTimeMs, 77);
     EXPECT_EQ(decoded->report.requestedAt, instantFromMs(2'000));
     EXPECT_EQ(decoded->report.startedAtMs, 55);
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -100,7 +100,7 @@
 bool WorkerLinks::reconciled(const WorkerId &id) const
 {
     const auto it = m_links.find(id);
-    return it == m_links.end() || it->second.reported || it->second.lost;
+    return it == m_links.end() || it->second.reconciled || it->second.lost;
 }
 
 std::vector<WorkerId> WorkerLinks::unreachableSince(Instant time) const
@@ -188,6 +188,7 @@
     link->workerTimeReadAt = now;
     const bool firstReport = !link->reported;
     link->reported = true;
+    link->reconciled = link->reconciled || !answer->report.moreEnded;
     link->lost = link->replaced = false;
     const bool hasFinishedRuns = !answer->report.ended.empty();
     m_callbacks.report(id, answer->report);
@@ -382,7 +383,7 @@
             expired.push_back(id);
         const bool empty = !m_callbacks.busy(id);
         // An unlisted worker without runs has no lease to wait for.
-        if (!link.listed && ((link.reported && empty) || link.lost))
+        if (!link.listed && ((link.reconciled && empty) || link.lost))
             closable.push_back(id);
     }
     for (const WorkerId &id : expired)
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -71,8 +71,8 @@
     // Detects expired leases and closes unneeded links. Call several times a second.
     void tick();
     bool contains(const WorkerId &id) const { return m_links.contains(id); }
-    // Returns whether no run of an earlier scheduler can be unknown on the worker: it has reported,
-    // was lost, or has no link.
+    // Returns whether no run of an earlier scheduler can be unknown on the worker: it has listed
+    // all its runs, was lost, or has no link.
     bool reconciled(const WorkerId &id) const;
     size_t size() const { return m_links.size(); }
     // Returns the workers that have been unreachable since `time` or longer.
@@ -94,6 +94,7 @@
         bool pollInFlight = false;
         bool hasUnstoredRuns = false; // reported finished runs are not stored yet
         bool reported = false; // at least one poll was answered
+        bool reconciled = false; // at least one report listed all runs
         bool lost = false; // reported as lost: no run can be active there
         bool replaced = false; // reported as replaced
         bool reachable = false;
--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -296,6 +296,14 @@
     }
 }
 
+void Dispatcher::Impl::keepUnlistedRuns(Worker &worker, const AttemptSet &seen, Instant now)
+{
+    for (Attempt *attempt : worker.attempts) {
+        if (!seen.contains(attempt))
+            attempt->lastProgressAt = now;
+    }
+}
+
 void Dispatcher::Impl::startAnswered(const StartOrder &order, StartOutcome answer, Instant now)
 {
     Attempt *attempt = findAttempt(order.worker, order.task, order.run);
--- a/src/dispatch/dispatcher_runs_test.cc
+++ b/src/dispatch/dispatcher_runs_test.cc
@@ -432,4 +432,33 @@
     EXPECT_EQ(m_dispatcher.endPosition("w"), 1);
 }
 
+// Guards against a run that starts again although it has ended, because the report that does not
+// show it lists only the first of the worker's finished runs.
+TEST_F(DispatcherTest, ARunThatAFullListDoesNotShowIsKept)
+{
+    join(entry("w"));
+    add("job", {step(3)});
+    const auto orders = startAll();
+    ASSERT_EQ(orders.size(), 3U);
+    RunReport cut;
+    cut.requestedAt = m_now;
+    cut.startedAtMs = 1;
+    cut.ended = {ended(orders[0], RunOutcome::Succeeded)};
+    cut.moreEnded = true;
+    // Longer than a run may go without progress before it counts as stalled.
+    for (int i = 0; i < 4; ++i) {
+        m_now += Duration(1'000);
+        cut.requestedAt = m_now;
+        m_dispatcher.workerReported("w", cut, m_now);
+        const Orders decided = decide();
+        EXPECT_TRUE(decided.starts.empty());
+        EXPECT_TRUE(decided.stops.empty());
+    }
+    EXPECT_EQ(eventDetails("worker_ends_unlisted").size(), 1U);
+    report("w", {},
+           {ended(orders[1], RunOutcome::Succeeded), ended(orders[2], RunOutcome::Succeeded)});
+    EXPECT_EQ(state("job"), work::JobState::Completed);
+    EXPECT_TRUE(decide().starts.empty());
+}
+
 } // namespace cardamompaddle
--- a/src/dispatch/dispatcher_workers.cc
+++ b/src/dispatch/dispatcher_workers.cc
@@ -3,6 +3,7 @@
 #include "dispatch/internal/impl.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cardamompaddle {
 
@@ -83,7 +84,7 @@
     m_total -= it->second->entry.capacity;
     emitEvent("worker_left", "",
               "worker=" + id + " runs=" + std::to_string(it->second->attempts.size()));
-    if (it->second->attempts.empty())
+    if (it->second->isDispensable())
         eraseWorker(id);
 }
 
@@ -171,11 +172,18 @@
         if (Attempt *attempt = reconcileActiveRun(worker, run, report.requestedAt, now))
             seen.insert(attempt);
     }
-    requeueMissingRuns(worker, seen, report.requestedAt);
+    if (std::exchange(worker.moreEnded, report.moreEnded) != report.moreEnded)
+        emitEvent(report.moreEnded ? "worker_ends_unlisted" : "worker_ends_listed", "",
+                  "worker=" + id + " listed=" + std::to_string(report.ended.size())
+                      + " position=" + std::to_string(worker.endPosition));
+    if (report.moreEnded)
+        keepUnlistedRuns(worker, seen, now);
+    else
+        requeueMissingRuns(worker, seen, report.requestedAt);
     stopStalledRuns(worker, now);
     detectSlowWorker(worker, now);
     throttleIdleCpuTasks(worker, now);
-    if (!worker.listed && worker.attempts.empty())
+    if (worker.isDispensable())
         eraseWorker(id);
 }
 
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -95,6 +95,9 @@
                                 Instant now);
     static void updateFromReport(Attempt &attempt, const ActiveRun &run);
     void requeueMissingRuns(Worker &worker, const dispatch::AttemptSet &seen, Instant requestedAt);
+    // Keeps the runs that a report does not show because it cannot list all ends, and does not take
+    // them for stalled.
+    static void keepUnlistedRuns(Worker &worker, const dispatch::AttemptSet &seen, Instant now);
     void requeueAllRuns(Worker &worker, std::string_view why);
 
     // dispatcher_workers.cc
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -197,6 +197,7 @@
     std::optional<int64_t> incarnationStartedAtMs; // from the last report; Unix time
     Instant restartedAt = Instant::min(); // when a report first showed the present incarnation
     int64_t endPosition = 0; // see Dispatcher::endPosition()
+    bool moreEnded = false; // of the last report
     AttemptSet attempts;
     int32_t servingTasks = 0; // active tasks with a latency target
     int32_t idleCpuTasks = 0; // active tasks with usesIdleCpu
@@ -212,6 +213,10 @@
     Instant slowUntil = Instant::min(); // considered slow until then
     double slowdown = 1; // smoothed ratio of run time to estimate
     std::optional<Instant> throttledAt; // when a throttle order was last issued
+
+    // Whether nothing can be learned from the worker any more: it has left and holds no runs and no
+    // ends that it has not listed.
+    bool isDispensable() const { return !listed && attempts.empty() && !moreEnded; }
 };
 
 } // namespace cardamompaddle::dispatch
--- a/src/dispatch/worker_runs.h
+++ b/src/dispatch/worker_runs.h
@@ -90,11 +90,14 @@
 struct RunReport
 {
     // When the poll was sent. A run that was confirmed before and is in neither list no longer
-    // exists.
+    // exists, unless `moreEnded` is set.
     Instant requestedAt;
     int64_t startedAtMs = 0; // of the worker's incarnation; Unix time
     std::vector<ActiveRun> running;
     std::vector<EndedRun> ended;
+    // The worker may hold further finished runs, which it lists once these are acknowledged. Until
+    // then, a run that is in neither list may have finished in any way.
+    bool moreEnded = false;
 };
 
 // Starts a run of a task, from `checkpoint` if it is not empty.
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -4412,6 +4412,10 @@
 void WorkerAnswer::__set_finished(const std::vector<FinishedRun> & val) {
   this->finished = val;
 }
+
+void WorkerAnswer::__set_moreFinished(const bool val) {
+  this->moreFinished = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerAnswer& obj)
 {
   obj.printTo(out);
@@ -4530,6 +4534,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->moreFinished);
+          this->__isset.moreFinished = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4595,6 +4607,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("moreFinished", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->moreFinished);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4610,6 +4626,7 @@
   swap(a.startedAtMs, b.startedAtMs);
   swap(a.running, b.running);
   swap(a.finished, b.finished);
+  swap(a.moreFinished, b.moreFinished);
   swap(a.__isset, b.__isset);
 }
 
@@ -4622,6 +4639,7 @@
   startedAtMs = other198.startedAtMs;
   running = other198.running;
   finished = other198.finished;
+  moreFinished = other198.moreFinished;
   __isset = other198.__isset;
 }
 WorkerAnswer::WorkerAnswer(WorkerAnswer&& other199) noexcept {
@@ -4633,6 +4651,7 @@
   startedAtMs = other199.startedAtMs;
   running = std::move(other199.running);
   finished = std::move(other199.finished);
+  moreFinished = other199.moreFinished;
   __isset = other199.__isset;
 }
 WorkerAnswer& WorkerAnswer::operator=(const WorkerAnswer& other200) {
@@ -4644,6 +4663,7 @@
   startedAtMs = other200.startedAtMs;
   running = other200.running;
   finished = other200.finished;
+  moreFinished = other200.moreFinished;
   __isset = other200.__isset;
   return *this;
 }
@@ -4656,6 +4676,7 @@
   startedAtMs = other201.startedAtMs;
   running = std::move(other201.running);
   finished = std::move(other201.finished);
+  moreFinished = other201.moreFinished;
   __isset = other201.__isset;
   return *this;
 }
@@ -4670,6 +4691,7 @@
   out << ", " << "startedAtMs=" << to_string(startedAtMs);
   out << ", " << "running=" << to_string(running);
   out << ", " << "finished=" << to_string(finished);
+  out << ", " << "moreFinished=" << to_string(moreFinished);
   out << ")";
 }
 
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -1604,7 +1604,7 @@
 std::ostream& operator<<(std::ostream& out, const FinishedRun& obj);
 
 typedef struct _WorkerAnswer__isset {
-  _WorkerAnswer__isset() : id(false), error(false), reason(false), startResult(false), workerTimeMs(false), startedAtMs(false), running(false), finished(false) {}
+  _WorkerAnswer__isset() : id(false), error(false), reason(false), startResult(false), workerTimeMs(false), startedAtMs(false), running(false), finished(false), moreFinished(false) {}
   bool id :1;
   bool error :1;
   bool reason :1;
@@ -1613,6 +1613,7 @@
   bool startedAtMs :1;
   bool running :1;
   bool finished :1;
+  bool moreFinished :1;
 } _WorkerAnswer__isset;
 
 class WorkerAnswer : public virtual ::apache::thrift::TBase {
@@ -1628,7 +1629,8 @@
                  reason(),
                  startResult(static_cast<StartResult::type>(0)),
                  workerTimeMs(0),
-                 startedAtMs(0) {
+                 startedAtMs(0),
+                 moreFinished(0) {
   }
 
   virtual ~WorkerAnswer() noexcept;
@@ -1644,6 +1646,7 @@
   int64_t startedAtMs;
   std::vector<ListedRun>  running;
   std::vector<FinishedRun>  finished;
+  bool moreFinished;
 
   _WorkerAnswer__isset __isset;
 
@@ -1663,6 +1666,8 @@
 
   void __set_finished(const std::vector<FinishedRun> & val);
 
+  void __set_moreFinished(const bool val);
+
   bool operator == (const WorkerAnswer & rhs) const
   {
     if (!(id == rhs.id))
@@ -1681,6 +1686,8 @@
       return false;
     if (!(finished == rhs.finished))
       return false;
+    if (!(moreFinished == rhs.moreFinished))
+      return false;
     return true;
   }
   bool operator != (const WorkerAnswer &rhs) const {
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -165,5 +165,6 @@
   6: i64 startedAtMs;          // Poll: Unix time of the start of the worker's incarnation
   7: list<ListedRun> running;  // Poll
   8: list<FinishedRun> finished; // Poll
+  9: bool moreFinished;        // Poll: the worker holds finished runs that it has not listed
 }
 struct WorkerAnswers { 1: string session; 2: list<WorkerAnswer> answers; }
