--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -59,6 +59,8 @@
 
 Instance::Instance(const ContextFactory &context, InstanceOptions options)
     : m_context(context(m_jobTable)), m_options(std::move(options)),
+      m_operators(createOperatorFollower()),
+      m_configuration(m_context.scheduler.clock, *m_operators),
       m_publisher(m_context.scheduler.clock, m_context.scheduler.peers),
       m_successorProbe(m_context.scheduler.io, m_context.scheduler.peers,
                        m_context.scheduler.workTopic),
@@ -86,12 +88,6 @@
         scheduler.io, scheduler.clock, scheduler.log,
         LogFollowerOptions{scheduler.jobsTopic, FollowerPollInterval, FollowerReadWait},
         std::move(jobs));
-    LogFollower::Callbacks operators;
-    operators.record = [this](const KeyedRecord &record) { onOperatorRecord(record); };
-    operators.availability = logAvailability("configuration");
-    m_operators = std::make_unique<LogFollower>(
-        scheduler.io, scheduler.clock, scheduler.log,
-        LogFollowerOptions{m_context.operatorTopic, Duration::zero()}, std::move(operators));
     m_submitter = std::make_unique<JobSubmitter>(
         scheduler.io, scheduler.clock, scheduler.log, m_jobTable, *m_jobs, scheduler.jobsTopic,
         scheduler.logLimits,
@@ -102,6 +98,18 @@
         });
 }
 
+std::unique_ptr<LogFollower> Instance::createOperatorFollower()
+{
+    LogFollower::Callbacks callbacks;
+    callbacks.record = [this](const KeyedRecord &record) { onOperatorRecord(record); };
+    callbacks.availability = logAvailability("configuration");
+    return std::make_unique<LogFollower>(
+        m_context.scheduler.io, m_context.scheduler.clock, m_context.scheduler.log,
+        LogFollowerOptions{.topic = m_context.operatorTopic,
+                           .refreshTimeout = ConfigurationGuard::ReadTimeout},
+        std::move(callbacks));
+}
+
 Instance::~Instance()
 {
     *m_alive = false;
@@ -219,6 +227,7 @@
         if (!m_catalog)
             m_schedulerActiveAt = m_context.scheduler.clock.now();
         m_catalog = decoded->catalog;
+        m_configuration.applied(m_catalog->version);
         logInfo("configuration_applied", "version=" + std::to_string(m_catalog->version)
                                              + " offset=" + std::to_string(record.offset));
         if (m_scheduler)
@@ -329,20 +338,20 @@
 void Instance::tick()
 {
     checkTenure();
-    if (const bool now = isReady(); now != m_wasReady) {
-        m_wasReady = now;
-        const Instant present = m_context.scheduler.clock.now();
+    const Instant present = now();
+    m_configuration.refreshIfOutdated(present);
+    if (const bool ready = isReady(); ready != m_wasReady) {
+        m_wasReady = ready;
         const auto age = [present](const LogFollower &follower) {
             return follower.loaded() ? std::to_string((present - follower.currentAsOf()).count())
                                      : std::string("none");
         };
-        logInfo(now ? "ready" : "not_ready",
+        logInfo(ready ? "ready" : "not_ready",
                 "jobs_age_ms=" + age(*m_jobs) + " configuration_age_ms=" + age(*m_operators));
     }
     // A claim that is due before the next regular tick is not delayed until then, so that the
     // stagger of claims holds.
-    const Instant now = m_context.scheduler.clock.now();
-    const Duration untilClaim = m_schedulerActiveAt + claimTimeout() - now;
+    const Duration untilClaim = m_schedulerActiveAt + claimTimeout() - present;
     const bool early = !m_scheduler && untilClaim > Duration::zero();
     armTick(early ? std::min(untilClaim, TickInterval) : TickInterval);
 }
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -7,6 +7,7 @@
 // it. Not thread-safe: use it only on the event loop's thread.
 #pragma once
 
+#include "control/configuration_guard.h"
 #include "control/job_submitter.h"
 #include "control/peer_probe.h"
 #include "control/publication_clock.h"
@@ -69,6 +70,18 @@
     bool isReady() const;
     // Null until the first configuration has been read.
     const Catalog *catalog() const { return m_catalog.get(); }
+    // Whether requests may be decided by catalog(): the log has confirmed recently that there is no
+    // newer one, and no peer is known to have one.
+    bool isConfigurationCurrent() const { return m_configuration.isCurrent(now()); }
+    // Calls `done` with isConfigurationCurrent(), after a read of the log if that may make it true.
+    void confirmConfiguration(ConfigurationGuard::Done done)
+    {
+        m_configuration.confirm(now(), std::move(done));
+    }
+    // The newest version of the configuration that is known to be in force; 0 if none is.
+    int64_t configurationVersion() const { return m_configuration.newestVersion(); }
+    // Takes note of the version by which a peer decides, or 0.
+    void configurationSeen(int64_t version) { m_configuration.seen(version, now()); }
     const JobTable &jobTable() const { return m_jobTable; }
     JobSubmitter &submitter() { return *m_submitter; }
     // Whether the job table is recent enough to answer that a job does not exist.
@@ -102,6 +115,8 @@
     bool isScheduler() const { return m_scheduler != nullptr; }
 
 private:
+    Instant now() const { return m_context.scheduler.clock.now(); }
+    std::unique_ptr<LogFollower> createOperatorFollower();
     void onWorkRecord(const KeyedRecord &record);
     void updateSuspendedLease(const WorkerId &id, Instant now);
     void onOperatorRecord(const KeyedRecord &record);
@@ -137,6 +152,7 @@
     std::unique_ptr<LogFollower> m_work;
     std::unique_ptr<LogFollower> m_jobs;
     std::unique_ptr<LogFollower> m_operators;
+    ConfigurationGuard m_configuration;
     RecordPublisher m_publisher;
     PeerProbe m_successorProbe;
     WorkerCallServer m_workerCallServer;
--- a/src/control/instance_testing.h
+++ b/src/control/instance_testing.h
@@ -44,10 +44,15 @@
         return out;
     }
     auto catalog = std::make_shared<Catalog>();
-    // "VERSION" or "VERSION/LIMIT", the latter of the only team in thousandths of a core.
+    // "VERSION", "VERSION/LIMIT" or "VERSION/LIMIT/KEY": the limit of the only team in thousandths
+    // of a core, and its key.
     catalog->version = std::stoll(record.value);
-    if (const size_t slash = record.value.find('/'); slash != std::string::npos)
-        catalog->teams[""].limit.cpuMilli = std::stoll(record.value.substr(slash + 1));
+    if (const size_t slash = record.value.find('/'); slash != std::string::npos) {
+        Team &team = catalog->teams[""];
+        team.limit.cpuMilli = std::stoll(record.value.substr(slash + 1));
+        if (const size_t next = record.value.find('/', slash + 1); next != std::string::npos)
+            team.keys.insert(record.value.substr(next + 1));
+    }
     WorkRoute route;
     route.name = "r";
     route.pool = "p";
--- a/src/control/log_follower.cc
+++ b/src/control/log_follower.cc
@@ -191,7 +191,7 @@
 {
     m_refreshing = true;
     const Instant requestedAt = m_clock.now();
-    m_log.read(m_options.topic, m_nextOffset, Duration::zero(), AnswerTimeout,
+    m_log.read(m_options.topic, m_nextOffset, Duration::zero(), m_options.refreshTimeout,
                [this, alive = m_alive, requestedAt](Result<LogSlice> slice) {
                    if (!*alive)
                        return;
--- a/src/control/log_follower.h
+++ b/src/control/log_follower.h
@@ -22,6 +22,7 @@
     Duration pollInterval{0}; // delay between an answer with records and the next read
     Duration readWait{2'000}; // how long the log holds a read at the end of the topic
     Duration retryDelay{150}; // after a call that failed
+    Duration refreshTimeout{1'500}; // of each read of a refresh
 };
 
 // Not thread-safe: use it only on the event loop's thread.
--- a/src/control/request_forwarder.cc
+++ b/src/control/request_forwarder.cc
@@ -102,6 +102,7 @@
     out.path = request.path;
     out.headers = request.headers;
     out.body = request.body;
+    out.configurationVersion = m_sources.configurationVersion();
     const Duration left = std::max(Duration(1), exchange->deadline - m_clock.now());
     m_peers.forward(target, out, std::min(timeout, left),
                     [this, alive = m_alive, exchange, target](Result<work::CallerResponse> answer) {
@@ -122,6 +123,7 @@
     const bool unknown = answer ? answer->status == StatusOutcomeUnknown : !notReceived;
     exchange->inDoubt = exchange->inDoubt || (unknown && !isRead(exchange->request));
     if (answer) {
+        m_sources.configurationSeen(answer->configurationVersion);
         HttpResponse response = toHttpResponse(std::move(*answer));
         if (respondIfSettled(*exchange, response))
             return;
--- a/src/control/request_forwarder.h
+++ b/src/control/request_forwarder.h
@@ -36,6 +36,10 @@
         std::function<std::string()> collector;
         // When the caller of a request stops waiting that has just been received.
         std::function<Instant(const HttpRequest &)> deadline;
+        // The newest version of the configuration that this instance knows to be in force, and
+        // takes note of the one by which a peer has decided.
+        std::function<int64_t()> configurationVersion;
+        std::function<void(int64_t)> configurationSeen;
     };
 
     // All references must outlive the forwarder. `localHandler` answers requests on this instance.
--- a/src/control/request_forwarder_test.cc
+++ b/src/control/request_forwarder_test.cc
@@ -28,12 +28,15 @@
         if (peer) {
             m_peers.forwardResponse.emplace();
             m_peers.forwardResponse->status = *peer;
+            m_peers.forwardResponse->configurationVersion = m_peerVersion;
         }
         RequestForwarder forwarder(
             m_io, m_clock, m_peers,
             {[logReachable] { return logReachable; }, [this] { return m_target; },
              [this] { return m_collector; },
-             [this](const HttpRequest &) { return m_clock.now() + CallerWait; }},
+             [this](const HttpRequest &) { return m_clock.now() + CallerWait; },
+             [this] { return m_configurationVersion; },
+             [this](int64_t version) { m_configurationVersion = version; }},
             [this, local](const HttpRequest &, const HttpRespond &respond) {
                 ++m_localCalls;
                 const bool settled = m_localCalls > m_unsettledLocalCalls;
@@ -54,6 +57,8 @@
     testing::TestClock m_clock;
     std::string m_target = "peer:1";
     std::string m_collector;
+    int64_t m_configurationVersion = 0; // the newest that this instance knows
+    int64_t m_peerVersion = 0; // by which the peer decides
     int m_localCalls = 0;
     // If set, the status of the local handler after the first calls.
     std::optional<int> m_settledStatus;
@@ -93,6 +98,17 @@
     EXPECT_EQ(send("POST", 504, true, 200), 200);
 }
 
+// Guards against an instance, or a peer that decides for it, that goes back to an older
+// configuration than callers have seen.
+TEST_F(RequestForwarderTest, InstancesTellEachOtherByWhichConfigurationTheyDecide)
+{
+    m_configurationVersion = 3;
+    m_peerVersion = 7;
+    EXPECT_EQ(send("POST", 503, false, 200), 200);
+    EXPECT_EQ(m_peers.forwardedVersion, 3);
+    EXPECT_EQ(m_configurationVersion, 7);
+}
+
 // Guards against giving up a request whose outcome could still be settled within its deadline.
 TEST_F(RequestForwarderTest, RepeatsARequestWhoseOutcomeIsUnknown)
 {
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -133,6 +133,8 @@
             return later(unresponsive ? timeout : Duration(1), [done] {
                 done(Error{ErrorCode::Unavailable, "no log"});
             });
+        if (topic == silentTopic && wait > Duration::zero())
+            return later(timeout, [done] { done(Error{ErrorCode::OutcomeUnknown, "no answer"}); });
         const auto &records = m_model.topics[topic].records;
         if (from < m_model.topics[topic].firstRetained)
             return later(Duration(1), [done] { done(Error{ErrorCode::NotFound, "expired"}); });
@@ -178,6 +180,7 @@
     // Called with the topic and the preceding key before a page is read.
     std::function<void(const std::string &, const std::string &)> beforePage;
     std::string unreadableTopic; // reads of this topic fail
+    std::string silentTopic; // reads of this topic that wait for records get no answer
     std::string refusedTopic; // appends to this topic fail and are not stored
     bool claimsFail = false; // appends that claim the tenure fail and are not stored
     int appendCalls = 0;
@@ -397,6 +400,7 @@
                  ForwardDone done) override
     {
         forwardedRequests.push_back(address + " " + request.path);
+        forwardedVersion = request.configurationVersion;
         if (forwardFails)
             return boost::asio::post(m_io, [done = std::move(done)] { done(noSuchPeer()); });
         auto timer = std::make_shared<boost::asio::steady_timer>(m_io, forwardResponse ? Duration(1)
@@ -431,6 +435,7 @@
     }
 
     std::vector<std::string> forwardedRequests; // "ADDRESS PATH"
+    int64_t forwardedVersion = 0; // of the configuration, with the last forwarded request
     std::optional<work::CallerResponse> forwardResponse; // empty: forwarded requests time out
     bool forwardFails = false; // forwarded requests reach no peer
     // Handlers of records that other instances have stored, by peer address.
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -2957,6 +2957,10 @@
 void CallerRequest::__set_body(const std::string& val) {
   this->body = val;
 }
+
+void CallerRequest::__set_configurationVersion(const int64_t val) {
+  this->configurationVersion = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallerRequest& obj)
 {
   obj.printTo(out);
@@ -3032,6 +3036,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configurationVersion);
+          this->__isset.configurationVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3074,6 +3086,10 @@
   xfer += oprot->writeBinary(this->body);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("configurationVersion", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->configurationVersion);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3085,6 +3101,7 @@
   swap(a.path, b.path);
   swap(a.headers, b.headers);
   swap(a.body, b.body);
+  swap(a.configurationVersion, b.configurationVersion);
   swap(a.__isset, b.__isset);
 }
 
@@ -3093,6 +3110,7 @@
   path = other141.path;
   headers = other141.headers;
   body = other141.body;
+  configurationVersion = other141.configurationVersion;
   __isset = other141.__isset;
 }
 CallerRequest::CallerRequest(CallerRequest&& other142) noexcept {
@@ -3100,6 +3118,7 @@
   path = std::move(other142.path);
   headers = std::move(other142.headers);
   body = std::move(other142.body);
+  configurationVersion = other142.configurationVersion;
   __isset = other142.__isset;
 }
 CallerRequest& CallerRequest::operator=(const CallerRequest& other143) {
@@ -3107,6 +3126,7 @@
   path = other143.path;
   headers = other143.headers;
   body = other143.body;
+  configurationVersion = other143.configurationVersion;
   __isset = other143.__isset;
   return *this;
 }
@@ -3115,6 +3135,7 @@
   path = std::move(other144.path);
   headers = std::move(other144.headers);
   body = std::move(other144.body);
+  configurationVersion = other144.configurationVersion;
   __isset = other144.__isset;
   return *this;
 }
@@ -3125,6 +3146,7 @@
   out << ", " << "path=" << to_string(path);
   out << ", " << "headers=" << to_string(headers);
   out << ", " << "body=" << to_string(body);
+  out << ", " << "configurationVersion=" << to_string(configurationVersion);
   out << ")";
 }
 
@@ -3144,6 +3166,10 @@
 void CallerResponse::__set_retryAfterMs(const int64_t val) {
   this->retryAfterMs = val;
 }
+
+void CallerResponse::__set_configurationVersion(const int64_t val) {
+  this->configurationVersion = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallerResponse& obj)
 {
   obj.printTo(out);
@@ -3196,6 +3222,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configurationVersion);
+          this->__isset.configurationVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3225,6 +3259,10 @@
   xfer += oprot->writeI64(this->retryAfterMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("configurationVersion", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->configurationVersion);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3235,6 +3273,7 @@
   swap(a.status, b.status);
   swap(a.body, b.body);
   swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.configurationVersion, b.configurationVersion);
   swap(a.__isset, b.__isset);
 }
 
@@ -3242,18 +3281,21 @@
   status = other145.status;
   body = other145.body;
   retryAfterMs = other145.retryAfterMs;
+  configurationVersion = other145.configurationVersion;
   __isset = other145.__isset;
 }
 CallerResponse::CallerResponse(CallerResponse&& other146) noexcept {
   status = other146.status;
   body = std::move(other146.body);
   retryAfterMs = other146.retryAfterMs;
+  configurationVersion = other146.configurationVersion;
   __isset = other146.__isset;
 }
 CallerResponse& CallerResponse::operator=(const CallerResponse& other147) {
   status = other147.status;
   body = other147.body;
   retryAfterMs = other147.retryAfterMs;
+  configurationVersion = other147.configurationVersion;
   __isset = other147.__isset;
   return *this;
 }
@@ -3261,6 +3303,7 @@
   status = other148.status;
   body = std::move(other148.body);
   retryAfterMs = other148.retryAfterMs;
+  configurationVersion = other148.configurationVersion;
   __isset = other148.__isset;
   return *this;
 }
@@ -3270,6 +3313,7 @@
   out << "status=" << to_string(status);
   out << ", " << "body=" << to_string(body);
   out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << ", " << "configurationVersion=" << to_string(configurationVersion);
   out << ")";
 }
 
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -1074,11 +1074,12 @@
 std::ostream& operator<<(std::ostream& out, const StoredRecords& obj);
 
 typedef struct _CallerRequest__isset {
-  _CallerRequest__isset() : method(false), path(false), headers(false), body(false) {}
+  _CallerRequest__isset() : method(false), path(false), headers(false), body(false), configurationVersion(false) {}
   bool method :1;
   bool path :1;
   bool headers :1;
   bool body :1;
+  bool configurationVersion :1;
 } _CallerRequest__isset;
 
 class CallerRequest : public virtual ::apache::thrift::TBase {
@@ -1091,7 +1092,8 @@
   CallerRequest() noexcept
                 : method(),
                   path(),
-                  body() {
+                  body(),
+                  configurationVersion(0) {
   }
 
   virtual ~CallerRequest() noexcept;
@@ -1099,6 +1101,7 @@
   std::string path;
   std::map<std::string, std::string>  headers;
   std::string body;
+  int64_t configurationVersion;
 
   _CallerRequest__isset __isset;
 
@@ -1110,6 +1113,8 @@
 
   void __set_body(const std::string& val);
 
+  void __set_configurationVersion(const int64_t val);
+
   bool operator == (const CallerRequest & rhs) const
   {
     if (!(method == rhs.method))
@@ -1120,6 +1125,8 @@
       return false;
     if (!(body == rhs.body))
       return false;
+    if (!(configurationVersion == rhs.configurationVersion))
+      return false;
     return true;
   }
   bool operator != (const CallerRequest &rhs) const {
@@ -1139,10 +1146,11 @@
 std::ostream& operator<<(std::ostream& out, const CallerRequest& obj);
 
 typedef struct _CallerResponse__isset {
-  _CallerResponse__isset() : status(false), body(false), retryAfterMs(false) {}
+  _CallerResponse__isset() : status(false), body(false), retryAfterMs(false), configurationVersion(false) {}
   bool status :1;
   bool body :1;
   bool retryAfterMs :1;
+  bool configurationVersion :1;
 } _CallerResponse__isset;
 
 class CallerResponse : public virtual ::apache::thrift::TBase {
@@ -1155,13 +1163,15 @@
   CallerResponse() noexcept
                  : status(0),
                    body(),
-                   retryAfterMs(0) {
+                   retryAfterMs(0),
+                   configurationVersion(0) {
   }
 
   virtual ~CallerResponse() noexcept;
   int32_t status;
   std::string body;
   int64_t retryAfterMs;
+  int64_t configurationVersion;
 
   _CallerResponse__isset __isset;
 
@@ -1171,6 +1181,8 @@
 
   void __set_retryAfterMs(const int64_t val);
 
+  void __set_configurationVersion(const int64_t val);
+
   bool operator == (const CallerResponse & rhs) const
   {
     if (!(status == rhs.status))
@@ -1179,6 +1191,8 @@
       return false;
     if (!(retryAfterMs == rhs.retryAfterMs))
       return false;
+    if (!(configurationVersion == rhs.configurationVersion))
+      return false;
     return true;
   }
   bool operator != (const CallerResponse &rhs) const {
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -117,9 +117,21 @@
 }
 
 // A caller's request that an instance forwards to another one, and the response. Header names are
-// in lower case. `retryAfterMs` is 0 if there is none.
-struct CallerRequest { 1: string method; 2: string path; 3: map<string, string> headers; 4: binary body; }
-struct CallerResponse { 1: i32 status; 2: binary body; 3: i64 retryAfterMs; }
+// in lower case. `retryAfterMs` is 0 if there is none. `configurationVersion` is the newest one that
+// the sender knows to be in force; 0 if it knows none. The receiver decides nothing by an older one.
+struct CallerRequest {
+  1: string method;
+  2: string path;
+  3: map<string, string> headers;
+  4: binary body;
+  5: i64 configurationVersion;
+}
+struct CallerResponse {
+  1: i32 status;
+  2: binary body;
+  3: i64 retryAfterMs;
+  4: i64 configurationVersion;
+}
 
 // Calls to workers that the scheduler has another instance make, so that the work of exchanging
 // messages with all workers is spread over the instances.
