--- a/src/control/fenced_writer_test.cc
+++ b/src/control/fenced_writer_test.cc
@@ -85,8 +85,10 @@
 TEST_F(FencedWriterTest, SplitsRecordsThatAreTooManyForOneAppend)
 {
     m_model.limits = m_limits;
+    constexpr size_t Count = 100;
     std::vector<KeyedRecord> records;
-    for (int i = 0; i < 100; ++i)
+    records.reserve(Count);
+    for (size_t i = 0; i < Count; ++i)
         records.push_back({"key" + std::to_string(i), "value", false, 0});
     std::vector<KeyedRecord> stored;
     m_writer.append(records, [&](const std::vector<KeyedRecord> &it) {
