--- a/src/control/cut_list_test.cc
+++ b/src/control/cut_list_test.cc
@@ -32,6 +32,12 @@
         for (auto &[name, node] : m_nodes)
             node.log->refuses = false;
     }
+    void expectEachTaskRanOnce()
+    {
+        EXPECT_TRUE(reached(scheduler(), "job", work::JobState::Completed));
+        EXPECT_EQ(m_workers.starts, ManyTasks);
+        EXPECT_FALSE(m_workers.ranTwice);
+    }
 };
 
 // Guards against runs that are taken for missing, and start again, because the worker's list of
@@ -41,9 +47,7 @@
     addNode("a");
     finishWithoutTheLog();
     bringTheLogBack();
-    EXPECT_TRUE(reached(scheduler(), "job", work::JobState::Completed));
-    EXPECT_EQ(m_workers.starts, ManyTasks);
-    EXPECT_FALSE(m_workers.ranTwice);
+    expectEachTaskRanOnce();
 }
 
 // Guards against a new scheduler that takes the first list of a worker for all its runs.
@@ -55,9 +59,7 @@
     scheduler().instance.reset();
     bringTheLogBack();
     ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }, Duration(8'000)));
-    EXPECT_TRUE(reached(scheduler(), "job", work::JobState::Completed));
-    EXPECT_EQ(m_workers.starts, ManyTasks);
-    EXPECT_FALSE(m_workers.ranTwice);
+    expectEachTaskRanOnce();
 }
 
 // Guards against ends that are never read because the worker has left the registry.
@@ -72,9 +74,7 @@
     m_model.put(RegistryTopic, "w3", "ready");
     bringTheLogBack();
     ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }, Duration(8'000)));
-    EXPECT_TRUE(reached(scheduler(), "job", work::JobState::Completed));
-    EXPECT_EQ(m_workers.starts, ManyTasks);
-    EXPECT_FALSE(m_workers.ranTwice);
+    expectEachTaskRanOnce();
 }
 
 } // namespace
