Lint again only what a changed header is included by

The key now holds the headers that the build has recorded for the source. A source that the build does not know still depends on all headers.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs clang-tidy on the given sources, or on all sources. Skips a file that has passed before with the same
-# content, headers and settings.
+# content, settings and project headers that it includes. Requires a build in build/, which knows these headers.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cache="${XDG_CACHE_HOME:-$HOME/.cache}/cardamompaddle-lint"
@@ -8,10 +8,20 @@
 if [ "$#" -gt 0 ]; then files=("$@"); else
     mapfile -t files < <(git ls-files --cached --others --exclude-standard -- 'src/*.cc' 'platform/*.cc' | grep -v '/gen/')
 fi
-headers=$(git ls-files --cached --others --exclude-standard -- 'src/*.h' 'platform/*.h' .clang-tidy | sort -u | xargs cat | sha256sum | cut -c1-20)
+# One line for each compiled source: its path and the paths of the project's files that it includes.
+includes=$(mktemp)
+trap 'rm -f "$includes"' EXIT
+ninja -C build -t deps | awk -v root="$PWD/" '
+    /^[^ ]/ { if (line != "") print line; line = ""; next }
+    { path = $1; if (index(path, root) == 1) path = substr(path, length(root) + 1); sub(/^\.\.\//, "", path) }
+    path ~ /^(src|platform)\// { line = line (line == "" ? "" : " ") path }
+    END { if (line != "") print line }' >"$includes"
 check() {
-    local file=$1 key
-    key="$cache/$2-$(sha256sum <"$file" | cut -c1-20)"
+    local file=$1 key included
+    included=$(grep -m 1 "^$file\( \|$\)" "$includes" || true)
+    # Of a source that is not compiled, all headers may matter.
+    [ -n "$included" ] || included="$file $(git ls-files -- 'src/*.h' 'platform/*.h')"
+    key="$cache/$(cat .clang-tidy $included | sha256sum | cut -c1-40)"
     [ -e "$key" ] && return 0
     if clang-tidy -p build --quiet "$file" 2>/dev/null >"$key.out.$$"; then
         mv "$key.out.$$" "$key"
@@ -20,5 +30,5 @@
     fi
 }
 export -f check
-export cache
-printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -I{} bash -c 'check "$1" "$2"' _ {} "$headers"
+export cache includes
+printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -I{} bash -c 'check "$1"' _ {}
