--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -35,6 +35,10 @@
         m_shared->handler = std::move(handler);
     }
 
+    ~Impl() { *m_alive = false; }
+    Impl(const Impl &) = delete;
+    Impl &operator=(const Impl &) = delete;
+
     Result<void> listen();
     void run();
     void stopAccepting();
@@ -64,6 +68,8 @@
     std::vector<std::thread> m_threads;
     std::mutex m_stopMutex;
     bool m_stopped = false;
+    // False: the server is gone. An owner's event loop may still run its callbacks.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 Result<void> HttpServer::Impl::listen()
@@ -77,7 +83,10 @@
 
 void HttpServer::Impl::run()
 {
-    asio::post(m_acceptor.get_executor(), [this] { accept(); });
+    asio::post(m_acceptor.get_executor(), [this, alive = m_alive] {
+        if (*alive)
+            accept();
+    });
     for (int i = 0; i < m_threadCount; ++i)
         m_threads.emplace_back([this] { m_io.run(); });
 }
@@ -86,9 +95,11 @@
 {
     m_acceptor.async_accept(
         asio::make_strand(m_io),
-        asio::bind_executor(m_acceptor.get_executor(), [this](error_code ec, tcp::socket socket) {
-            onAccept(ec, std::move(socket));
-        }));
+        asio::bind_executor(m_acceptor.get_executor(),
+                            [this, alive = m_alive](error_code ec, tcp::socket socket) {
+                                if (*alive)
+                                    onAccept(ec, std::move(socket));
+                            }));
 }
 
 void HttpServer::Impl::onAccept(error_code ec, tcp::socket socket)
@@ -100,8 +111,8 @@
     if (!ec || ec == asio::error::connection_aborted)
         return accept();
     m_acceptRetryTimer.expires_after(AcceptRetryDelay);
-    m_acceptRetryTimer.async_wait([this](error_code) {
-        if (m_acceptor.is_open())
+    m_acceptRetryTimer.async_wait([this, alive = m_alive](error_code) {
+        if (*alive && m_acceptor.is_open())
             accept();
     });
 }
