--- a/src/control/job_garbage_collector.cc
+++ b/src/control/job_garbage_collector.cc
@@ -3,6 +3,7 @@
 #include "logging/event_log.h"
 
 #include <utility>
+#include <vector>
 
 namespace cardamompaddle {
 
@@ -13,6 +14,27 @@
 constexpr size_t MaxJobsPerRun = 200;
 constexpr size_t MaxRecordsPerRun = 1'000; // of the work topic, before the last job
 
+struct ForgottenJob
+{
+    std::string id;
+    int64_t endedAtMs = 0;
+};
+
+// `unixMs` is the time at which the removal was decided.
+void logForgotten(const std::vector<ForgottenJob> &jobs, int64_t unixMs)
+{
+    for (const ForgottenJob &job : jobs)
+        logInfo("job_forgotten", "job=" + job.id + " ended_at_ms=" + std::to_string(job.endedAtMs)
+                                     + " now_ms=" + std::to_string(unixMs));
+}
+
+bool isStored(const AppendResult &answer)
+{
+    if (answer.outcome != AppendOutcome::Stored)
+        logWarn("forget_failed", "reason=\"" + answer.reason + "\"");
+    return answer.outcome == AppendOutcome::Stored;
+}
+
 } // namespace
 
 JobGarbageCollector::JobGarbageCollector(KeyedLog &log, const JobTable &jobTable,
@@ -26,7 +48,7 @@
     *m_alive = false;
 }
 
-void JobGarbageCollector::collect(Instant now, int64_t unixMs)
+void JobGarbageCollector::collect(Instant now, int64_t unixMs, Duration retention)
 {
     if (now - m_collectedAt < CollectInterval)
         return;
@@ -35,30 +57,29 @@
     AppendRequest work;
     jobs.topic = m_jobsTopic;
     work.topic = m_workTopic;
-    for (const std::string &id : m_jobTable.endedBefore(unixMs, MaxJobsPerRun)) {
+    std::vector<ForgottenJob> forgotten;
+    for (const std::string &id :
+         m_jobTable.endedBefore(unixMs - retention.count(), MaxJobsPerRun)) {
         if (work.records.size() >= MaxRecordsPerRun)
             break;
+        const JobEntry &entry = m_jobTable.entries().at(id);
+        forgotten.push_back({id, entry.endedAtMs()});
         jobs.records.push_back({work_key::cancel(id), "", true, 0});
         jobs.records.push_back({work_key::job(id), "", true, 0});
-        for (const work::Progress *part : m_jobTable.entries().at(id).progressParts())
+        for (const work::Progress *part : entry.progressParts())
             work.records.push_back({work_key::progress(id, part->part), "", true, 0});
     }
     if (jobs.records.empty())
         return;
-    const auto logIfFailed = [](const AppendResult &answer) {
-        if (answer.outcome != AppendOutcome::Stored)
-            logWarn("forget_failed", "reason=\"" + answer.reason + "\"");
-        return answer.outcome != AppendOutcome::Stored;
-    };
     // Remove the submission before the progress: a submission without progress would look like a
     // job that has never run.
     m_log.append(std::move(jobs), AppendTimeout,
-                 [this, alive = m_alive, work, logIfFailed](const AppendResult &answer) {
-                     if (!*alive || logIfFailed(answer))
+                 [this, alive = m_alive, work, forgotten, unixMs](const AppendResult &answer) {
+                     if (!isStored(answer) || !*alive)
                          return;
-                     m_log.append(work, AppendTimeout, [logIfFailed](const AppendResult &result) {
-                         logIfFailed(result);
-                     });
+                     logForgotten(forgotten, unixMs);
+                     m_log.append(work, AppendTimeout,
+                                  [](const AppendResult &result) { isStored(result); });
                  });
 }
 
--- a/src/control/job_table_test.cc
+++ b/src/control/job_table_test.cc
@@ -179,6 +179,8 @@
 class JobGarbageCollectorTest : public JobTableTest
 {
 protected:
+    static constexpr Duration Retention{60'000};
+
     // Lets the collector run once and applies what it has stored to the job table.
     void collectEndedBefore(int64_t unixMs)
     {
@@ -187,7 +189,7 @@
         testing::TestLog log(io, model);
         log.refusedTopic = m_refusedTopic;
         JobGarbageCollector garbageCollector(log, m_jobTable, "jobs", "work");
-        garbageCollector.collect(instantFromMs(100'000), unixMs);
+        garbageCollector.collect(instantFromMs(100'000), unixMs + Retention.count(), Retention);
         io.run_for(std::chrono::milliseconds(50));
         for (const char *topic : {"jobs", "work"}) {
             for (const KeyedRecord &record : model.topics[topic].records) {
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -586,7 +586,7 @@
     updateWorkerGateway();
     m_links->tick();
     const Duration retention = m_options.terminalRetention + EndTimeTolerance;
-    m_jobGarbageCollector.collect(now, m_context.unixClock() - retention.count());
+    m_jobGarbageCollector.collect(now, m_context.unixClock(), retention);
     if (!m_allReconciled)
         updateReconciliation();
     for (const WorkerId &id : m_storedUsedWorkers) {
