Count the retention of ended jobs by the tenure's held time

Callers got 410 for jobs that had ended seconds before, and repeated jobs ran again, once the time of day differed between machines or jumped by more than keep_final_s. The end of a job was the time of day of one scheduler and was compared with that of another, or with the same one after a jump. The limit on hand-overs was judged in the same way.

The tenure now has a held time, which advances on the holder's monotonic clock with stored appends, at most 1 s for each, and which the tenure record carries to the next holder. Ends, retention and the limit on hand-overs are counted with it. A span of it is never longer than the real one; it is shorter by outages of the log, times without a holder and about a second for each takeover, so jobs are kept longer then.

Records: Tenure.handedOverAtMs and Progress.endedAtMs are not read any more. Ends of earlier versions get the present held time once. Stop all instances for this update.

Instances in tests have their own time of day.

--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -426,7 +426,8 @@
     tenure.holder = m_options.name;
     tenure.address = m_options.peerAddress;
     tenure.epoch = m_jobTable.tenure().epoch + 1;
-    tenure.handedOverAtMs = m_jobTable.tenure().handedOverAtMs;
+    tenure.heldMs = m_jobTable.tenure().heldMs;
+    tenure.handedOverAtHeldMs = m_jobTable.tenure().handedOverAtHeldMs;
     // Kept from the former scheduler: it describes the runs that this one has yet to reconcile.
     tenure.startsRecorded = m_jobTable.tenure().epoch == 0 || m_jobTable.tenure().startsRecorded;
     AppendRequest request;
@@ -554,8 +555,9 @@
 void Instance::handOver(Instant now)
 {
     m_nextHandOverAt = now + HandOverRetryDelay;
-    const Duration sinceHandOver(m_context.scheduler.unixClock()
-                                 - m_jobTable.tenure().handedOverAtMs);
+    const int64_t lastMs = m_jobTable.tenure().handedOverAtHeldMs;
+    const Duration sinceHandOver =
+        lastMs == 0 ? Duration::max() : Duration(m_scheduler->heldMs() - lastMs);
     auto candidates =
         handOverCandidates(ownMember(), m_jobTable.members(), sinceHandOver, ++m_handOverAttempts);
     if (candidates.empty())
--- a/src/control/instance_tenure_test.cc
+++ b/src/control/instance_tenure_test.cc
@@ -12,21 +12,6 @@
     static constexpr int64_t Large = 500;
     static constexpr int64_t Small = 120;
 
-    // Returns the name of the scheduler; empty if there is none.
-    std::string schedulerName()
-    {
-        for (const auto &[name, node] : m_nodes) {
-            if (node.instance && node.instance->isScheduler())
-                return name;
-        }
-        return "";
-    }
-    // Ends the instance without a planned stop, as a loss of power does.
-    void lose(const std::string &name)
-    {
-        m_policy.receivers.erase(name + ":1");
-        m_nodes[name].instance.reset();
-    }
     // Runs with timers that are late enough for the scheduler to count as overloaded.
     void runOverloaded(int ticks)
     {
@@ -143,6 +128,48 @@
     EXPECT_EQ(m_nodes["l1"].instance->jobTable().tenure().epoch, 2);
 }
 
+// Guards against hand-overs to and fro, because the second holder's time of day is ahead.
+TEST_F(InstanceTenureTest, AWrongTimeOfDayDoesNotHastenTheNextHandOver)
+{
+    for (const char *large : {"l1", "l2"})
+        m_unixOffsetsMs[large] = 200'000;
+    addNode("s1", Small);
+    ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+    addNode("l1", Large);
+    addNode("l2", Large);
+    ASSERT_TRUE(areReady({"l1", "l2"}));
+    runFor(Duration(2'500));
+    for (int i = 0; i < 20 && schedulerName().front() != 'l'; ++i)
+        runOverloaded(1);
+    const std::string second = schedulerName();
+    ASSERT_EQ(second.front(), 'l');
+    runFor(Duration(2'100)); // hand-overs are not considered earlier in a tenure
+    runOverloaded(25);
+    EXPECT_EQ(schedulerName(), second);
+    EXPECT_EQ(m_nodes[second].instance->jobTable().tenure().epoch, 2);
+}
+
+// Guards against an overloaded holder that keeps the tenure, because its time of day is behind that
+// of the one which handed the tenure over.
+TEST_F(InstanceTenureTest, AWrongTimeOfDayDoesNotPreventTheNextHandOver)
+{
+    m_unixOffsetsMs["m1"] = -200'000;
+    addNode("s1", Small);
+    ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+    addNode("m1", (Small + Large) / 2);
+    ASSERT_TRUE(areReady({"m1"}));
+    runFor(Duration(2'500));
+    for (int i = 0; i < 20 && schedulerName() != "m1"; ++i)
+        runOverloaded(1);
+    ASSERT_EQ(schedulerName(), "m1");
+    addNode("l1", Large);
+    ASSERT_TRUE(areReady({"l1"}));
+    runFor(Duration(5'000)); // the shortest time between two hand-overs
+    for (int i = 0; i < 20 && schedulerName() != "l1"; ++i)
+        runOverloaded(1);
+    EXPECT_EQ(schedulerName(), "l1");
+}
+
 // Guards against hand-overs that interrupt scheduling and help nothing.
 TEST_F(InstanceTenureTest, AnOverloadedHolderWithoutABetterInstanceKeepsTheTenure)
 {
--- a/src/control/instance_testing.h
+++ b/src/control/instance_testing.h
@@ -87,13 +87,15 @@
         options.peerAddress = name + ":1";
         options.maxLease = m_maxLease;
         options.cpuMilli = cpuMilli;
+        options.terminalRetention = m_terminalRetention;
         node.instance = std::make_unique<Instance>(
-            [this, &node](const JobTable &jobTable) {
-                SchedulerContext context{m_io,       m_clock,       [this] { return m_unixMs; },
-                                         *node.log,  m_workers,     m_policy,
-                                         m_policy,   jobTable,      WorkTopic,
-                                         JobsTopic,  RegistryTopic, decodeWorker,
-                                         m_logLimits};
+            [this, &node, name](const JobTable &jobTable) {
+                SchedulerContext context{
+                    m_io,       m_clock,       [this, name] { return unixMs(name); },
+                    *node.log,  m_workers,     m_policy,
+                    m_policy,   jobTable,      WorkTopic,
+                    JobsTopic,  RegistryTopic, decodeWorker,
+                    m_logLimits};
                 return InstanceContext{std::move(context), OperatorTopic, decodeOperators};
             },
             options);
@@ -130,6 +132,27 @@
     {
         runUntil([] { return false; }, time);
     }
+    // Returns the time of day of an instance's machine.
+    int64_t unixMs(const std::string &name) const
+    {
+        const auto it = m_unixOffsetsMs.find(name);
+        return m_unixMs + (it == m_unixOffsetsMs.end() ? 0 : it->second);
+    }
+    // Returns the name of the scheduler; empty if there is none.
+    std::string schedulerName()
+    {
+        for (const auto &[name, node] : m_nodes) {
+            if (node.instance && node.instance->isScheduler())
+                return name;
+        }
+        return "";
+    }
+    // Ends the instance without a planned stop, as a loss of power does.
+    void lose(const std::string &name)
+    {
+        m_policy.receivers.erase(name + ":1");
+        m_nodes[name].instance.reset();
+    }
     // Returns how many instances act as scheduler.
     int schedulers()
     {
@@ -203,7 +226,10 @@
     Duration m_maxLease{1'000};
     int64_t m_cpuMilli = 1'000; // of each task
     LogLimits m_logLimits; // as the instances know them
-    int64_t m_unixMs = 1'000'000; // time of day of all instances; accepted jobs are of that time
+    Duration m_terminalRetention{120'000};
+    int64_t m_unixMs = 1'000'000; // true time of day; accepted jobs are of that time
+    // By how much the time of day of an instance's machine differs from the true one, by name.
+    std::map<std::string, int64_t> m_unixOffsetsMs;
     std::map<std::string, SubmitOutcome> m_outcomes; // of submissions, by job ID
     boost::asio::io_context m_io;
     testing::TestClock m_clock;
--- a/src/control/job_garbage_collector.cc
+++ b/src/control/job_garbage_collector.cc
@@ -17,15 +17,16 @@
 struct ForgottenJob
 {
     std::string id;
-    int64_t endedAtMs = 0;
+    int64_t endedAtHeldMs = 0;
 };
 
-// `unixMs` is the time at which the removal was decided.
-void logForgotten(const std::vector<ForgottenJob> &jobs, int64_t unixMs)
+// `heldMs` is the held time at which the removal was decided.
+void logForgotten(const std::vector<ForgottenJob> &jobs, int64_t heldMs)
 {
     for (const ForgottenJob &job : jobs)
-        logInfo("job_forgotten", "job=" + job.id + " ended_at_ms=" + std::to_string(job.endedAtMs)
-                                     + " now_ms=" + std::to_string(unixMs));
+        logInfo("job_forgotten", "job=" + job.id
+                                     + " ended_at_held_ms=" + std::to_string(job.endedAtHeldMs)
+                                     + " held_ms=" + std::to_string(heldMs));
 }
 
 bool isStored(const AppendResult &answer)
@@ -48,7 +49,7 @@
     *m_alive = false;
 }
 
-void JobGarbageCollector::collect(Instant now, int64_t unixMs, Duration retention)
+void JobGarbageCollector::collect(Instant now, int64_t heldMs, Duration retention)
 {
     if (now - m_collectedAt < CollectInterval)
         return;
@@ -59,11 +60,11 @@
     work.topic = m_workTopic;
     std::vector<ForgottenJob> forgotten;
     for (const std::string &id :
-         m_jobTable.endedBefore(unixMs - retention.count(), MaxJobsPerRun)) {
+         m_jobTable.endedBefore(heldMs - retention.count(), MaxJobsPerRun)) {
         if (work.records.size() >= MaxRecordsPerRun)
             break;
         const JobEntry &entry = m_jobTable.entries().at(id);
-        forgotten.push_back({id, entry.endedAtMs()});
+        forgotten.push_back({id, entry.endedAtHeldMs()});
         jobs.records.push_back({work_key::cancel(id), "", true, 0});
         jobs.records.push_back({work_key::job(id), "", true, 0});
         for (const work::Progress *part : entry.progressParts())
@@ -74,10 +75,10 @@
     // Remove the submission before the progress: a submission without progress would look like a
     // job that has never run.
     m_log.append(std::move(jobs), AppendTimeout,
-                 [this, alive = m_alive, work, forgotten, unixMs](const AppendResult &answer) {
+                 [this, alive = m_alive, work, forgotten, heldMs](const AppendResult &answer) {
                      if (!isStored(answer) || !*alive)
                          return;
-                     logForgotten(forgotten, unixMs);
+                     logForgotten(forgotten, heldMs);
                      m_log.append(work, AppendTimeout,
                                   [](const AppendResult &result) { isStored(result); });
                  });
--- a/src/control/job_garbage_collector.h
+++ b/src/control/job_garbage_collector.h
@@ -21,10 +21,10 @@
     JobGarbageCollector(const JobGarbageCollector &) = delete;
     JobGarbageCollector &operator=(const JobGarbageCollector &) = delete;
 
-    // Removes jobs that ended more than `retention` before `unixMs`, and logs each of them. Must be
-    // called periodically: each run is limited in size, and a failed removal is repeated by a later
-    // run. A call that comes too soon after the previous run does nothing.
-    void collect(Instant now, int64_t unixMs, Duration retention);
+    // Removes jobs that ended more than `retention` before the held time `heldMs`, and logs each of
+    // them. Must be called periodically: each run is limited in size, and a failed removal is
+    // repeated by a later run. A call that comes too soon after the previous run does nothing.
+    void collect(Instant now, int64_t heldMs, Duration retention);
 
 private:
     KeyedLog &m_log;
--- a/src/control/job_table.cc
+++ b/src/control/job_table.cc
@@ -260,13 +260,13 @@
     return it == m_waitingCounts.end() ? 0 : it->second;
 }
 
-std::vector<std::string> JobTable::endedBefore(int64_t unixMs, size_t limit) const
+std::vector<std::string> JobTable::endedBefore(int64_t heldMs, size_t limit) const
 {
     std::vector<std::string> out;
     for (const auto &[id, entry] : m_entries) {
         if (out.size() >= limit)
             break;
-        if (entry.endedAtMs() != 0 && entry.endedAtMs() < unixMs)
+        if (entry.endedAtHeldMs() != 0 && entry.endedAtHeldMs() < heldMs)
             out.push_back(id);
     }
     return out;
--- a/src/control/job_table.h
+++ b/src/control/job_table.h
@@ -41,9 +41,9 @@
     int64_t offset = 0; // of the submission in the jobs topic
 
     work::JobState::type state() const;
-    // Unix time at which the job ended; 0 if the log does not tell, also of a cancelled job whose
-    // final record is not stored yet.
-    int64_t endedAtMs() const { return progress ? progress->endedAtMs : 0; }
+    // Held time of the tenure at which the job ended; 0 if the log does not tell, also of a
+    // cancelled job whose final record is not stored yet.
+    int64_t endedAtHeldMs() const { return progress ? progress->endedAtHeldMs : 0; }
     // All parts of the progress, part 0 first.
     std::vector<const work::Progress *> progressParts() const;
 };
@@ -65,9 +65,9 @@
     const work::Tenure &tenure() const { return m_tenure; } // epoch 0 if none is stored
     const std::map<std::string, work::Member> &members() const { return m_members; }
     const std::map<std::string, work::UsedWorker> &usedWorkers() const { return m_usedWorkers; }
-    // At most `limit` jobs that ended before `unixMs`, in no particular order. Includes jobs of
-    // which a record is left although the submission has been removed.
-    std::vector<std::string> endedBefore(int64_t unixMs, size_t limit) const;
+    // At most `limit` jobs that ended before the held time `heldMs`, in no particular order.
+    // Includes jobs of which a record is left although the submission has been removed.
+    std::vector<std::string> endedBefore(int64_t heldMs, size_t limit) const;
 
 private:
     Result<Change> applyJob(const KeyedRecord &record, const std::string &kind,
--- a/src/control/job_table_test.cc
+++ b/src/control/job_table_test.cc
@@ -4,6 +4,7 @@
 #include "control/testing_platform.h"
 #include "work/codec.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 namespace cardamompaddle {
@@ -26,12 +27,12 @@
         job.acceptedAtMs = acceptedAtMs;
         put(work_key::job(id), encodeRecord(job));
     }
-    void putState(const std::string &id, work::JobState::type state, int64_t endedAtMs = 0)
+    void putState(const std::string &id, work::JobState::type state, int64_t endedAtHeldMs = 0)
     {
         work::Progress progress;
         progress.id = id;
         progress.state = state;
-        progress.endedAtMs = endedAtMs;
+        progress.endedAtHeldMs = endedAtHeldMs;
         put(work_key::progress(id), encodeRecord(progress));
     }
 
@@ -259,5 +260,24 @@
     EXPECT_TRUE(m_jobTable.entries().empty());
 }
 
+// Guards against the removal of jobs that have not ended or not been ended for long, and against
+// jobs that stay for good once their submission has been removed.
+TEST_F(JobTableTest, ListsTheJobsThatEndedBeforeAHeldTime)
+{
+    putJob("open");
+    putJob("running");
+    putState("running", work::JobState::Running);
+    putJob("early");
+    putState("early", work::JobState::Completed, 1);
+    putJob("late");
+    putState("late", work::JobState::Failed, 500);
+    putState("left", work::JobState::Cancelled, 499); // its submission has been removed
+    EXPECT_TRUE(m_jobTable.endedBefore(1, 10).empty());
+    EXPECT_THAT(m_jobTable.endedBefore(500, 10), ::testing::UnorderedElementsAre("early", "left"));
+    EXPECT_THAT(m_jobTable.endedBefore(501, 10),
+                ::testing::UnorderedElementsAre("early", "late", "left"));
+    EXPECT_EQ(m_jobTable.endedBefore(501, 2).size(), 2U);
+}
+
 } // namespace
 } // namespace cardamompaddle
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -47,7 +47,7 @@
 constexpr double LagAverageWeight = 0.2; // of the latest tick in the average
 constexpr Duration MinTenureBeforeHandOver{2'000};
 // Added to the retention of ended jobs. The time of an end is taken before it is stored, and
-// callers see it once it is stored; the instance that removes the job may have another clock.
+// callers see it once it is stored.
 constexpr Duration EndTimeTolerance{10'000};
 // A scheduler that was replaced is fenced or learns of its successor within this time.
 constexpr Duration FormerSchedulerFencingTime{1'000};
@@ -103,7 +103,7 @@
                 }}),
       m_jobGarbageCollector(m_context.log, m_context.jobTable, m_context.jobsTopic,
                             m_context.workTopic),
-      m_releaseTimer(m_context.io)
+      m_tenureClock(m_options.tenure.heldMs, m_context.clock.now()), m_releaseTimer(m_context.io)
 {
     m_suspendedLeases = m_options.suspendedLeases;
     m_startedAt = m_lastStoredAt = m_lastPublishedAt = m_loadLoggedAt = m_context.clock.now();
@@ -180,7 +180,7 @@
     std::vector<const JobEntry *> open;
     for (const auto &[id, entry] : m_context.jobTable.entries()) {
         // Of a job that has ended, the end may not be stored yet.
-        if (entry.submission && (entry.endedAtMs() == 0 || isBeingStopped(entry)))
+        if (entry.submission && (entry.endedAtHeldMs() == 0 || isBeingStopped(entry)))
             open.push_back(&entry);
     }
     std::sort(open.begin(), open.end(),
@@ -224,7 +224,7 @@
     const Instant now = m_context.clock.now();
     if (entry == nullptr)
         return;
-    if (change == JobTable::Change::Submitted && entry->endedAtMs() == 0) {
+    if (change == JobTable::Change::Submitted && entry->endedAtHeldMs() == 0) {
         // The former scheduler may have read the job and started its tasks before it was fenced.
         const bool mayBeRunning = !m_allReconciled && !m_options.tenure.startsRecorded
                                   && now - m_startedAt < FormerSchedulerFencingTime;
@@ -445,7 +445,7 @@
     for (const WorkerId &id : m_storedUsedWorkers)
         m_batchPositions[id] = m_dispatcher.endPosition(id);
     m_batchUrgent.clear();
-    for (const work::Progress &progress : m_dispatcher.takeProgress(m_context.unixClock())) {
+    for (const work::Progress &progress : m_dispatcher.takeProgress(m_tenureClock.heldMs())) {
         const std::string key = work_key::progress(progress.id, progress.part);
         if (progress.state >= work::JobState::Completed)
             m_batchUrgent.insert(key);
@@ -464,6 +464,7 @@
     if (records.empty() || m_onReleased || std::exchange(m_tenureDirty, false)) {
         work::Tenure tenure = m_options.tenure;
         tenure.released = m_onReleased != nullptr;
+        tenure.heldMs = m_tenureClock.heldMs();
         records.push_back({work_key::Tenure, encodeRecord(tenure), false, 0});
         m_batchUrgent.insert(work_key::Tenure);
         m_releaseInBatch = tenure.released;
@@ -539,6 +540,7 @@
 void Scheduler::onStored(const std::vector<KeyedRecord> &records)
 {
     m_lastStoredAt = m_context.clock.now();
+    m_tenureClock.recordStored(m_lastStoredAt);
     publish(records);
     updateStartRecording(m_lastStoredAt - m_writer.sentAt());
     if (!m_onReleased) {
@@ -586,7 +588,7 @@
     updateWorkerGateway();
     m_links->tick();
     const Duration retention = m_options.terminalRetention + EndTimeTolerance;
-    m_jobGarbageCollector.collect(now, m_context.unixClock(), retention);
+    m_jobGarbageCollector.collect(now, m_tenureClock.heldMs(), retention);
     if (!m_allReconciled)
         updateReconciliation();
     for (const WorkerId &id : m_storedUsedWorkers) {
@@ -663,7 +665,7 @@
 void Scheduler::handOver(const work::Member &successor, Duration maxWait,
                          std::function<void()> done)
 {
-    m_options.tenure.handedOverAtMs = m_context.unixClock();
+    m_options.tenure.handedOverAtHeldMs = m_tenureClock.heldMs();
     logWarn("tenure_handed_over",
             "epoch=" + std::to_string(m_options.tenure.epoch)
                 + " lag_ms=" + std::to_string(static_cast<int64_t>(m_averageLagMs)) + " successor="
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -14,6 +14,7 @@
 #include "control/load_meter.h"
 #include "control/log_follower.h"
 #include "control/remote_worker_gateway.h"
+#include "control/tenure_clock.h"
 #include "control/worker_links.h"
 #include "dispatch/dispatcher.h"
 
@@ -93,6 +94,8 @@
     // that is longer.
     Duration appendTime() const;
     Instant lastStoredAt() const { return m_lastStoredAt; }
+    // How long instances have held the tenure; see TenureClock.
+    int64_t heldMs() const { return m_tenureClock.heldMs(); }
     // Releases the tenure as release() does, and records that the holder was overloaded.
     void handOver(const work::Member &successor, Duration maxWait, std::function<void()> done);
     // Must be called after a record has changed the job table, with the results of
@@ -191,6 +194,7 @@
     Instant m_lastPublishedAt;
     bool m_flushPending = false; // a flush was requested while an append was in flight
     Instant m_lastStoredAt; // when the last append was answered as stored
+    TenureClock m_tenureClock;
 
     std::function<void()> m_onReleased; // set once release() was called
     bool m_releaseInBatch = false; // the append in flight holds the released tenure
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -192,9 +192,9 @@
     m_impl->reportOverdueTasks(now, unixMs);
 }
 
-std::vector<work::Progress> Dispatcher::takeProgress(int64_t unixMs)
+std::vector<work::Progress> Dispatcher::takeProgress(int64_t heldMs)
 {
-    return m_impl->takeProgress(unixMs);
+    return m_impl->takeProgress(heldMs);
 }
 
 bool Dispatcher::hasProgress() const
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -159,10 +159,11 @@
 
     // Returns the parts of the jobs' progress that changed since the last call; a part other than
     // 0 without steps is to be removed. Store them in the given order: what was known of a job is
-    // then complete at any time. Part 0 of a terminal job tells when it ended: `unixMs` of the
-    // first call that returned it as terminal; its parts name the workers of its runs that are
-    // still being stopped. Forgets the jobs that are terminal and have no active run.
-    std::vector<work::Progress> takeProgress(int64_t unixMs);
+    // then complete at any time. Part 0 of a terminal job tells when it ended: `heldMs`, the
+    // tenure's held time, of the first call that returned it as terminal; its parts name the
+    // workers of its runs that are still being stopped. Forgets the jobs that are terminal and have
+    // no active run.
+    std::vector<work::Progress> takeProgress(int64_t heldMs);
     // Returns whether takeProgress() would return anything.
     bool hasProgress() const;
 
--- a/src/dispatch/dispatcher_crash_test.cc
+++ b/src/dispatch/dispatcher_crash_test.cc
@@ -208,7 +208,7 @@
     joinWorkers(6);
     add("job", {step(1)});
     ASSERT_TRUE(startAndCrash());
-    const auto stored = m_dispatcher.takeProgress(UnixNow);
+    const auto stored = m_dispatcher.takeProgress(HeldNow);
     ASSERT_EQ(stored.size(), 1U);
     ASSERT_EQ(stored[0].steps.size(), 1U);
     EXPECT_EQ(stored[0].steps[0].crashedRuns.at(0), std::vector<int64_t>{1});
@@ -325,7 +325,7 @@
         }
         if (state("job") != work::JobState::Running)
             continue;
-        for (const work::Progress &progress : m_dispatcher.takeProgress(UnixNow)) {
+        for (const work::Progress &progress : m_dispatcher.takeProgress(HeldNow)) {
             for (const work::StepProgress &stored : progress.steps)
                 EXPECT_LE(stored.crashedRuns.size(), 1U) << "only task 1 is to blame";
         }
--- a/src/dispatch/dispatcher_jobs.cc
+++ b/src/dispatch/dispatcher_jobs.cc
@@ -78,7 +78,7 @@
                   + " restored=" + (progress.empty() ? "false" : "true"));
     if (!job.dirtyParts.empty())
         m_dirty.insert(&job);
-    if (job.isTerminal() && job.endedAtMs == 0)
+    if (job.isTerminal() && job.endedAtHeldMs == 0)
         markAllDirty(job);
     checkCompleted(job);
 }
--- a/src/dispatch/dispatcher_progress.cc
+++ b/src/dispatch/dispatcher_progress.cc
@@ -57,7 +57,7 @@
 {
     if (progress.part == 0) {
         job.state = progress.state;
-        job.endedAtMs = progress.endedAtMs;
+        job.endedAtHeldMs = progress.endedAtHeldMs;
     } else {
         job.storedParts.insert(progress.part);
     }
@@ -137,7 +137,7 @@
     out.part = part;
     if (part == 0) {
         out.state = job.state;
-        out.endedAtMs = job.endedAtMs;
+        out.endedAtHeldMs = job.endedAtHeldMs;
     }
     const int64_t begin = part * TasksPerProgressPart;
     const int64_t end = begin + TasksPerProgressPart;
@@ -157,12 +157,12 @@
     return out;
 }
 
-std::vector<work::Progress> Dispatcher::Impl::takeProgress(int64_t unixMs)
+std::vector<work::Progress> Dispatcher::Impl::takeProgress(int64_t heldMs)
 {
     std::vector<work::Progress> out;
     for (Job *job : std::exchange(m_dirty, {})) {
-        if (job->isTerminal() && job->endedAtMs == 0)
-            job->endedAtMs = unixMs;
+        if (job->isTerminal() && job->endedAtHeldMs == 0)
+            job->endedAtHeldMs = heldMs;
         const std::set<int32_t> parts = std::exchange(job->dirtyParts, {});
         std::vector<work::Progress> changed;
         for (const int32_t part : parts) {
--- a/src/dispatch/dispatcher_progress_test.cc
+++ b/src/dispatch/dispatcher_progress_test.cc
@@ -63,7 +63,7 @@
         add("large", {step(40, 1), step(ManyTasks - 40, 1)});
         auto orders = startAll();
         EXPECT_EQ(orders.size(), static_cast<size_t>(ManyTasks));
-        m_stored.store(m_dispatcher.takeProgress(UnixNow));
+        m_stored.store(m_dispatcher.takeProgress(HeldNow));
         return orders;
     }
     // Lists all runs but the first `endedCount`, which have succeeded.
@@ -108,7 +108,7 @@
     std::transform(orders.begin(), orders.end() - 1, std::back_inserter(active),
                    [](const StartOrder &it) { return running(it); });
     report("w", active, {ended(orders.back(), RunOutcome::Failed)});
-    EXPECT_EQ(partsOf(m_dispatcher.takeProgress(UnixNow)), std::vector<int32_t>{2});
+    EXPECT_EQ(partsOf(m_dispatcher.takeProgress(HeldNow)), std::vector<int32_t>{2});
 }
 
 // Guards against a full part that the log does not take: the longest ids, and tasks that have
@@ -138,11 +138,11 @@
 {
     const auto orders = startLargeJob();
     reportEnds(orders, orders.size());
-    const auto changed = m_dispatcher.takeProgress(UnixNow);
+    const auto changed = m_dispatcher.takeProgress(HeldNow);
     ASSERT_FALSE(changed.empty());
     EXPECT_EQ(changed[0].part, 0);
     EXPECT_EQ(changed[0].state, work::JobState::Completed);
-    EXPECT_EQ(changed[0].endedAtMs, UnixNow);
+    EXPECT_EQ(changed[0].endedAtHeldMs, HeldNow);
     m_stored.store(changed);
     EXPECT_EQ(m_stored.size(), 1U);
     EXPECT_FALSE(m_dispatcher.hasJob("large"));
@@ -160,7 +160,7 @@
         progress.steps[0].succeeded.push_back(index);
     m_stored.store({progress});
     add("large", {step(ManyTasks, 1)}, &progress);
-    const auto changed = m_dispatcher.takeProgress(UnixNow);
+    const auto changed = m_dispatcher.takeProgress(HeldNow);
     EXPECT_EQ(partsOf(changed), (std::vector<int32_t>{2, 1, 0}));
     m_stored.store(changed);
     Dispatcher later({2, 1.0}, nullptr);
@@ -168,7 +168,7 @@
     job->id = "large";
     job->steps = {step(ManyTasks, 1)};
     later.addJob(job, m_stored.all(), false);
-    EXPECT_TRUE(later.takeProgress(UnixNow).empty()) << "every part is in its place";
+    EXPECT_TRUE(later.takeProgress(HeldNow).empty()) << "every part is in its place";
     size_t succeeded = 0;
     for (const work::Progress *part : m_stored.all())
         succeeded += part->steps.at(0).succeeded.size();
@@ -259,7 +259,7 @@
         report(std::move(ends));
         if (*rc::gen::inRange(0, 3) == 0)
             continue;
-        stored.store(dispatcher.takeProgress(UnixNow));
+        stored.store(dispatcher.takeProgress(HeldNow));
         if (stored.part(0).state >= work::JobState::Completed) {
             RC_ASSERT(stored.size() == 1U);
             return;
--- a/src/dispatch/dispatcher_runs_test.cc
+++ b/src/dispatch/dispatcher_runs_test.cc
@@ -112,7 +112,7 @@
     ASSERT_EQ(starts.size(), 2U);
     for (const StartOrder &order : starts)
         EXPECT_NE(order.task.index, 0) << "it may run on the silent worker";
-    const auto changed = m_dispatcher.takeProgress(UnixNow);
+    const auto changed = m_dispatcher.takeProgress(HeldNow);
     ASSERT_EQ(changed.size(), 1U);
     EXPECT_EQ(changed[0].steps[0].placedOn.at(0), "silent")
         << "the next scheduler still needs to know it";
--- a/src/dispatch/dispatcher_takeover_test.cc
+++ b/src/dispatch/dispatcher_takeover_test.cc
@@ -74,12 +74,12 @@
     const work::Progress progress = placedOn("old", "v");
     add("old", {step(2)}, &progress);
     m_dispatcher.cancelJob("old");
-    m_dispatcher.takeProgress(UnixNow);
+    m_dispatcher.takeProgress(HeldNow);
     add("new", {step(4)});
     EXPECT_EQ(startAll().size(), 1U) << "not reported yet";
     join(entry("v"), {{{{"old", 0, 0}, 0}, 1, "", 10, 0}, {{{"old", 0, 0}, 1}, 1, "", 10, 0}});
     m_dispatcher.setUnreconciledWorkers({});
-    m_dispatcher.takeProgress(UnixNow);
+    m_dispatcher.takeProgress(HeldNow);
     const Orders orders = decide();
     EXPECT_EQ(orders.stops.size(), 2U);
     EXPECT_TRUE(orders.starts.empty()) << "reported and being stopped";
@@ -101,7 +101,7 @@
     EXPECT_EQ(startAll().size(), 1U) << "two of the three permitted are still being stopped";
     m_dispatcher.setUnreconciledWorkers({});
     EXPECT_EQ(startAll().size(), 2U);
-    m_dispatcher.takeProgress(UnixNow);
+    m_dispatcher.takeProgress(HeldNow);
     EXPECT_FALSE(m_dispatcher.hasJob("old")) << "it is kept only for its last runs";
 }
 
@@ -114,12 +114,12 @@
     const auto orders = startAll();
     ASSERT_EQ(orders.size(), 2U);
     m_dispatcher.cancelJob("old");
-    auto stored = m_dispatcher.takeProgress(UnixNow);
+    auto stored = m_dispatcher.takeProgress(HeldNow);
     ASSERT_EQ(stored.size(), 1U);
     ASSERT_EQ(stored[0].steps.size(), 1U);
     EXPECT_EQ(stored[0].steps[0].placedOn.size(), 2U);
     report("v", {}, {ended(orders[0], RunOutcome::Stopped), ended(orders[1], RunOutcome::Stopped)});
-    stored = m_dispatcher.takeProgress(UnixNow);
+    stored = m_dispatcher.takeProgress(HeldNow);
     ASSERT_EQ(stored.size(), 1U);
     EXPECT_TRUE(stored[0].steps.empty());
     EXPECT_EQ(stored[0].state, work::JobState::Cancelled);
@@ -129,32 +129,33 @@
 // long, and against one that a takeover forgets.
 TEST_F(DispatcherTest, TheTimeOfAnEndIsThatOfItsFirstRecord)
 {
-    constexpr int64_t EndedAt = 2'000'000;
+    constexpr int64_t EndedAt = 200'000;
     join(entry("v"));
     add("old", {step(1)});
     const auto orders = startAll();
     ASSERT_EQ(orders.size(), 1U);
-    auto stored = m_dispatcher.takeProgress(UnixNow);
+    auto stored = m_dispatcher.takeProgress(HeldNow);
     ASSERT_EQ(stored.size(), 1U);
-    EXPECT_EQ(stored[0].endedAtMs, 0) << "it has not ended";
+    EXPECT_EQ(stored[0].endedAtHeldMs, 0) << "it has not ended";
     m_dispatcher.cancelJob("old");
     stored = m_dispatcher.takeProgress(EndedAt);
     ASSERT_EQ(stored.size(), 1U);
-    EXPECT_EQ(stored[0].endedAtMs, EndedAt);
+    EXPECT_EQ(stored[0].endedAtHeldMs, EndedAt);
     report("v", {}, {ended(orders[0], RunOutcome::Stopped)});
     stored = m_dispatcher.takeProgress(EndedAt + 60'000);
     ASSERT_EQ(stored.size(), 1U);
-    EXPECT_EQ(stored[0].endedAtMs, EndedAt);
+    EXPECT_EQ(stored[0].endedAtHeldMs, EndedAt);
 
     work::Progress progress = placedOn("other", "v");
     progress.state = work::JobState::Failed;
-    progress.endedAtMs = EndedAt;
+    progress.endedAtHeldMs = EndedAt;
     m_dispatcher.setUnreconciledWorkers({"v"});
     add("other", {step(2)}, &progress);
     m_dispatcher.setUnreconciledWorkers({});
-    stored = m_dispatcher.takeProgress(EndedAt + 60'000);
+    // A takeover goes on from the last tenure record, which may be older than the end.
+    stored = m_dispatcher.takeProgress(EndedAt - 500);
     ASSERT_EQ(stored.size(), 1U);
-    EXPECT_EQ(stored[0].endedAtMs, EndedAt);
+    EXPECT_EQ(stored[0].endedAtHeldMs, EndedAt);
 }
 
 // Guards against jobs that are never removed from the log because an earlier version did not store
@@ -165,10 +166,10 @@
     progress.id = "old";
     progress.state = work::JobState::Completed;
     add("old", {step(1)}, &progress);
-    const auto stored = m_dispatcher.takeProgress(UnixNow);
+    const auto stored = m_dispatcher.takeProgress(HeldNow);
     ASSERT_EQ(stored.size(), 1U);
     EXPECT_EQ(stored[0].state, work::JobState::Completed);
-    EXPECT_EQ(stored[0].endedAtMs, UnixNow);
+    EXPECT_EQ(stored[0].endedAtHeldMs, HeldNow);
     EXPECT_FALSE(m_dispatcher.hasJob("old"));
 }
 
--- a/src/dispatch/dispatcher_test.cc
+++ b/src/dispatch/dispatcher_test.cc
@@ -297,7 +297,7 @@
             dispatcher.cancelJob("job" + std::to_string((i * 7) % 12));
         for (const StopOrder &order : dispatcher.decide(m_now, UnixNow).stops)
             decisions += order.task.toString() + " ";
-        for (const work::Progress &progress : dispatcher.takeProgress(UnixNow))
+        for (const work::Progress &progress : dispatcher.takeProgress(HeldNow))
             decisions += progress.id + " ";
         return decisions;
     };
--- a/src/dispatch/dispatcher_testing.h
+++ b/src/dispatch/dispatcher_testing.h
@@ -15,6 +15,7 @@
 namespace cardamompaddle {
 
 inline constexpr int64_t UnixNow = 1'000'000;
+inline constexpr int64_t HeldNow = 3'000; // held time of the tenure
 
 // Returns a step whose tasks are estimated to run for one second.
 inline work::StepSpec step(int32_t tasks, int64_t cpuMilli = 1'000)
@@ -123,7 +124,7 @@
     // Returns the state that takeProgress() last showed for the job.
     work::JobState::type state(const std::string &id)
     {
-        for (const work::Progress &progress : m_dispatcher.takeProgress(UnixNow))
+        for (const work::Progress &progress : m_dispatcher.takeProgress(HeldNow))
             m_states[progress.id] = progress.part == 0 ? progress.state : m_states[progress.id];
         return m_states[id];
     }
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -21,7 +21,7 @@
     void giveUpJob(const std::string &id, const std::string &why);
 
     // dispatcher_progress.cc
-    std::vector<work::Progress> takeProgress(int64_t unixMs);
+    std::vector<work::Progress> takeProgress(int64_t heldMs);
 
     // dispatcher_workers.cc
     void setWorker(const WorkerEntry &entry);
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -158,7 +158,7 @@
     std::shared_ptr<const work::Submission> spec;
     uint64_t sequence = 0;
     work::JobState::type state = work::JobState::Queued;
-    int64_t endedAtMs = 0; // Unix time; see work::Progress
+    int64_t endedAtHeldMs = 0; // see work::Progress
     // Parts of the progress: those that have changed since takeProgress(), and those other than 0
     // that are stored.
     std::set<int32_t> dirtyParts;
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -1305,13 +1305,13 @@
   this->steps = val;
 }
 
-void Progress::__set_endedAtMs(const int64_t val) {
-  this->endedAtMs = val;
-}
-
 void Progress::__set_part(const int32_t val) {
   this->part = val;
 }
+
+void Progress::__set_endedAtHeldMs(const int64_t val) {
+  this->endedAtHeldMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const Progress& obj)
 {
   obj.printTo(out);
@@ -1378,14 +1378,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->endedAtMs);
-          this->__isset.endedAtMs = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->part);
@@ -1394,6 +1386,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->endedAtHeldMs);
+          this->__isset.endedAtHeldMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1431,14 +1431,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("endedAtMs", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->endedAtMs);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I32, 5);
   xfer += oprot->writeI32(this->part);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("endedAtHeldMs", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->endedAtHeldMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1449,8 +1449,8 @@
   swap(a.id, b.id);
   swap(a.state, b.state);
   swap(a.steps, b.steps);
-  swap(a.endedAtMs, b.endedAtMs);
   swap(a.part, b.part);
+  swap(a.endedAtHeldMs, b.endedAtHeldMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1458,24 +1458,24 @@
   id = other73.id;
   state = other73.state;
   steps = other73.steps;
-  endedAtMs = other73.endedAtMs;
   part = other73.part;
+  endedAtHeldMs = other73.endedAtHeldMs;
   __isset = other73.__isset;
 }
 Progress::Progress(Progress&& other74) noexcept {
   id = std::move(other74.id);
   state = other74.state;
   steps = std::move(other74.steps);
-  endedAtMs = other74.endedAtMs;
   part = other74.part;
+  endedAtHeldMs = other74.endedAtHeldMs;
   __isset = other74.__isset;
 }
 Progress& Progress::operator=(const Progress& other75) {
   id = other75.id;
   state = other75.state;
   steps = other75.steps;
-  endedAtMs = other75.endedAtMs;
   part = other75.part;
+  endedAtHeldMs = other75.endedAtHeldMs;
   __isset = other75.__isset;
   return *this;
 }
@@ -1483,8 +1483,8 @@
   id = std::move(other76.id);
   state = other76.state;
   steps = std::move(other76.steps);
-  endedAtMs = other76.endedAtMs;
   part = other76.part;
+  endedAtHeldMs = other76.endedAtHeldMs;
   __isset = other76.__isset;
   return *this;
 }
@@ -1494,8 +1494,8 @@
   out << "id=" << to_string(id);
   out << ", " << "state=" << to_string(state);
   out << ", " << "steps=" << to_string(steps);
-  out << ", " << "endedAtMs=" << to_string(endedAtMs);
   out << ", " << "part=" << to_string(part);
+  out << ", " << "endedAtHeldMs=" << to_string(endedAtHeldMs);
   out << ")";
 }
 
@@ -1524,13 +1524,17 @@
   this->startsRecorded = val;
 }
 
-void Tenure::__set_handedOverAtMs(const int64_t val) {
-  this->handedOverAtMs = val;
-}
-
 void Tenure::__set_successor(const std::string& val) {
   this->successor = val;
 }
+
+void Tenure::__set_heldMs(const int64_t val) {
+  this->heldMs = val;
+}
+
+void Tenure::__set_handedOverAtHeldMs(const int64_t val) {
+  this->handedOverAtHeldMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const Tenure& obj)
 {
   obj.printTo(out);
@@ -1599,18 +1603,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->successor);
+          this->__isset.successor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->handedOverAtMs);
-          this->__isset.handedOverAtMs = true;
+          xfer += iprot->readI64(this->heldMs);
+          this->__isset.heldMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->successor);
-          this->__isset.successor = true;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->handedOverAtHeldMs);
+          this->__isset.handedOverAtHeldMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1652,14 +1664,18 @@
   xfer += oprot->writeBool(this->startsRecorded);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("handedOverAtMs", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->handedOverAtMs);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("successor", ::apache::thrift::protocol::T_STRING, 7);
   xfer += oprot->writeString(this->successor);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("heldMs", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->heldMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("handedOverAtHeldMs", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->handedOverAtHeldMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1672,8 +1688,9 @@
   swap(a.epoch, b.epoch);
   swap(a.released, b.released);
   swap(a.startsRecorded, b.startsRecorded);
-  swap(a.handedOverAtMs, b.handedOverAtMs);
   swap(a.successor, b.successor);
+  swap(a.heldMs, b.heldMs);
+  swap(a.handedOverAtHeldMs, b.handedOverAtHeldMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1683,8 +1700,9 @@
   epoch = other77.epoch;
   released = other77.released;
   startsRecorded = other77.startsRecorded;
-  handedOverAtMs = other77.handedOverAtMs;
   successor = other77.successor;
+  heldMs = other77.heldMs;
+  handedOverAtHeldMs = other77.handedOverAtHeldMs;
   __isset = other77.__isset;
 }
 Tenure::Tenure(Tenure&& other78) noexcept {
@@ -1693,8 +1711,9 @@
   epoch = other78.epoch;
   released = other78.released;
   startsRecorded = other78.startsRecorded;
-  handedOverAtMs = other78.handedOverAtMs;
   successor = std::move(other78.successor);
+  heldMs = other78.heldMs;
+  handedOverAtHeldMs = other78.handedOverAtHeldMs;
   __isset = other78.__isset;
 }
 Tenure& Tenure::operator=(const Tenure& other79) {
@@ -1703,8 +1722,9 @@
   epoch = other79.epoch;
   released = other79.released;
   startsRecorded = other79.startsRecorded;
-  handedOverAtMs = other79.handedOverAtMs;
   successor = other79.successor;
+  heldMs = other79.heldMs;
+  handedOverAtHeldMs = other79.handedOverAtHeldMs;
   __isset = other79.__isset;
   return *this;
 }
@@ -1714,8 +1734,9 @@
   epoch = other80.epoch;
   released = other80.released;
   startsRecorded = other80.startsRecorded;
-  handedOverAtMs = other80.handedOverAtMs;
   successor = std::move(other80.successor);
+  heldMs = other80.heldMs;
+  handedOverAtHeldMs = other80.handedOverAtHeldMs;
   __isset = other80.__isset;
   return *this;
 }
@@ -1727,8 +1748,9 @@
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "released=" << to_string(released);
   out << ", " << "startsRecorded=" << to_string(startsRecorded);
-  out << ", " << "handedOverAtMs=" << to_string(handedOverAtMs);
   out << ", " << "successor=" << to_string(successor);
+  out << ", " << "heldMs=" << to_string(heldMs);
+  out << ", " << "handedOverAtHeldMs=" << to_string(handedOverAtHeldMs);
   out << ")";
 }
 
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -467,12 +467,12 @@
 std::ostream& operator<<(std::ostream& out, const StepProgress& obj);
 
 typedef struct _Progress__isset {
-  _Progress__isset() : id(false), state(false), steps(false), endedAtMs(false), part(false) {}
+  _Progress__isset() : id(false), state(false), steps(false), part(false), endedAtHeldMs(false) {}
   bool id :1;
   bool state :1;
   bool steps :1;
-  bool endedAtMs :1;
   bool part :1;
+  bool endedAtHeldMs :1;
 } _Progress__isset;
 
 class Progress : public virtual ::apache::thrift::TBase {
@@ -485,8 +485,8 @@
   Progress() noexcept
            : id(),
              state(static_cast<JobState::type>(0)),
-             endedAtMs(0),
-             part(0) {
+             part(0),
+             endedAtHeldMs(0) {
   }
 
   virtual ~Progress() noexcept;
@@ -497,8 +497,8 @@
    */
   JobState::type state;
   std::vector<StepProgress>  steps;
-  int64_t endedAtMs;
   int32_t part;
+  int64_t endedAtHeldMs;
 
   _Progress__isset __isset;
 
@@ -508,10 +508,10 @@
 
   void __set_steps(const std::vector<StepProgress> & val);
 
-  void __set_endedAtMs(const int64_t val);
-
   void __set_part(const int32_t val);
 
+  void __set_endedAtHeldMs(const int64_t val);
+
   bool operator == (const Progress & rhs) const
   {
     if (!(id == rhs.id))
@@ -520,10 +520,10 @@
       return false;
     if (!(steps == rhs.steps))
       return false;
-    if (!(endedAtMs == rhs.endedAtMs))
-      return false;
     if (!(part == rhs.part))
       return false;
+    if (!(endedAtHeldMs == rhs.endedAtHeldMs))
+      return false;
     return true;
   }
   bool operator != (const Progress &rhs) const {
@@ -543,14 +543,15 @@
 std::ostream& operator<<(std::ostream& out, const Progress& obj);
 
 typedef struct _Tenure__isset {
-  _Tenure__isset() : holder(false), address(false), epoch(false), released(false), startsRecorded(false), handedOverAtMs(false), successor(false) {}
+  _Tenure__isset() : holder(false), address(false), epoch(false), released(false), startsRecorded(false), successor(false), heldMs(false), handedOverAtHeldMs(false) {}
   bool holder :1;
   bool address :1;
   bool epoch :1;
   bool released :1;
   bool startsRecorded :1;
-  bool handedOverAtMs :1;
   bool successor :1;
+  bool heldMs :1;
+  bool handedOverAtHeldMs :1;
 } _Tenure__isset;
 
 class Tenure : public virtual ::apache::thrift::TBase {
@@ -566,8 +567,9 @@
            epoch(0),
            released(0),
            startsRecorded(0),
-           handedOverAtMs(0),
-           successor() {
+           successor(),
+           heldMs(0),
+           handedOverAtHeldMs(0) {
   }
 
   virtual ~Tenure() noexcept;
@@ -576,8 +578,9 @@
   int64_t epoch;
   bool released;
   bool startsRecorded;
-  int64_t handedOverAtMs;
   std::string successor;
+  int64_t heldMs;
+  int64_t handedOverAtHeldMs;
 
   _Tenure__isset __isset;
 
@@ -591,10 +594,12 @@
 
   void __set_startsRecorded(const bool val);
 
-  void __set_handedOverAtMs(const int64_t val);
-
   void __set_successor(const std::string& val);
 
+  void __set_heldMs(const int64_t val);
+
+  void __set_handedOverAtHeldMs(const int64_t val);
+
   bool operator == (const Tenure & rhs) const
   {
     if (!(holder == rhs.holder))
@@ -607,10 +612,12 @@
       return false;
     if (!(startsRecorded == rhs.startsRecorded))
       return false;
-    if (!(handedOverAtMs == rhs.handedOverAtMs))
-      return false;
     if (!(successor == rhs.successor))
       return false;
+    if (!(heldMs == rhs.heldMs))
+      return false;
+    if (!(handedOverAtHeldMs == rhs.handedOverAtHeldMs))
+      return false;
     return true;
   }
   bool operator != (const Tenure &rhs) const {
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -64,10 +64,11 @@
   1: string id;
   2: JobState state;           // part 0; the others leave it Queued
   3: list<StepProgress> steps; // steps with an entry in one of the lists or maps
-  // Unix time at which the job reached a terminal state; 0 before that, and in records of versions
-  // that did not store it. Part 0 only.
-  4: i64 endedAtMs;
+  // Field 4 was a Unix time in earlier versions and is not read.
   5: i32 part;
+  // The tenure's held time (see Tenure) at which the job reached a terminal state; 0 before that,
+  // and in records of versions that did not store it. Part 0 only.
+  6: i64 endedAtHeldMs;
 }
 
 // The scheduler's leadership term. `epoch` is also the fencing token of the commands to workers.
@@ -78,8 +79,12 @@
   4: bool released;            // the holder has given the tenure up
   // Starts are sent only after their record is stored, so every run that may exist is recorded.
   5: bool startsRecorded;
-  6: i64 handedOverAtMs;       // Unix time at which a holder last gave up for being too slow; 0: never
+  // Field 6 was a Unix time in earlier versions and is not read.
   7: string successor;         // released tenure: the instance that should claim it first; may be empty
+  // How long instances have held the tenure, all epochs together, up to this record. Each holder goes
+  // on from the value that it has read, on its monotonic clock, so no time of day is involved.
+  8: i64 heldMs;
+  9: i64 handedOverAtHeldMs;   // held time at which a holder last gave up for being too slow; 0: never
 }
 
 // An entry instance, the IP:PORT on which peers reach it, and the processor that its machine gives it
