Store the tenure record a second after the last one under load too

It went into an append when a tick fell on a multiple of 1 s, which late ticks could miss for many seconds while there was other progress to store. Each takeover would then lose that much held time and keep ended jobs longer, and a former holder without the log would learn of its successor later. Found by reading; no test shows it.

--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -37,7 +37,7 @@
 // The time that is left of the leases is stored again this often, so that an instance which starts
 // meanwhile does not count the whole of it.
 constexpr Duration SuspensionStoreInterval{500};
-constexpr int TicksBetweenTenureRecords = 10; // the tenure record is stored again
+constexpr Duration TenureRecordInterval{1'000}; // the tenure record is stored again
 constexpr Duration RegistryPollInterval{300};
 constexpr Duration LoadLogInterval{1'000};
 // A process whose timers run this late, averaged over about half a second, is too slow to schedule.
@@ -107,6 +107,7 @@
 {
     m_suspendedLeases = m_options.suspendedLeases;
     m_startedAt = m_lastStoredAt = m_lastPublishedAt = m_loadLoggedAt = m_context.clock.now();
+    m_tenureRecordedAt = m_startedAt;
     WorkerLinks::Callbacks links;
     links.report = [this](const WorkerId &id, const RunReport &report) { onReport(id, report); };
     links.startWanted = [this](const StartOrder &order) {
@@ -467,6 +468,7 @@
         tenure.heldMs = m_tenureClock.heldMs();
         records.push_back({work_key::Tenure, encodeRecord(tenure), false, 0});
         m_batchUrgent.insert(work_key::Tenure);
+        m_tenureRecordedAt = now;
         m_releaseInBatch = tenure.released;
     }
     m_slowAppendReported = false;
@@ -581,7 +583,7 @@
     const Instant now = m_context.clock.now();
     // The former holder may be cut off from the log. The tenure record is published to the peers,
     // so that the former holder learns of its replacement.
-    if (((now - m_startedAt) / TickInterval) % TicksBetweenTenureRecords == 0)
+    if (now - m_tenureRecordedAt >= TenureRecordInterval)
         m_tenureDirty = true;
     logLoad(now);
     reportSlowAppend(now);
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -176,6 +176,7 @@
     double m_averageLagMs = 0; // lateness of ticks, as an exponential moving average
     LoadMeter m_load;
     Instant m_loadLoggedAt;
+    Instant m_tenureRecordedAt; // when the tenure record last went into an append
 
     std::vector<StartOrder> m_startsToRecord; // to be recorded in the next append
     std::vector<StartOrder> m_startsInBatch; // recorded by the append in flight, sent once stored
