--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -14,6 +14,7 @@
 #include "control/load_meter.h"
 #include "control/log_follower.h"
 #include "control/remote_worker_gateway.h"
+#include "control/tenure_clock.h"
 #include "control/worker_links.h"
 #include "dispatch/dispatcher.h"
 
@@ -93,6 +94,8 @@
     // that is longer.
     Duration appendTime() const;
     Instant lastStoredAt() const { return m_lastStoredAt; }
+    // How long instances have held the tenure; see TenureClock.
+    int64_t heldMs() const { return m_tenureClock.heldMs(); }
     // Releases the tenure as release() does, and records that the holder was overloaded.
     void handOver(const work::Member &successor, Duration maxWait, std::function<void()> done);
     // Must be called after a record has changed the job table, with the results of
@@ -173,6 +176,7 @@
     double m_averageLagMs = 0; // lateness of ticks, as an exponential moving average
     LoadMeter m_load;
     Instant m_loadLoggedAt;
+    Instant m_tenureRecordedAt; // when the tenure record last went into an append
 
     std::vector<StartOrder> m_startsToRecord; // to be recorded in the next append
     std::vector<StartOrder> m_startsInBatch; // recorded by the append in flight, sent once stored
@@ -191,6 +195,7 @@
     Instant m_lastPublishedAt;
     bool m_flushPending = false; // a flush was requested while an append was in flight
     Instant m_lastStoredAt; // when the last append was answered as stored
+    TenureClock m_tenureClock;
 
     std::function<void()> m_onReleased; // set once release() was called
     bool m_releaseInBatch = false; // the append in flight holds the released tenure
