Convert HTTP messages outside the session, and share a test client

The raw client and the held requests of http_server_test.cc go to http_server_testing.h. No change of behaviour; net_test passes.

--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -1,6 +1,6 @@
 // Tests of the HTTP server: responses to malformed, slow, truncated and oversized requests, clients
 // that disconnect, connection limits, and the two ways to stop.
-#include "net/http_server.h"
+#include "net/http_server_testing.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
@@ -9,9 +9,6 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
-#include <condition_variable>
-#include <deque>
-#include <mutex>
 #include <thread>
 
 namespace cardamompaddle {
@@ -19,68 +16,6 @@
 
 namespace asio = boost::asio;
 
-// A client that writes and reads raw bytes.
-class RawClient
-{
-public:
-    explicit RawClient(uint16_t port) : m_socket(m_io)
-    {
-        m_socket.connect({asio::ip::make_address("127.0.0.1"), port});
-    }
-
-    void send(const std::string &bytes) { asio::write(m_socket, asio::buffer(bytes)); }
-    void closeSending() { m_socket.shutdown(asio::ip::tcp::socket::shutdown_send); }
-    void close() { m_socket.close(); }
-    // Returns the bytes received up to the end of the connection or, if `until` is not empty, once
-    // they contain `until`.
-    std::string receive(const std::string &until = {})
-    {
-        boost::system::error_code ec;
-        while (!ec && (until.empty() || m_received.find(until) == std::string::npos)) {
-            std::array<char, 4096> chunk{};
-            const size_t bytes = m_socket.read_some(asio::buffer(chunk), ec);
-            m_received.append(chunk.data(), bytes);
-        }
-        return std::exchange(m_received, {});
-    }
-
-private:
-    asio::io_context m_io;
-    asio::ip::tcp::socket m_socket;
-    std::string m_received;
-};
-
-// Holds requests until the test responds to them.
-class RequestQueue
-{
-public:
-    struct Item
-    {
-        HttpRequest request;
-        HttpRespond respond;
-    };
-
-    void put(HttpRequest request, HttpRespond respond)
-    {
-        const std::lock_guard lock(m_mutex);
-        m_items.push_back({std::move(request), std::move(respond)});
-        m_changed.notify_all();
-    }
-    Item take()
-    {
-        std::unique_lock lock(m_mutex);
-        m_changed.wait(lock, [this] { return !m_items.empty(); });
-        Item item = std::move(m_items.front());
-        m_items.pop_front();
-        return item;
-    }
-
-private:
-    std::mutex m_mutex;
-    std::condition_variable m_changed;
-    std::deque<Item> m_items;
-};
-
 class HttpServerTest : public testing::Test
 {
 protected:
--- a/src/net/internal/http_session.cc
+++ b/src/net/internal/http_session.cc
@@ -1,6 +1,7 @@
 #include "net/internal/http_session.h"
 
-#include <boost/algorithm/string/case_conv.hpp>
+#include "net/internal/http_message.h"
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -73,7 +74,7 @@
     std::shared_ptr<HttpServerShared> m_shared;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
-    http::response<http::string_body> m_response;
+    HttpResponseMessage m_response;
     std::shared_ptr<ClientConnectionStatus> m_clientStatus;
     Phase m_phase = Phase::Idle;
     uint64_t m_requestSerial = 0; // of the current request
@@ -189,21 +190,11 @@
 
 void HttpSession::rejectRequest(error_code ec)
 {
-    static const auto &httpErrors = http::make_error_code(http::error::bad_method).category();
-    if (!m_timedOut && (ec.category() != httpErrors || ec == http::error::end_of_stream))
+    std::optional<HttpResponse> rejection = rejectionOf(ec, m_timedOut);
+    if (!rejection)
         return close();
     m_keepAlive = false;
-    if (m_timedOut)
-        write(errorResponse(
-            {ErrorCode::DeadlineExceeded, "the complete request did not arrive in time"},
-            Executed::No));
-    else if (ec == http::error::body_limit)
-        write(errorResponse({ErrorCode::TooLarge, "the request body is too long"}, Executed::No));
-    else if (ec == http::error::header_limit)
-        write(errorResponse({ErrorCode::TooLarge, "the request header is too long"}, Executed::No));
-    else
-        write(errorResponse({ErrorCode::InvalidArgument, "malformed request: " + ec.message()},
-                            Executed::No));
+    write(std::move(*rejection));
 }
 
 void HttpSession::handle()
@@ -217,22 +208,13 @@
     ++m_requestSerial;
     m_clientStatus = std::make_shared<ClientConnectionStatus>();
 
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.clientStatus = m_clientStatus;
-    for (const auto &field : message) {
-        std::string &value =
-            request.headers[boost::to_lower_copy(std::string(field.name_string()))];
-        value += (value.empty() ? "" : ", ") + std::string(field.value());
-    }
-    const auto target = message.target();
-    if (!parseTarget({target.data(), target.size()}, request))
-        return write(
-            errorResponse({ErrorCode::InvalidArgument, "malformed request target"}, Executed::No));
-    request.body = std::move(message.body());
+    Result<HttpRequest> request = toHttpRequest(message);
+    if (!request)
+        return write(errorResponse(request.error(), Executed::No));
+    request->clientStatus = m_clientStatus;
     if (!m_peerClosed && m_buffer.size() < MaxReadAheadBytes)
         readSome();
-    m_shared->handler(std::move(request), makeRespond());
+    m_shared->handler(std::move(*request), makeRespond());
 }
 
 HttpRespond HttpSession::makeRespond()
@@ -289,19 +271,7 @@
         return close();
     if (m_shared->closing || m_peerClosed)
         m_keepAlive = false;
-    m_response = {};
-    m_response.version(11);
-    m_response.result(static_cast<unsigned>(response.status));
-    m_response.set(http::field::content_type, response.contentType);
-    if (response.retryAfter > Duration::zero()) {
-        const auto seconds = std::chrono::ceil<std::chrono::seconds>(response.retryAfter).count();
-        m_response.set(http::field::retry_after, std::to_string(seconds));
-    }
-    m_response.keep_alive(m_keepAlive);
-    m_response.body() = std::move(response.body);
-    m_response.prepare_payload();
-    if (m_isHeadRequest)
-        m_response.body().clear();
+    m_response = toMessage(std::move(response), m_keepAlive, m_isHeadRequest);
     armTimer(m_shared->options.writeTimeout);
     http::async_write(m_socket, m_response,
                       [self = shared_from_this()](error_code ec, size_t) { self->onWritten(ec); });
