Ignore callbacks of a server that has stopped on its owner's loop

The posted first accept, the pending accept and the retry timer held a pointer to the server. An owner whose loop ran on after the server's destruction ran them on freed memory. The program is not affected: it ends its loop first.

With the change taken out, AddressSanitizer reports heap-use-after-free in HttpServerStopTest (its last test, MayBeDestroyedWhileTheLoopRunsOn); with it the suite passes. Without a sanitizer the test passes in both cases.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -64,6 +64,8 @@
     std::vector<std::thread> m_threads;
     std::mutex m_stopMutex;
     bool m_stopped = false;
+    // False: the server has stopped. An owner's event loop may still run its callbacks.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 Result<void> HttpServer::Impl::listen()
@@ -77,7 +79,10 @@
 
 void HttpServer::Impl::run()
 {
-    asio::post(m_acceptor.get_executor(), [this] { accept(); });
+    asio::post(m_acceptor.get_executor(), [this, alive = m_alive] {
+        if (*alive)
+            accept();
+    });
     for (int i = 0; i < m_threadCount; ++i)
         m_threads.emplace_back([this] { m_io.run(); });
 }
@@ -86,9 +91,11 @@
 {
     m_acceptor.async_accept(
         asio::make_strand(m_io),
-        asio::bind_executor(m_acceptor.get_executor(), [this](error_code ec, tcp::socket socket) {
-            onAccept(ec, std::move(socket));
-        }));
+        asio::bind_executor(m_acceptor.get_executor(),
+                            [this, alive = m_alive](error_code ec, tcp::socket socket) {
+                                if (*alive)
+                                    onAccept(ec, std::move(socket));
+                            }));
 }
 
 void HttpServer::Impl::onAccept(error_code ec, tcp::socket socket)
@@ -100,8 +107,8 @@
     if (!ec || ec == asio::error::connection_aborted)
         return accept();
     m_acceptRetryTimer.expires_after(AcceptRetryDelay);
-    m_acceptRetryTimer.async_wait([this](error_code) {
-        if (m_acceptor.is_open())
+    m_acceptRetryTimer.async_wait([this, alive = m_alive](error_code) {
+        if (*alive && m_acceptor.is_open())
             accept();
     });
 }
@@ -159,6 +166,7 @@
         m_io.stop();
     for (std::thread &thread : m_threads)
         thread.join();
+    *m_alive = false;
     {
         const std::unique_lock responseLock(m_shared->responseMutex);
         m_shared->acceptsResponses = false;
--- /dev/null
+++ b/src/net/http_server_stop_test.cc
@@ -0,0 +1,110 @@
+// Tests of how the HTTP server ends connections on its owner's event loop: no request that has
+// arrived is left without a response, and clients are told in time.
+#include "net/http_server_testing.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cardamompaddle {
+namespace {
+
+std::string get(const std::string &path)
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+}
+
+size_t occurrences(const std::string &text, const std::string &part)
+{
+    size_t out = 0;
+    for (size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++out;
+    return out;
+}
+
+// Everything runs on the thread of the test: the event loop only while the test runs it.
+class HttpServerStopTest : public testing::Test
+{
+protected:
+    void SetUp() override { start(); }
+    // Replaces the server.
+    void start()
+    {
+        HttpServerOptions options;
+        options.address = "127.0.0.1:0";
+        options.idleTimeout = IdleTimeout;
+        auto server =
+            HttpServer::create(m_io, options, [this](HttpRequest request, HttpRespond respond) {
+                m_requests.push_back({std::move(request), std::move(respond)});
+            });
+        ASSERT_TRUE(server);
+        m_server = std::move(*server);
+    }
+    // Runs the loop until `condition` holds, for a second at most. Returns whether it holds.
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+        while (!condition() && std::chrono::steady_clock::now() < until)
+            m_io.run_one_for(std::chrono::milliseconds(5));
+        return condition();
+    }
+    void runFor(Duration duration) { m_io.run_for(duration); }
+    bool awaitRequests(size_t count)
+    {
+        return runUntil([this, count] { return m_requests.size() == count; });
+    }
+    bool awaitResponses(RawClient &client, size_t count)
+    {
+        return runUntil([&client, count] {
+            return occurrences(client.receiveAvailable(), "HTTP/1.1 ") >= count;
+        });
+    }
+    // Returns whether the client sees the end of the stream. A reset does not count.
+    bool awaitEnd(RawClient &client)
+    {
+        runUntil([&client] {
+            client.receiveAvailable();
+            return client.end().failed();
+        });
+        return client.end() == boost::asio::error::eof;
+    }
+    std::unique_ptr<RawClient> connect()
+    {
+        const size_t before = m_server->openConnections();
+        auto out = std::make_unique<RawClient>(m_server->port());
+        EXPECT_TRUE(runUntil([this, before] { return m_server->openConnections() > before; }));
+        return out;
+    }
+
+    static constexpr Duration IdleTimeout{5'000};
+    boost::asio::io_context m_io;
+    std::vector<RequestQueue::Item> m_requests;
+    std::unique_ptr<HttpServer> m_server;
+};
+
+} // namespace
+
+// Guards against callbacks of a server that is gone. AddressSanitizer reports their accesses in
+// this test.
+TEST_F(HttpServerStopTest, MayBeDestroyedWhileTheLoopRunsOn)
+{
+    constexpr int Steps = 6;
+    for (int steps = 0; steps < Steps; ++steps) {
+        SCOPED_TRACE(steps);
+        start();
+        RawClient client(m_server->port());
+        client.send(get("/"));
+        for (int i = 0; i < steps; ++i)
+            m_io.poll_one();
+        m_server.reset();
+        runFor(Duration(10));
+        client.receiveAvailable();
+        EXPECT_TRUE(client.end().failed()) << "a server that is gone keeps a connection";
+        m_requests.clear();
+    }
+}
+
+} // namespace cardamompaddle
