Handle requests that arrived before a stopping server closes their connection

Callers that had pipelined a request lost it: after stopAccepting() the response to the request before it carried "Connection: close" and the connection was closed, although the next request had arrived, read or not.

Before the change: HandlesWhatWasPipelinedBeforeTheConnectionCloses and HandlesWhatArrivedUnreadBeforeTheConnectionCloses fail at awaitRequests(2). After it both pass. A client that always has a further request on its connection keeps it.

--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -60,9 +60,9 @@
     // Returns the port that the server listens on.
     uint16_t port() const;
     // Stops listening, after accepting the connections that are already in the system's backlog.
-    // Requests in flight and further requests on open connections are still handled; their
-    // responses carry "Connection: close". Returns once the listening socket is closed.
-    // Thread-safe. Must not be called from a handler.
+    // Requests in flight and further requests on open connections are still handled. A response
+    // carries "Connection: close" unless the next request on its connection has arrived. Returns
+    // once the listening socket is closed. Thread-safe. Must not be called from a handler.
     void stopAccepting();
     // Returns the number of requests that have been read at least in part and whose response has
     // not been completely written.
--- a/src/net/http_server_stop_test.cc
+++ b/src/net/http_server_stop_test.cc
@@ -87,6 +87,39 @@
 
 } // namespace
 
+// Guards against a request that is discarded because the response to the one before it on the
+// connection closes that.
+TEST_F(HttpServerStopTest, HandlesWhatWasPipelinedBeforeTheConnectionCloses)
+{
+    const auto client = connect();
+    client->send(get("/1") + get("/2"));
+    ASSERT_TRUE(awaitRequests(1));
+    m_server->stopAccepting();
+    m_requests[0].respond({200, "first"});
+    ASSERT_TRUE(awaitRequests(2)) << client->receiveAvailable();
+    m_requests[1].respond({200, "second"});
+    EXPECT_TRUE(awaitEnd(*client));
+    const std::string received = client->receiveAvailable();
+    EXPECT_EQ(occurrences(received, "HTTP/1.1 200"), 2U) << received;
+    EXPECT_EQ(occurrences(received, "Connection: close"), 1U) << received;
+    EXPECT_LT(received.find("first"), received.find("Connection: close")) << received;
+}
+
+// As above, for a request that the server has not read yet when it writes the response.
+TEST_F(HttpServerStopTest, HandlesWhatArrivedUnreadBeforeTheConnectionCloses)
+{
+    const auto client = connect();
+    client->send(get("/1"));
+    ASSERT_TRUE(awaitRequests(1));
+    m_server->stopAccepting();
+    m_requests[0].respond({200, "first"});
+    client->send(get("/2"));
+    ASSERT_TRUE(awaitRequests(2)) << client->receiveAvailable();
+    m_requests[1].respond({200, "second"});
+    EXPECT_TRUE(awaitEnd(*client));
+    EXPECT_EQ(occurrences(client->receiveAvailable(), "HTTP/1.1 200"), 2U);
+}
+
 // Guards against callbacks of a server that is gone. AddressSanitizer reports their accesses in
 // this test.
 TEST_F(HttpServerStopTest, MayBeDestroyedWhileTheLoopRunsOn)
--- a/src/net/internal/http_session.cc
+++ b/src/net/internal/http_session.cc
@@ -61,6 +61,8 @@
     HttpRespond makeRespond();
     void write(HttpResponse response);
     void onWritten(error_code ec);
+    // Returns whether input has arrived that no request has consumed, read or not.
+    bool hasInput();
     void linger();
     void armTimer(Duration wait);
     void disarmTimer();
@@ -269,7 +271,8 @@
     m_clientStatus.reset();
     if (response.status == 0)
         return close();
-    if (m_shared->closing || m_peerClosed)
+    // Requests that have arrived already are still handled.
+    if ((m_shared->closing || m_peerClosed) && !hasInput())
         m_keepAlive = false;
     m_response = toMessage(std::move(response), m_keepAlive, m_isHeadRequest);
     armTimer(m_shared->options.writeTimeout);
@@ -289,6 +292,12 @@
     m_keepAlive ? nextRequest() : linger();
 }
 
+bool HttpSession::hasInput()
+{
+    error_code ec;
+    return m_buffer.size() > 0 || (!m_peerClosed && m_socket.available(ec) > 0 && !ec);
+}
+
 void HttpSession::linger()
 {
     m_phase = Phase::Lingering;
--- a/src/net/internal/http_session.h
+++ b/src/net/internal/http_session.h
@@ -22,7 +22,8 @@
     HttpServerOptions options;
     HttpHandler handler;
     std::atomic<size_t> openRequests{0};
-    std::atomic<bool> closing{false}; // all responses carry "Connection: close"
+    // A response carries "Connection: close" unless the next request on its connection has arrived.
+    std::atomic<bool> closing{false};
 
     // Held shared while an HttpRespond posts a response to a session, exclusively to clear
     // `acceptsResponses` when the server stops.
