End idle connections of a stopping server only if no request has arrived

Callers on connections that they kept learned of a stop when the process was gone, by a reset of the next request. The new closeIdleConnections() ends these connections; clients see the end of the stream. The pending read is cancelled first and the socket asked for input, so that a request between the arrival of its bytes and its handler is handled. The idle timeout goes the same way. Connections that become idle later are ended too.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -38,6 +38,7 @@
     Result<void> listen();
     void run();
     void stopAccepting();
+    void closeIdleConnections() { closeIdleHttpSessions(*m_shared); }
     void stop();
     uint16_t port() const { return m_port; }
     size_t openRequests() const { return m_shared->openRequests; }
@@ -213,6 +214,11 @@
     m_impl->stopAccepting();
 }
 
+void HttpServer::closeIdleConnections()
+{
+    m_impl->closeIdleConnections();
+}
+
 size_t HttpServer::openRequests() const
 {
     return m_impl->openRequests();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -64,6 +64,10 @@
     // carries "Connection: close" unless the next request on its connection has arrived. Returns
     // once the listening socket is closed. Thread-safe. Must not be called from a handler.
     void stopAccepting();
+    // Ends, now and from now on, connections on which no request has arrived. Their clients see the
+    // end of the stream; a connection that a client does not close then is closed a second later.
+    // Thread-safe.
+    void closeIdleConnections();
     // Returns the number of requests that have been read at least in part and whose response has
     // not been completely written.
     size_t openRequests() const;
--- a/src/net/http_server_stop_test.cc
+++ b/src/net/http_server_stop_test.cc
@@ -120,6 +120,85 @@
     EXPECT_EQ(occurrences(client->receiveAvailable(), "HTTP/1.1 200"), 2U);
 }
 
+// Guards against a request that is lost if its connection is taken for idle at any moment between
+// the arrival of its bytes and the call of its handler.
+TEST_F(HttpServerStopTest, HandlesWhatArrivedBeforeIdleConnectionsAreClosed)
+{
+    constexpr int Steps = 8; // of the event loop, more than a request needs to reach its handler
+    for (int steps = 0; steps < Steps; ++steps) {
+        SCOPED_TRACE(steps);
+        start();
+        m_requests.clear();
+        const auto client = connect();
+        runFor(Duration(5));
+        client->send(get("/"));
+        for (int i = 0; i < steps; ++i)
+            m_io.poll_one();
+        m_server->stopAccepting();
+        m_server->closeIdleConnections();
+        ASSERT_TRUE(awaitRequests(1));
+        EXPECT_EQ(m_server->openRequests(), 1U);
+        m_requests[0].respond({200, "done"});
+        EXPECT_TRUE(awaitEnd(*client));
+        EXPECT_EQ(occurrences(client->receiveAvailable(), "HTTP/1.1 200"), 1U);
+        EXPECT_EQ(m_server->openRequests(), 0U);
+    }
+}
+
+// Guards against a request that is cut because only a part of it had arrived.
+TEST_F(HttpServerStopTest, HandlesARequestThatHadArrivedInPart)
+{
+    const auto client = connect();
+    client->send("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+    runFor(Duration(5));
+    m_server->stopAccepting();
+    m_server->closeIdleConnections();
+    runFor(Duration(20));
+    client->send("cd");
+    ASSERT_TRUE(awaitRequests(1));
+    EXPECT_EQ(m_requests[0].request.body, "abcd");
+    m_requests[0].respond({200, "done"});
+    EXPECT_TRUE(awaitEnd(*client));
+    EXPECT_EQ(occurrences(client->receiveAvailable(), "HTTP/1.1 200"), 1U);
+}
+
+// Guards against clients that learn of the stop by the reset of their next request.
+TEST_F(HttpServerStopTest, IdleClientsSeeTheEndOfTheStream)
+{
+    const auto used = connect();
+    const auto unused = connect();
+    used->send(get("/"));
+    ASSERT_TRUE(awaitRequests(1));
+    m_requests[0].respond({200, "done"});
+    ASSERT_TRUE(awaitResponses(*used, 1));
+    m_server->stopAccepting();
+    runFor(Duration(5));
+    ASSERT_FALSE(used->end().failed()) << "only a response or the sweep ends it";
+    m_server->closeIdleConnections();
+    EXPECT_TRUE(awaitEnd(*used));
+    EXPECT_TRUE(awaitEnd(*unused));
+    used->close();
+    unused->close();
+    EXPECT_TRUE(runUntil([this] { return m_server->openConnections() == 0; }));
+}
+
+// Guards against a connection that stays open because its last response, which keeps it open, was
+// still being written when idle connections were closed.
+TEST_F(HttpServerStopTest, EndsAConnectionThatBecomesIdleLater)
+{
+    const auto client = connect();
+    client->send(get("/"));
+    ASSERT_TRUE(awaitRequests(1));
+    m_requests[0].respond({200, std::string(16UL * 1024 * 1024, 'x')});
+    runFor(Duration(20));
+    ASSERT_EQ(m_server->openRequests(), 1U) << "the response fits the buffers of the sockets";
+    m_server->stopAccepting();
+    m_server->closeIdleConnections();
+    runFor(Duration(5));
+    EXPECT_TRUE(awaitEnd(*client));
+    EXPECT_EQ(occurrences(client->receiveAvailable().substr(0, 400), "Connection: close"), 0U);
+}
+
 // Guards against callbacks of a server that is gone. AddressSanitizer reports their accesses in
 // this test.
 TEST_F(HttpServerStopTest, MayBeDestroyedWhileTheLoopRunsOn)
--- a/src/net/internal/http_session.cc
+++ b/src/net/internal/http_session.cc
@@ -11,6 +11,7 @@
 
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace cardamompaddle {
 
@@ -44,6 +45,9 @@
     // Writes the response to the request numbered `serial`, if that is still being handled.
     // Thread-safe. The caller must hold HttpServerShared::responseMutex.
     void respond(uint64_t serial, HttpResponse response);
+    // Ends the connection if no request has arrived on it. Otherwise it ends after the response to
+    // the last one that has. Thread-safe.
+    void closeIfIdle();
     void close();
 
 private:
@@ -63,6 +67,7 @@
     void onWritten(error_code ec);
     // Returns whether input has arrived that no request has consumed, read or not.
     bool hasInput();
+    void endIdle();
     void linger();
     void armTimer(Duration wait);
     void disarmTimer();
@@ -83,6 +88,7 @@
     uint64_t m_timerSerial = 0; // a timer callback with an older serial is ignored
     bool m_reading = false; // an async_read_some is pending
     bool m_timedOut = false;
+    bool m_endingIdle = false; // the pending read was cancelled to close an idle connection
     bool m_peerClosed = false;
     bool m_keepAlive = true;
     bool m_isHeadRequest = false;
@@ -118,6 +124,8 @@
     armTimer(m_shared->options.idleTimeout);
     if (!m_reading)
         readSome();
+    if (m_shared->closingIdle)
+        endIdle();
 }
 
 void HttpSession::readSome()
@@ -137,8 +145,14 @@
     const bool cancelled = ec == asio::error::operation_aborted;
     if (ec && !cancelled)
         m_peerClosed = true;
-    if (m_phase == Phase::Idle)
-        return m_buffer.size() > 0 ? readHeader() : close();
+    if (m_phase == Phase::Idle) {
+        const bool ending = std::exchange(m_endingIdle, false);
+        if (m_buffer.size() > 0)
+            return readHeader();
+        if (!ending || !cancelled)
+            return close();
+        return hasInput() ? readSome() : linger();
+    }
     if (m_phase == Phase::Lingering) {
         m_buffer.clear();
         return ec ? close() : readSome();
@@ -298,6 +312,22 @@
     return m_buffer.size() > 0 || (!m_peerClosed && m_socket.available(ec) > 0 && !ec);
 }
 
+void HttpSession::closeIfIdle()
+{
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (self->m_phase == Phase::Idle)
+            self->endIdle();
+    });
+}
+
+// The decision is left to onRead(): only without a pending read no request can be read unnoticed.
+void HttpSession::endIdle()
+{
+    m_endingIdle = true;
+    error_code ignored;
+    m_socket.cancel(ignored);
+}
+
 void HttpSession::linger()
 {
     m_phase = Phase::Lingering;
@@ -343,6 +373,8 @@
 
 void HttpSession::onTimeout()
 {
+    if (m_phase == Phase::Idle)
+        return endIdle();
     if (m_phase != Phase::Reading)
         return close();
     m_timedOut = true;
@@ -369,6 +401,23 @@
     session->start(reject);
 }
 
+namespace {
+
+std::vector<std::shared_ptr<HttpSession>> openHttpSessions(HttpServerShared &shared)
+{
+    const std::lock_guard lock(shared.mutex);
+    return {shared.sessions.begin(), shared.sessions.end()};
+}
+
+} // namespace
+
+void closeIdleHttpSessions(HttpServerShared &shared)
+{
+    shared.closingIdle = true;
+    for (const auto &session : openHttpSessions(shared))
+        session->closeIfIdle();
+}
+
 void closeHttpSessions(HttpServerShared &shared)
 {
     std::unordered_set<std::shared_ptr<HttpSession>> sessions;
--- a/src/net/internal/http_session.h
+++ b/src/net/internal/http_session.h
@@ -24,6 +24,7 @@
     std::atomic<size_t> openRequests{0};
     // A response carries "Connection: close" unless the next request on its connection has arrived.
     std::atomic<bool> closing{false};
+    std::atomic<bool> closingIdle{false}; // connections without a request are ended
 
     // Held shared while an HttpRespond posts a response to a session, exclusively to clear
     // `acceptsResponses` when the server stops.
@@ -38,6 +39,9 @@
 void startHttpSession(boost::asio::ip::tcp::socket socket,
                       const std::shared_ptr<HttpServerShared> &shared, bool reject);
 
+// Ends the connections on which no request has arrived. Thread-safe.
+void closeIdleHttpSessions(HttpServerShared &shared);
+
 // Closes all connections. Must be called after the threads of the io_context have ended, or on the
 // one thread that runs it.
 void closeHttpSessions(HttpServerShared &shared);
