Let the owner of a server respond to requests that are still open

A process that has to end could only cut the requests whose handlers had not responded. abandonRequests() responds to them by their method; later responses of the handlers have no effect, and requests pipelined behind them are handled.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -39,6 +39,10 @@
     void run();
     void stopAccepting();
     void closeIdleConnections() { closeIdleHttpSessions(*m_shared); }
+    void abandonRequests(const AbandonedResponse &responseTo)
+    {
+        abandonHttpRequests(*m_shared, responseTo);
+    }
     void stop();
     uint16_t port() const { return m_port; }
     size_t openRequests() const { return m_shared->openRequests; }
@@ -219,6 +223,11 @@
     m_impl->closeIdleConnections();
 }
 
+void HttpServer::abandonRequests(const AbandonedResponse &responseTo)
+{
+    m_impl->abandonRequests(responseTo);
+}
+
 size_t HttpServer::openRequests() const
 {
     return m_impl->openRequests();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -40,6 +40,8 @@
 // Handles one complete request. Called on a server thread, concurrently for different connections.
 // Must not block.
 using HttpHandler = std::function<void(HttpRequest request, HttpRespond respond)>;
+// Returns the response to a request of this method that its handler has not responded to.
+using AbandonedResponse = std::function<HttpResponse(const std::string &method)>;
 
 class HttpServer
 {
@@ -68,6 +70,9 @@
     // end of the stream; a connection that a client does not close then is closed a second later.
     // Thread-safe.
     void closeIdleConnections();
+    // Responds to all requests that are being handled with the result of `responseTo`; later
+    // responses of their handlers have no effect. Thread-safe.
+    void abandonRequests(const AbandonedResponse &responseTo);
     // Returns the number of requests that have been read at least in part and whose response has
     // not been completely written.
     size_t openRequests() const;
--- a/src/net/http_server_stop_test.cc
+++ b/src/net/http_server_stop_test.cc
@@ -199,6 +199,32 @@
     EXPECT_EQ(occurrences(client->receiveAvailable().substr(0, 400), "Connection: close"), 0U);
 }
 
+// Guards against a request that is cut, or that gets two responses, when its handler does not
+// respond before the process has to end.
+TEST_F(HttpServerStopTest, AbandonedRequestsGetTheResponseOfTheirMethod)
+{
+    const auto reader = connect();
+    const auto writer = connect();
+    reader->send(get("/1") + get("/2"));
+    writer->send("POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(awaitRequests(2));
+    m_server->stopAccepting();
+    m_server->abandonRequests([](const std::string &method) {
+        return HttpResponse{method == "GET" ? 503 : 504, "abandoned"};
+    });
+    EXPECT_TRUE(awaitEnd(*writer));
+    EXPECT_EQ(occurrences(writer->receiveAvailable(), "HTTP/1.1 504"), 1U);
+    ASSERT_TRUE(awaitRequests(3)) << "the pipelined request was not handled";
+    m_requests[0].respond({200, "late"});
+    m_requests[1].respond({200, "late"});
+    m_requests[2].respond({200, "second"});
+    EXPECT_TRUE(awaitEnd(*reader));
+    const std::string received = reader->receiveAvailable();
+    EXPECT_EQ(occurrences(received, "HTTP/1.1 503"), 1U) << received;
+    EXPECT_EQ(occurrences(received, "HTTP/1.1 200"), 1U) << received;
+    EXPECT_EQ(occurrences(received, "late"), 0U) << received;
+}
+
 // Guards against callbacks of a server that is gone. AddressSanitizer reports their accesses in
 // this test.
 TEST_F(HttpServerStopTest, MayBeDestroyedWhileTheLoopRunsOn)
--- a/src/net/internal/http_session.cc
+++ b/src/net/internal/http_session.cc
@@ -48,6 +48,8 @@
     // Ends the connection if no request has arrived on it. Otherwise it ends after the response to
     // the last one that has. Thread-safe.
     void closeIfIdle();
+    // Responds if a request is being handled. Thread-safe.
+    void abandonRequest(const AbandonedResponse &responseTo);
     void close();
 
 private:
@@ -83,6 +85,7 @@
     std::optional<http::request_parser<http::string_body>> m_parser;
     HttpResponseMessage m_response;
     std::shared_ptr<ClientConnectionStatus> m_clientStatus;
+    std::string m_method; // of the current request
     Phase m_phase = Phase::Idle;
     uint64_t m_requestSerial = 0; // of the current request
     uint64_t m_timerSerial = 0; // a timer callback with an older serial is ignored
@@ -91,7 +94,6 @@
     bool m_endingIdle = false; // the pending read was cancelled to close an idle connection
     bool m_peerClosed = false;
     bool m_keepAlive = true;
-    bool m_isHeadRequest = false;
     bool m_requestOpen = false;
 };
 
@@ -220,7 +222,7 @@
     auto message = m_parser->release();
     m_parser.reset();
     m_keepAlive = message.keep_alive();
-    m_isHeadRequest = message.method() == http::verb::head;
+    m_method = std::string(message.method_string());
     ++m_requestSerial;
     m_clientStatus = std::make_shared<ClientConnectionStatus>();
 
@@ -288,7 +290,7 @@
     // Requests that have arrived already are still handled.
     if ((m_shared->closing || m_peerClosed) && !hasInput())
         m_keepAlive = false;
-    m_response = toMessage(std::move(response), m_keepAlive, m_isHeadRequest);
+    m_response = toMessage(std::move(response), m_keepAlive, m_method == "HEAD");
     armTimer(m_shared->options.writeTimeout);
     http::async_write(m_socket, m_response,
                       [self = shared_from_this()](error_code ec, size_t) { self->onWritten(ec); });
@@ -300,7 +302,7 @@
         return;
     setRequestOpen(false);
     m_response = {};
-    m_isHeadRequest = false;
+    m_method.clear();
     if (ec)
         return close();
     m_keepAlive ? nextRequest() : linger();
@@ -328,6 +330,14 @@
     m_socket.cancel(ignored);
 }
 
+void HttpSession::abandonRequest(const AbandonedResponse &responseTo)
+{
+    asio::post(m_socket.get_executor(), [self = shared_from_this(), responseTo] {
+        if (self->m_phase == Phase::Handling)
+            self->write(responseTo(self->m_method));
+    });
+}
+
 void HttpSession::linger()
 {
     m_phase = Phase::Lingering;
@@ -418,6 +428,12 @@
         session->closeIfIdle();
 }
 
+void abandonHttpRequests(HttpServerShared &shared, const AbandonedResponse &responseTo)
+{
+    for (const auto &session : openHttpSessions(shared))
+        session->abandonRequest(responseTo);
+}
+
 void closeHttpSessions(HttpServerShared &shared)
 {
     std::unordered_set<std::shared_ptr<HttpSession>> sessions;
--- a/src/net/internal/http_session.h
+++ b/src/net/internal/http_session.h
@@ -42,6 +42,9 @@
 // Ends the connections on which no request has arrived. Thread-safe.
 void closeIdleHttpSessions(HttpServerShared &shared);
 
+// Responds to all requests that are being handled. Thread-safe.
+void abandonHttpRequests(HttpServerShared &shared, const AbandonedResponse &responseTo);
+
 // Closes all connections. Must be called after the threads of the io_context have ended, or on the
 // one thread that runs it.
 void closeHttpSessions(HttpServerShared &shared);
