--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -42,6 +42,11 @@
     Result<void> listen();
     void run();
     void stopAccepting();
+    void closeIdleConnections() { closeIdleHttpSessions(*m_shared); }
+    void abandonRequests(const AbandonedResponse &responseTo)
+    {
+        abandonHttpRequests(*m_shared, responseTo);
+    }
     void stop();
     uint16_t port() const { return m_port; }
     size_t openRequests() const { return m_shared->openRequests; }
@@ -68,7 +73,7 @@
     std::vector<std::thread> m_threads;
     std::mutex m_stopMutex;
     bool m_stopped = false;
-    // False: the server is gone. An owner's event loop may still run its callbacks.
+    // False: the server has stopped. An owner's event loop may still run its callbacks.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
@@ -170,6 +175,7 @@
         m_io.stop();
     for (std::thread &thread : m_threads)
         thread.join();
+    *m_alive = false;
     {
         const std::unique_lock responseLock(m_shared->responseMutex);
         m_shared->acceptsResponses = false;
@@ -216,6 +222,16 @@
     m_impl->stopAccepting();
 }
 
+void HttpServer::closeIdleConnections()
+{
+    m_impl->closeIdleConnections();
+}
+
+void HttpServer::abandonRequests(const AbandonedResponse &responseTo)
+{
+    m_impl->abandonRequests(responseTo);
+}
+
 size_t HttpServer::openRequests() const
 {
     return m_impl->openRequests();
--- a/src/net/internal/http_session.cc
+++ b/src/net/internal/http_session.cc
@@ -1,6 +1,7 @@
 #include "net/internal/http_session.h"
 
-#include <boost/algorithm/string/case_conv.hpp>
+#include "net/internal/http_message.h"
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,6 +11,7 @@
 
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace cardamompaddle {
 
@@ -43,6 +45,11 @@
     // Writes the response to the request numbered `serial`, if that is still being handled.
     // Thread-safe. The caller must hold HttpServerShared::responseMutex.
     void respond(uint64_t serial, HttpResponse response);
+    // Ends the connection if no request has arrived on it. Otherwise it ends after the response to
+    // the last one that has. Thread-safe.
+    void closeIfIdle();
+    // Responds if a request is being handled. Thread-safe.
+    void abandonRequest(const AbandonedResponse &responseTo);
     void close();
 
 private:
@@ -60,6 +67,9 @@
     HttpRespond makeRespond();
     void write(HttpResponse response);
     void onWritten(error_code ec);
+    // Returns whether input has arrived that no request has consumed, read or not.
+    bool hasInput();
+    void endIdle();
     void linger();
     void armTimer(Duration wait);
     void disarmTimer();
@@ -73,16 +83,17 @@
     std::shared_ptr<HttpServerShared> m_shared;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
-    http::response<http::string_body> m_response;
+    HttpResponseMessage m_response;
     std::shared_ptr<ClientConnectionStatus> m_clientStatus;
+    std::string m_method; // of the current request
     Phase m_phase = Phase::Idle;
     uint64_t m_requestSerial = 0; // of the current request
     uint64_t m_timerSerial = 0; // a timer callback with an older serial is ignored
     bool m_reading = false; // an async_read_some is pending
     bool m_timedOut = false;
+    bool m_endingIdle = false; // the pending read was cancelled to close an idle connection
     bool m_peerClosed = false;
     bool m_keepAlive = true;
-    bool m_isHeadRequest = false;
     bool m_requestOpen = false;
 };
 
@@ -115,6 +126,8 @@
     armTimer(m_shared->options.idleTimeout);
     if (!m_reading)
         readSome();
+    if (m_shared->closingIdle)
+        endIdle();
 }
 
 void HttpSession::readSome()
@@ -134,8 +147,14 @@
     const bool cancelled = ec == asio::error::operation_aborted;
     if (ec && !cancelled)
         m_peerClosed = true;
-    if (m_phase == Phase::Idle)
-        return m_buffer.size() > 0 ? readHeader() : close();
+    if (m_phase == Phase::Idle) {
+        const bool ending = std::exchange(m_endingIdle, false);
+        if (m_buffer.size() > 0)
+            return readHeader();
+        if (!ending || !cancelled)
+            return close();
+        return hasInput() ? readSome() : linger();
+    }
     if (m_phase == Phase::Lingering) {
         m_buffer.clear();
         return ec ? close() : readSome();
@@ -189,21 +208,11 @@
 
 void HttpSession::rejectRequest(error_code ec)
 {
-    static const auto &httpErrors = http::make_error_code(http::error::bad_method).category();
-    if (!m_timedOut && (ec.category() != httpErrors || ec == http::error::end_of_stream))
+    std::optional<HttpResponse> rejection = rejectionOf(ec, m_timedOut);
+    if (!rejection)
         return close();
     m_keepAlive = false;
-    if (m_timedOut)
-        write(errorResponse(
-            {ErrorCode::DeadlineExceeded, "the complete request did not arrive in time"},
-            Executed::No));
-    else if (ec == http::error::body_limit)
-        write(errorResponse({ErrorCode::TooLarge, "the request body is too long"}, Executed::No));
-    else if (ec == http::error::header_limit)
-        write(errorResponse({ErrorCode::TooLarge, "the request header is too long"}, Executed::No));
-    else
-        write(errorResponse({ErrorCode::InvalidArgument, "malformed request: " + ec.message()},
-                            Executed::No));
+    write(std::move(*rejection));
 }
 
 void HttpSession::handle()
@@ -213,26 +222,17 @@
     auto message = m_parser->release();
     m_parser.reset();
     m_keepAlive = message.keep_alive();
-    m_isHeadRequest = message.method() == http::verb::head;
+    m_method = std::string(message.method_string());
     ++m_requestSerial;
     m_clientStatus = std::make_shared<ClientConnectionStatus>();
 
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.clientStatus = m_clientStatus;
-    for (const auto &field : message) {
-        std::string &value =
-            request.headers[boost::to_lower_copy(std::string(field.name_string()))];
-        value += (value.empty() ? "" : ", ") + std::string(field.value());
-    }
-    const auto target = message.target();
-    if (!parseTarget({target.data(), target.size()}, request))
-        return write(
-            errorResponse({ErrorCode::InvalidArgument, "malformed request target"}, Executed::No));
-    request.body = std::move(message.body());
+    Result<HttpRequest> request = toHttpRequest(message);
+    if (!request)
+        return write(errorResponse(request.error(), Executed::No));
+    request->clientStatus = m_clientStatus;
     if (!m_peerClosed && m_buffer.size() < MaxReadAheadBytes)
         readSome();
-    m_shared->handler(std::move(request), makeRespond());
+    m_shared->handler(std::move(*request), makeRespond());
 }
 
 HttpRespond HttpSession::makeRespond()
@@ -287,21 +287,10 @@
     m_clientStatus.reset();
     if (response.status == 0)
         return close();
-    if (m_shared->closing || m_peerClosed)
+    // Requests that have arrived already are still handled.
+    if ((m_shared->closing || m_peerClosed) && !hasInput())
         m_keepAlive = false;
-    m_response = {};
-    m_response.version(11);
-    m_response.result(static_cast<unsigned>(response.status));
-    m_response.set(http::field::content_type, response.contentType);
-    if (response.retryAfter > Duration::zero()) {
-        const auto seconds = std::chrono::ceil<std::chrono::seconds>(response.retryAfter).count();
-        m_response.set(http::field::retry_after, std::to_string(seconds));
-    }
-    m_response.keep_alive(m_keepAlive);
-    m_response.body() = std::move(response.body);
-    m_response.prepare_payload();
-    if (m_isHeadRequest)
-        m_response.body().clear();
+    m_response = toMessage(std::move(response), m_keepAlive, m_method == "HEAD");
     armTimer(m_shared->options.writeTimeout);
     http::async_write(m_socket, m_response,
                       [self = shared_from_this()](error_code ec, size_t) { self->onWritten(ec); });
@@ -313,12 +302,42 @@
         return;
     setRequestOpen(false);
     m_response = {};
-    m_isHeadRequest = false;
+    m_method.clear();
     if (ec)
         return close();
     m_keepAlive ? nextRequest() : linger();
 }
 
+bool HttpSession::hasInput()
+{
+    error_code ec;
+    return m_buffer.size() > 0 || (!m_peerClosed && m_socket.available(ec) > 0 && !ec);
+}
+
+void HttpSession::closeIfIdle()
+{
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (self->m_phase == Phase::Idle)
+            self->endIdle();
+    });
+}
+
+// The decision is left to onRead(): only without a pending read no request can be read unnoticed.
+void HttpSession::endIdle()
+{
+    m_endingIdle = true;
+    error_code ignored;
+    m_socket.cancel(ignored);
+}
+
+void HttpSession::abandonRequest(const AbandonedResponse &responseTo)
+{
+    asio::post(m_socket.get_executor(), [self = shared_from_this(), responseTo] {
+        if (self->m_phase == Phase::Handling)
+            self->write(responseTo(self->m_method));
+    });
+}
+
 void HttpSession::linger()
 {
     m_phase = Phase::Lingering;
@@ -364,6 +383,8 @@
 
 void HttpSession::onTimeout()
 {
+    if (m_phase == Phase::Idle)
+        return endIdle();
     if (m_phase != Phase::Reading)
         return close();
     m_timedOut = true;
@@ -390,6 +411,29 @@
     session->start(reject);
 }
 
+namespace {
+
+std::vector<std::shared_ptr<HttpSession>> openHttpSessions(HttpServerShared &shared)
+{
+    const std::lock_guard lock(shared.mutex);
+    return {shared.sessions.begin(), shared.sessions.end()};
+}
+
+} // namespace
+
+void closeIdleHttpSessions(HttpServerShared &shared)
+{
+    shared.closingIdle = true;
+    for (const auto &session : openHttpSessions(shared))
+        session->closeIfIdle();
+}
+
+void abandonHttpRequests(HttpServerShared &shared, const AbandonedResponse &responseTo)
+{
+    for (const auto &session : openHttpSessions(shared))
+        session->abandonRequest(responseTo);
+}
+
 void closeHttpSessions(HttpServerShared &shared)
 {
     std::unordered_set<std::shared_ptr<HttpSession>> sessions;
--- a/src/net/internal/http_session.h
+++ b/src/net/internal/http_session.h
@@ -22,7 +22,9 @@
     HttpServerOptions options;
     HttpHandler handler;
     std::atomic<size_t> openRequests{0};
-    std::atomic<bool> closing{false}; // all responses carry "Connection: close"
+    // A response carries "Connection: close" unless the next request on its connection has arrived.
+    std::atomic<bool> closing{false};
+    std::atomic<bool> closingIdle{false}; // connections without a request are ended
 
     // Held shared while an HttpRespond posts a response to a session, exclusively to clear
     // `acceptsResponses` when the server stops.
@@ -37,6 +39,12 @@
 void startHttpSession(boost::asio::ip::tcp::socket socket,
                       const std::shared_ptr<HttpServerShared> &shared, bool reject);
 
+// Ends the connections on which no request has arrived. Thread-safe.
+void closeIdleHttpSessions(HttpServerShared &shared);
+
+// Responds to all requests that are being handled. Thread-safe.
+void abandonHttpRequests(HttpServerShared &shared, const AbandonedResponse &responseTo);
+
 // Closes all connections. Must be called after the threads of the io_context have ended, or on the
 // one thread that runs it.
 void closeHttpSessions(HttpServerShared &shared);
