Extend leases only by appends that the log has stored

Seen: by reading. A record that the log rejects counted as a sign that the tenure is held, so leases could be extended for 2.5 s more by a scheduler that had been replaced, and a task could run twice.

Cause: FencedWriter::firstSentAt() was the time of the last append that was sent, also if it was rejected.

Change: storedSentAt() is the time at which the last stored append was first sent. Result: the test passes.

--- a/src/control/fenced_writer.cc
+++ b/src/control/fenced_writer.cc
@@ -99,6 +99,7 @@
 void FencedWriter::onStored(const AppendResult &answer)
 {
     ++m_writer.sequence;
+    m_storedSentAt = m_firstSentAt;
     std::vector<KeyedRecord> &records = m_request->records;
     assignOffsets(records, answer);
     std::move(records.begin(), records.end(), std::back_inserter(m_storedRecords));
--- a/src/control/fenced_writer.h
+++ b/src/control/fenced_writer.h
@@ -49,8 +49,9 @@
     // When the last try was sent. From there to its answer is how long the log takes; failed tries
     // before it tell that the log was away, not that it is slow.
     Instant sentAt() const { return m_sentAt; }
-    // When the first try of the append was sent. The log may have stored it at any time since.
-    Instant firstSentAt() const { return m_firstSentAt; }
+    // When the first try of the last append that the log has stored was sent. The log may have
+    // stored it at any time since.
+    Instant storedSentAt() const { return m_storedSentAt; }
     // Receives the stored records with their offsets, without those whose offset is unknown.
     using Stored = std::function<void(const std::vector<KeyedRecord> &)>;
     // Requires !busy(). Calls `stored` once the log has stored all records that it takes, in the
@@ -77,7 +78,8 @@
     size_t m_maxRecords = SIZE_MAX; // in the next append; fewer after the log has rejected one
     std::deque<KeyedRecord> m_waiting; // for the appends that follow
     std::vector<KeyedRecord> m_storedRecords; // by the appends before
-    Instant m_firstSentAt;
+    Instant m_firstSentAt; // first try of m_request
+    Instant m_storedSentAt = Instant::min(); // first try of the last stored append; min(): none
     Instant m_sentAt;
     bool m_retried = false; // a try of m_request has failed
     Stored m_onStored;
--- a/src/control/fenced_writer_test.cc
+++ b/src/control/fenced_writer_test.cc
@@ -124,6 +124,24 @@
     EXPECT_TRUE(m_fenced.empty());
 }
 
+// Guards against leases that are extended for a rejected append: it does not show that the tenure
+// is still held.
+TEST_F(FencedWriterTest, ARejectedAppendDoesNotCountAsStored)
+{
+    EXPECT_EQ(m_writer.storedSentAt(), Instant::min());
+    const Instant before = m_clock.now();
+    append("a");
+    run(Duration(50));
+    const Instant storedSentAt = m_writer.storedSentAt();
+    EXPECT_GE(storedSentAt, before);
+    EXPECT_LE(storedSentAt, before + Duration(5));
+    m_model.rejectedKey = "bad";
+    append("bad");
+    run(Duration(50));
+    EXPECT_EQ(m_rejected, std::vector<std::string>{"bad"});
+    EXPECT_EQ(m_writer.storedSentAt(), storedSentAt);
+}
+
 // Guards against sending what the log is known not to take.
 TEST_F(FencedWriterTest, DropsARecordThatIsLongerThanTheLogTakes)
 {
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -457,7 +457,7 @@
     if (records.empty() && now - m_lastStoredAt < HeartbeatInterval && !m_onReleased) {
         // Nothing to store: the finished runs belong to no task that is still open.
         std::swap(m_storedPositions, m_batchPositions);
-        m_links->onAppendStored(m_writer.firstSentAt());
+        m_links->onAppendStored(m_writer.storedSentAt());
         return;
     }
     m_startsInBatch = std::exchange(m_startsToRecord, {});
@@ -554,7 +554,7 @@
     if (!m_batchUsedWorkers.empty())
         schedulePass();
     m_batchUsedWorkers.clear();
-    m_links->onAppendStored(m_writer.firstSentAt());
+    m_links->onAppendStored(m_writer.storedSentAt());
     if (m_onReleased && m_releaseInBatch)
         return finishRelease();
     const bool soon = m_onReleased || !m_startsToRecord.empty();
