Take removals that a scheduler stores for activity of it

Seen: by reading. An instance that reads only removals of progress claims the tenure of a scheduler that stores, and knows its last activity too early.

Cause: the instance counted the kinds of change of the job table, and a removal of progress, or a record that cannot be decoded, changes nothing.

Evidence, with removals ignored as before: instance_takeover_test.cc:166: Failure, claimCalls 1 against 0 [ FAILED ] InstanceTakeoverTest.RemovalsAreActivityOfTheScheduler

Change: the key tells whether only a scheduler writes the record. Result: the test passes.

--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -172,6 +172,10 @@
 
 void Instance::onWorkRecord(const KeyedRecord &record)
 {
+    const Instant now = m_context.scheduler.clock.now();
+    // A record from before the published end of the topic is old and shows no activity since then.
+    if (work_key::isOfScheduler(record.key) && record.offset >= m_publishedEnd)
+        m_schedulerActiveAt = now;
     std::string id;
     const auto change = m_jobTable.apply(record, id);
     if (!change) {
@@ -179,14 +183,8 @@
                 "key=" + record.key + " reason=\"" + change.error().reason + "\"");
         return;
     }
-    const Instant now = m_context.scheduler.clock.now();
     if (*change == JobTable::Change::Tenure || *change == JobTable::Change::Member)
         updateClaimWait();
-    // Only a scheduler stores these kinds of record. One from before the published end of the topic
-    // is old and shows no activity since then.
-    if (*change == JobTable::Change::Tenure || *change == JobTable::Change::Progressed
-        || *change == JobTable::Change::UsedWorker)
-        m_schedulerActiveAt = record.offset < m_publishedEnd ? m_schedulerActiveAt : now;
     if (*change == JobTable::Change::UsedWorker)
         updateSuspendedLease(id, now);
     const bool released = *change == JobTable::Change::Tenure && m_jobTable.tenure().released;
--- a/src/control/instance_takeover_test.cc
+++ b/src/control/instance_takeover_test.cc
@@ -1,5 +1,6 @@
 // Workers that are unresponsive while schedulers take over from each other.
 #include "control/instance_testing.h"
+#include "work/codec.h"
 
 #include <stdexcept>
 
@@ -120,5 +121,24 @@
         << "not started again within " << (m_clock.now() - lostAt).count() << " ms";
 }
 
+// Guards against leases that outlast the wait of a successor: it has not taken the removals that
+// the former scheduler stored for a sign that the tenure was still held.
+TEST_F(InstanceTakeoverTest, RemovalsAreActivityOfTheScheduler)
+{
+    work::Tenure tenure;
+    tenure.holder = "x";
+    tenure.address = "x:1";
+    tenure.epoch = 1;
+    m_model.put(WorkTopic, work_key::Tenure, encodeRecord(tenure));
+    Node &node = addNode("a");
+    for (int i = 0; i < 15; ++i) {
+        m_model.put(WorkTopic, work_key::progress("job", 1 + i), "");
+        m_model.put(WorkTopic, work_key::progress("other", 0), "");
+        runFor(Duration(100));
+    }
+    EXPECT_EQ(node.log->claimCalls, 0);
+    EXPECT_TRUE(runUntil([this] { return schedulers() == 1; }));
+}
+
 } // namespace
 } // namespace cardamompaddle
--- a/src/control/job_table.cc
+++ b/src/control/job_table.cc
@@ -61,6 +61,11 @@
     return "member/" + name;
 }
 
+bool isOfScheduler(const std::string &key)
+{
+    return key == Tenure || key.starts_with("worker/") || jobOfProgress(key).has_value();
+}
+
 std::string usedWorker(const std::string &id)
 {
     return "worker/" + id;
--- a/src/control/job_table.h
+++ b/src/control/job_table.h
@@ -28,6 +28,8 @@
 std::optional<std::string> jobOfProgress(const std::string &key);
 std::string member(const std::string &name);
 std::string usedWorker(const std::string &id);
+// Returns whether only a scheduler stores and removes records of this key.
+bool isOfScheduler(const std::string &key);
 inline constexpr const char *Tenure = "tenure";
 } // namespace work_key
 
