Count the wait of a takeover from the last sign of the former scheduler

Cause: the successor waited 7.7 s from its own first call to the worker for leases that the former scheduler may have extended.

Change: no lease is requested to end later than 6 s after the last stored append of the tenure was first sent. The successor counts these 6 s, 3% for a slow clock and 0.2 s from the last sign of the former scheduler that it has seen before its claim. A tenure that has stored nothing but its claim counts from when the claim was first sent, not from when scheduling began, which may be after a successor has claimed. A long outage of the log now ends what runs after about 6 s instead of 7 s.

--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -414,42 +414,47 @@
             m_claiming = false;
             return;
         }
-        claim();
+        claim(activityAt);
     });
 }
 
-void Instance::claim()
+void Instance::claim(Instant formerHeldAt)
 {
-    work::Tenure tenure;
+    Claim claim;
+    claim.wait = m_claimWait;
+    claim.formerHeldAt = formerHeldAt;
+    work::Tenure &tenure = claim.tenure;
     tenure.holder = m_options.name;
     tenure.address = m_options.peerAddress;
     tenure.epoch = m_jobTable.tenure().epoch + 1;
     tenure.handedOverAtMs = m_jobTable.tenure().handedOverAtMs;
     // Kept from the former scheduler: it describes the runs that this one has yet to reconcile.
     tenure.startsRecorded = m_jobTable.tenure().epoch == 0 || m_jobTable.tenure().startsRecorded;
+    // An earlier claim of the same epoch that got no answer may have been stored since it was sent.
+    if (std::exchange(m_claimedEpoch, tenure.epoch) != tenure.epoch)
+        m_claimSentAt = now();
+    claim.sentAt = m_claimSentAt;
     AppendRequest request;
     request.topic = m_context.scheduler.workTopic;
     request.records.push_back({work_key::Tenure, encodeRecord(tenure), false, 0});
     // Of several claimants that have read up to the same end, only one can append there.
     request.expectedEnd = m_work->nextOffset();
     request.writer = {SchedulerWriter, tenure.epoch, 0};
-    m_context.scheduler.log.append(
-        std::move(request), ClaimAppendTimeout,
-        [this, alive = m_alive, tenure, wait = m_claimWait](const AppendResult &answer) {
-            if (*alive)
-                onClaimed(tenure, wait, answer);
-        });
+    m_context.scheduler.log.append(std::move(request), ClaimAppendTimeout,
+                                   [this, alive = m_alive, claim](const AppendResult &answer) {
+                                       if (*alive)
+                                           onClaimed(claim, answer);
+                                   });
 }
 
-void Instance::onClaimed(const work::Tenure &tenure, const ClaimWait &wait,
-                         const AppendResult &answer)
+void Instance::onClaimed(const Claim &claim, const AppendResult &answer)
 {
-    logInfo("tenure_claim", "epoch=" + std::to_string(tenure.epoch)
+    logInfo("tenure_claim", "epoch=" + std::to_string(claim.tenure.epoch)
                                 + " outcome=" + std::string(appendOutcomeName(answer.outcome))
                                 + " cpu_milli=" + std::to_string(m_options.cpuMilli) + " "
-                                + wait.toString() + " reason=\"" + answer.reason + "\"");
+                                + claim.wait.toString() + " reason=\"" + answer.reason + "\"");
     if (answer.outcome == AppendOutcome::Stored)
-        return readClaimBack(tenure);
+        return readClaimBack(claim);
     m_claiming = false;
 }
 
@@ -458,13 +463,14 @@
 // The answer to the append is no proof: the log answers a second claimant with the same epoch and
 // sequence as if its append were the first one's repetition. The jobs topic is refreshed too,
 // because a run of a job that is not in the job table would be stopped or acknowledged as unknown.
-void Instance::readClaimBack(const work::Tenure &tenure)
+void Instance::readClaimBack(const Claim &claim)
 {
-    m_work->refresh([this, alive = m_alive, tenure](bool workCurrent) {
+    m_work->refresh([this, alive = m_alive, claim](bool workCurrent) {
         if (!*alive)
             return;
         if (!workCurrent)
-            return retryReadBack(tenure);
+            return retryReadBack(claim);
+        const work::Tenure &tenure = claim.tenure;
         const work::Tenure &stored = m_jobTable.tenure();
         const bool won = stored == tenure;
         logInfo("tenure_decided",
@@ -474,33 +480,35 @@
             m_claiming = false;
             return;
         }
-        m_jobs->refresh([this, alive, tenure](bool jobsCurrent) {
+        m_jobs->refresh([this, alive, claim](bool jobsCurrent) {
             if (!*alive)
                 return;
             if (!jobsCurrent)
-                return retryReadBack(tenure);
+                return retryReadBack(claim);
             m_claiming = false;
-            if (m_jobTable.tenure() == tenure && !m_stopping)
-                beginScheduling(tenure);
+            if (m_jobTable.tenure() == claim.tenure && !m_stopping)
+                beginScheduling(claim);
         });
     });
 }
 
-void Instance::retryReadBack(const work::Tenure &tenure)
+void Instance::retryReadBack(const Claim &claim)
 {
     if (m_stopping)
         return;
     m_claimTimer.expires_after(ReadBackRetryDelay);
-    m_claimTimer.async_wait([this, alive = m_alive, tenure](const boost::system::error_code &ec) {
+    m_claimTimer.async_wait([this, alive = m_alive, claim](const boost::system::error_code &ec) {
         if (!ec && *alive)
-            readClaimBack(tenure);
+            readClaimBack(claim);
     });
 }
 
-void Instance::beginScheduling(const work::Tenure &tenure)
+void Instance::beginScheduling(const Claim &claim)
 {
     SchedulerOptions options;
-    options.tenure = tenure;
+    options.tenure = claim.tenure;
+    options.claimSentAt = claim.sentAt;
+    options.formerTenureHeldAt = claim.formerHeldAt;
     options.maxLease = m_options.maxLease;
     options.offRackFactor = m_options.offRackFactor;
     options.terminalRetention = m_options.terminalRetention;
@@ -511,7 +519,7 @@
     m_scheduler = std::make_unique<Scheduler>(
         m_context.scheduler, options, FirstSequenceAfterClaim,
         [this](const std::string &reason) { onTenureLost(reason); },
-        [this, epoch = tenure.epoch](const std::vector<KeyedRecord> &records, int64_t end) {
+        [this, epoch = claim.tenure.epoch](const std::vector<KeyedRecord> &records, int64_t end) {
             onProgressStored(epoch, records, end);
         });
     m_scheduler->setCatalog(m_catalog);
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -115,6 +115,15 @@
     bool isScheduler() const { return m_scheduler != nullptr; }
 
 private:
+    // An attempt to become the scheduler.
+    struct Claim
+    {
+        work::Tenure tenure; // the record to be stored
+        ClaimWait wait;
+        Instant sentAt; // when a claim of this epoch was first sent
+        Instant formerHeldAt; // the former holder sent nothing later that the log stored
+    };
+
     Instant now() const { return m_context.scheduler.clock.now(); }
     std::unique_ptr<LogFollower> createOperatorFollower();
     void onWorkRecord(const KeyedRecord &record);
@@ -132,11 +141,11 @@
     // Time for which the scheduler has to be inactive before this instance claims the tenure.
     Duration claimTimeout() const;
     void checkTenure();
-    void claim();
-    void onClaimed(const work::Tenure &tenure, const ClaimWait &wait, const AppendResult &answer);
-    void readClaimBack(const work::Tenure &tenure);
-    void retryReadBack(const work::Tenure &tenure);
-    void beginScheduling(const work::Tenure &tenure);
+    void claim(Instant formerHeldAt);
+    void onClaimed(const Claim &claim, const AppendResult &answer);
+    void readClaimBack(const Claim &claim);
+    void retryReadBack(const Claim &claim);
+    void beginScheduling(const Claim &claim);
     void onTenureLost(const std::string &reason);
     void handOver(Instant now);
     void onHandOverProbed(const std::optional<work::Member> &successor);
@@ -179,6 +188,8 @@
     Duration m_claimReadTime{0}; // duration of the last refresh before a claim
     bool m_hasHeldTenure = false; // this process has held the tenure since it started
     bool m_claiming = false;
+    int64_t m_claimedEpoch = 0; // of the last claim
+    Instant m_claimSentAt; // when the first claim of m_claimedEpoch was sent
     bool m_releasing = false; // a successor is being looked for, or the tenure is being released
     Instant m_nextHandOverAt = Instant::min(); // earliest next search for a successor
     uint64_t m_handOverAttempts = 0;
--- a/src/control/instance_takeover_test.cc
+++ b/src/control/instance_takeover_test.cc
@@ -40,6 +40,131 @@
     }
 };
 
+// A worker crashes for this many milliseconds before its scheduler dies.
+class LossBeforeTakeoverTest : public InstanceTakeoverTest,
+                               public ::testing::WithParamInterface<int>
+{ };
+
+// Schedulers that go on without the log and without their peers while others schedule already. The
+// workers grant long leases, and their clocks are slow.
+class FormerSchedulerLeaseTest : public InstanceTakeoverTest
+{
+protected:
+    FormerSchedulerLeaseTest()
+    {
+        m_maxLease = Duration(10'000);
+        m_workers.workerTimeMs = [this] { return toMs(m_clock.now()) * 98 / 100; };
+    }
+    // The workers that are listed so far answer schedulers before `epoch` only.
+    void cutWorkersFrom(int64_t epoch)
+    {
+        for (auto &[id, worker] : m_workers.workers)
+            worker.unresponsiveFromEpoch = epoch;
+    }
+    void cutFromPeers(const std::string &name) { m_policy.receivers.erase(name + ":1"); }
+    void cutFromLog(const std::string &name) { m_nodes[name].log->unresponsive = true; }
+    std::string schedulerName()
+    {
+        for (const auto &[name, node] : m_nodes) {
+            if (node.instance && node.instance->isScheduler())
+                return name;
+        }
+        throw std::logic_error("no scheduler");
+    }
+    // Waits until the only task starts again, and checks that no lease on its former worker is
+    // left.
+    void expectStartOnceLeasesHaveLapsed(const testing::TestWorkers::Worker &former)
+    {
+        EXPECT_TRUE(runUntil([this] { return m_workers.starts == 2; }, Duration(9'000)));
+        EXPECT_GE(m_workers.workerTimeMs(), former.latestLeaseEndMs) << "may still run there";
+    }
+};
+
+// Guards against long-running tasks that do not run although there is room: a takeover waits for
+// longer than leases can last, because it counts from its own beginning.
+TEST_P(LossBeforeTakeoverTest, ItsTasksStartAgainInTime)
+{
+    m_maxLease = Duration(10'000);
+    testing::TestWorkers::Worker &lost = startJob();
+    runFor(Duration(1'000));
+    lost.unresponsive = true;
+    lost.running.clear();
+    runFor(Duration(GetParam()));
+    scheduler().instance.reset();
+    const Instant diedAt = m_clock.now();
+    EXPECT_TRUE(runUntil([this] { return m_workers.starts == 2; }, Duration(7'000)));
+    RecordProperty("waited_ms", static_cast<int>((m_clock.now() - diedAt).count()));
+}
+INSTANTIATE_TEST_SUITE_P(Milliseconds, LossBeforeTakeoverTest,
+                         ::testing::Values(0, 600, 1'300, 2'000));
+
+// Guards against a task that runs twice: its worker answers only the former scheduler, which is cut
+// off from the log and extends the lease for as long as it may.
+TEST_F(FormerSchedulerLeaseTest, ATaskStartsOnceTheLatestLeaseHasLapsed)
+{
+    const testing::TestWorkers::Worker &worker = startJob();
+    runFor(Duration(300));
+    const std::string former = schedulerName();
+    cutWorkersFrom(2);
+    cutFromLog(former);
+    cutFromPeers(former);
+    const Instant cutAt = m_clock.now();
+    ASSERT_TRUE(runUntil([this] { return schedulers() == 2; }));
+    m_model.put(RegistryTopic, "w3", "ready");
+    expectStartOnceLeasesHaveLapsed(worker);
+    EXPECT_GT(worker.latestLeaseEndMs, toMs(cutAt + Duration(5'500)) * 98 / 100)
+        << "was not extended while cut off";
+}
+
+// Guards against a task that runs twice: a claimant that reads the log slowly begins when it has
+// been replaced already, and extends leases as if it had just stored something.
+TEST_F(FormerSchedulerLeaseTest, AClaimantThatBeginsLateExtendsLeasesForLessTime)
+{
+    const testing::TestWorkers::Worker &worker = startJob();
+    runFor(Duration(300));
+    const std::string first = schedulerName();
+    const std::string late = first == "a" ? "b" : "a";
+    const std::string last = first == "c" ? "b" : "c";
+    m_nodes[last].log->claimsFail = true;
+    cutWorkersFrom(3);
+    m_nodes[first].instance.reset();
+    ASSERT_TRUE(runUntil([&] { return m_nodes[late].log->claimCalls == 1; }));
+    cutFromPeers(late);
+    m_nodes[late].log->readTime = Duration(600);
+    ASSERT_TRUE(runUntil([&] { return m_nodes[last].instance->jobTable().tenure().epoch == 2; }));
+    m_nodes[last].log->claimsFail = false;
+    ASSERT_TRUE(runUntil([&] { return m_nodes[late].instance->isScheduler(); }));
+    ASSERT_TRUE(m_nodes[last].instance->isScheduler()) << "the late one was not replaced yet";
+    // Before its first append, which would tell that it has been replaced.
+    ASSERT_TRUE(runUntil([&worker] { return worker.epoch == 2; }));
+    cutFromLog(late);
+    const Instant cutAt = m_clock.now();
+    m_model.put(RegistryTopic, "w3", "ready");
+    expectStartOnceLeasesHaveLapsed(worker);
+    EXPECT_TRUE(m_nodes[late].instance->isScheduler()) << "it was told of its replacement";
+    EXPECT_GT(worker.latestLeaseEndMs, toMs(cutAt + Duration(4'000)) * 98 / 100)
+        << "it extended no lease";
+}
+
+// Guards against leases that outlast the wait of a successor: it has not taken the removals that
+// the former scheduler stored for a sign that the tenure was still held.
+TEST_F(InstanceTakeoverTest, RemovalsAreActivityOfTheScheduler)
+{
+    work::Tenure tenure;
+    tenure.holder = "x";
+    tenure.address = "x:1";
+    tenure.epoch = 1;
+    m_model.put(WorkTopic, work_key::Tenure, encodeRecord(tenure));
+    Node &node = addNode("a");
+    for (int i = 0; i < 15; ++i) {
+        m_model.put(WorkTopic, work_key::progress("job", 1 + i), "");
+        m_model.put(WorkTopic, work_key::progress("other", 0), "");
+        runFor(Duration(100));
+    }
+    EXPECT_EQ(node.log->claimCalls, 0);
+    EXPECT_TRUE(runUntil([this] { return schedulers() == 1; }));
+}
+
 // Guards against a task that is not started again for as long as schedulers replace each other,
 // because each of them waits anew for the leases of a worker that was lost long before.
 TEST_F(InstanceTakeoverTest, TheWaitForALostWorkerGoesOnAcrossTakeovers)
@@ -121,24 +246,5 @@
         << "not started again within " << (m_clock.now() - lostAt).count() << " ms";
 }
 
-// Guards against leases that outlast the wait of a successor: it has not taken the removals that
-// the former scheduler stored for a sign that the tenure was still held.
-TEST_F(InstanceTakeoverTest, RemovalsAreActivityOfTheScheduler)
-{
-    work::Tenure tenure;
-    tenure.holder = "x";
-    tenure.address = "x:1";
-    tenure.epoch = 1;
-    m_model.put(WorkTopic, work_key::Tenure, encodeRecord(tenure));
-    Node &node = addNode("a");
-    for (int i = 0; i < 15; ++i) {
-        m_model.put(WorkTopic, work_key::progress("job", 1 + i), "");
-        m_model.put(WorkTopic, work_key::progress("other", 0), "");
-        runFor(Duration(100));
-    }
-    EXPECT_EQ(node.log->claimCalls, 0);
-    EXPECT_TRUE(runUntil([this] { return schedulers() == 1; }));
-}
-
 } // namespace
 } // namespace cardamompaddle
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -149,9 +149,13 @@
         const auto it = m_storedPositions.find(id);
         return it == m_storedPositions.end() ? 0 : it->second;
     };
-    m_links = std::make_unique<WorkerLinks>(
-        m_context.io, m_context.clock, m_workers,
-        WorkerLinksOptions{m_options.tenure.epoch, m_options.maxLease}, std::move(links));
+    WorkerLinksOptions linksOptions;
+    linksOptions.epoch = m_options.tenure.epoch;
+    linksOptions.maxLease = m_options.maxLease;
+    linksOptions.tenureHeldAt = m_options.claimSentAt;
+    linksOptions.formerTenureHeldAt = m_options.formerTenureHeldAt;
+    m_links = std::make_unique<WorkerLinks>(m_context.io, m_context.clock, m_workers, linksOptions,
+                                            std::move(links));
     m_approvalRequester = std::make_unique<ApprovalRequester>(
         m_context.clock, m_context.policy, m_context.peers, m_dispatcher, m_options.tenure.holder,
         [this] { schedulePass(); });
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -60,6 +60,9 @@
     work::Tenure tenure;
     Duration maxLease{10'000}; // longest lease that a worker grants
     double offRackFactor = 1; // run time of a task off its preferred rack, as a multiple
+    Instant claimSentAt{}; // when the claim of the tenure was first sent
+    // The former scheduler sent nothing after this time that the log has stored.
+    Instant formerTenureHeldAt = Instant::min();
     Duration terminalRetention{120'000}; // how long the state of a job can be queried after its end
     // Workers whose stored record promises that nobody extends their lease, and when all leases on
     // them have expired.
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -210,11 +211,13 @@
     {
         int64_t epoch = 0;
         int64_t leaseEndMs = 0; // last requested lease end
+        int64_t latestLeaseEndMs = 0; // latest requested lease end
         int64_t startedAtMs = 1;
         std::vector<Run> running;
         std::vector<EndedRun> ended;
         int64_t lastPosition = 0; // of the newest finished run
         bool unresponsive = false; // calls get no answer
+        int64_t unresponsiveFromEpoch = INT64_MAX; // calls of this epoch or a later one get none
         int unansweredStarts = 0; // number of coming start calls that get no answer
         bool delaysUnansweredStarts = false; // unanswered starts are not carried out
         bool refusesAfterUnanswered = false; // answered starts get NoRoom
@@ -229,7 +232,7 @@
         Worker &worker = workers[entry.id];
         const Error error = checkFence(worker, entry.id, fence);
         if (!error.reason.empty())
-            return later(worker.unresponsive ? timeout : Duration(1),
+            return later(error.code == ErrorCode::OutcomeUnknown ? timeout : Duration(1),
                          [error, done] { done(error); });
         std::erase_if(worker.ended,
                       [acknowledged](const EndedRun &end) { return end.position <= acknowledged; });
@@ -238,7 +241,7 @@
                 poll(entry, fence, acknowledged, wait - Duration(5), timeout, requestedAt, done);
             });
         PollResult answer;
-        answer.workerTimeMs = 1'000;
+        answer.workerTimeMs = workerTimeMs();
         answer.report.requestedAt = requestedAt;
         answer.report.startedAtMs = worker.startedAtMs;
         for (const Run &run : worker.running)
@@ -255,7 +258,7 @@
         Worker &worker = workers[entry.id];
         const Error error = checkFence(worker, entry.id, fence);
         if (!error.reason.empty())
-            return later(worker.unresponsive ? timeout : Duration(1),
+            return later(error.code == ErrorCode::OutcomeUnknown ? timeout : Duration(1),
                          [error, done] { done(error); });
         ++startCalls;
         const bool answered =
@@ -280,7 +283,7 @@
         Worker &worker = workers[entry.id];
         const Error error = checkFence(worker, entry.id, fence);
         if (!error.reason.empty())
-            return later(worker.unresponsive ? timeout : Duration(1),
+            return later(error.code == ErrorCode::OutcomeUnknown ? timeout : Duration(1),
                          [error, done] { done(error); });
         finishRun(worker, order.task, RunOutcome::Stopped);
         later(Duration(1), [done] { done({}); });
@@ -307,6 +310,7 @@
     }
 
     std::map<WorkerId, Worker> workers;
+    std::function<int64_t()> workerTimeMs = [] { return 1'000; }; // clock of all workers
     size_t maxEndsListed = 500; // finished runs in one answer to poll()
     std::set<TaskRef> succeeded;
     int starts = 0; // runs that began
@@ -328,7 +332,7 @@
     // Returns the error to answer with; its reason is empty if the call is accepted.
     Error checkFence(Worker &worker, const WorkerId &id, const CommandFence &fence)
     {
-        if (worker.unresponsive)
+        if (worker.unresponsive || fence.epoch >= worker.unresponsiveFromEpoch)
             return noAnswer();
         if (!worker.idAtAddress.empty() && fence.incarnation == id)
             return {ErrorCode::Conflict, "another worker"};
@@ -337,6 +341,7 @@
         worker.epoch = fence.epoch;
         if (fence.leaseEndMs > 0)
             worker.leaseEndMs = fence.leaseEndMs;
+        worker.latestLeaseEndMs = std::max(worker.latestLeaseEndMs, fence.leaseEndMs);
         return {};
     }
     void finishRun(Worker &worker, const TaskRef &task, RunOutcome outcome)
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -43,9 +43,9 @@
 // Leases are extended only for this long after the last successful append. A scheduler that was
 // replaced without noticing then stops extending leases; its successor relies on that.
 constexpr Duration LeaseExtensionWindow{2'500};
-// For how long a former scheduler's lease extensions may still arrive. The addition covers calls in
-// flight and clock differences.
-constexpr Duration FormerSchedulerSlack = LeaseExtensionWindow + Duration(400);
+// No lease is requested to end later than this after the last successful append, so that a
+// successor knows when all of them have expired.
+constexpr Duration MaxLeaseAfterAppend{6'000};
 constexpr Duration LeaseExpiryMargin{200};
 
 // Returns the time after which a lease has expired even on a slow worker's clock.
@@ -54,12 +54,20 @@
     return lease + lease * MaxClockSlownessPercent / 100 + LeaseExpiryMargin;
 }
 
+// Returns the time after which all leases of a scheduler that stored its last record at `heldAt`
+// have expired.
+Instant latestLeaseExpiry(Instant heldAt, Duration maxLease)
+{
+    const Duration latest = LeaseExtensionWindow + std::min(RequestedLease, maxLease);
+    return heldAt + maxLeaseDuration(std::min(latest, MaxLeaseAfterAppend));
+}
+
 } // namespace
 
 WorkerLinks::WorkerLinks(boost::asio::io_context &io, const Clock &clock, WorkerGateway &gateway,
                          WorkerLinksOptions options, Callbacks callbacks)
     : m_io(io), m_clock(clock), m_gateway(gateway), m_options(options),
-      m_callbacks(std::move(callbacks)), m_tenureHeldAt(clock.now())
+      m_callbacks(std::move(callbacks)), m_tenureHeldAt(options.tenureHeldAt)
 { }
 
 WorkerLinks::~WorkerLinks()
@@ -84,9 +92,10 @@
         return;
     link.timer = std::make_shared<boost::asio::steady_timer>(m_io);
     link.unreachableSince = m_clock.now();
-    // Unless the log tells that it has stopped, a former scheduler may go on extending the lease.
-    const Instant latestExpiry = link.unreachableSince + FormerSchedulerSlack
-                                 + maxLeaseDuration(std::min(RequestedLease, m_options.maxLease));
+    // Unless the log tells that it has stopped, a former scheduler may go on extending the lease
+    // without the log for a while.
+    const Instant latestExpiry =
+        latestLeaseExpiry(m_options.formerTenureHeldAt, m_options.maxLease);
     link.leaseExpiry = m_callbacks.suspendedLeaseExpiry(entry.id).value_or(latestExpiry);
     poll(entry.id);
 }
@@ -124,7 +133,8 @@
     const Instant now = m_clock.now();
     if (now - m_tenureHeldAt > LeaseExtensionWindow)
         return out;
-    const Duration lease = std::min(RequestedLease, m_options.maxLease);
+    const Duration lease =
+        std::min({RequestedLease, m_options.maxLease, m_tenureHeldAt + MaxLeaseAfterAppend - now});
     out.leaseEndMs = link.workerTimeMs + (now - link.workerTimeReadAt).count() + lease.count();
     link.leaseExpiry = std::max(link.leaseExpiry, now + maxLeaseDuration(lease));
     link.lost = false;
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -24,6 +24,11 @@
 {
     int64_t epoch = 0; // of the scheduler's tenure
     Duration maxLease{10'000}; // longest lease that a worker grants
+    // When the claim of the tenure was first sent. A successor may have been able to claim it
+    // since.
+    Instant tenureHeldAt{};
+    // The former scheduler sent nothing after this time that the log has stored.
+    Instant formerTenureHeldAt = Instant::min();
 };
 
 class WorkerLinks
@@ -64,9 +69,10 @@
     void start(const StartOrder &order);
     void stop(const StopOrder &order);
     void throttle(const ThrottleOrder &order);
-    // Call after each successful append of this tenure, with the time at which it was first sent: a
-    // successor may have claimed the tenure at any time after that. Schedules the polls that waited
-    // for finished runs to be stored. Without such calls, lease extension stops after a short time.
+    // Call after each append of this tenure that was stored, with the time at which it was first
+    // sent: a successor may have claimed the tenure at any time after that. Schedules the polls
+    // that waited for finished runs to be stored. Without such calls, lease extension stops after a
+    // short time.
     void onAppendStored(Instant sentAt);
     // Detects expired leases and closes unneeded links. Call several times a second.
     void tick();
@@ -139,7 +145,7 @@
     Callbacks m_callbacks;
     std::map<WorkerId, Link> m_links;
     Instant m_lossyUntil = Instant::min(); // until then, calls may lose their answers
-    Instant m_tenureHeldAt; // when the last successful append was sent, or time of construction
+    Instant m_tenureHeldAt; // when the last successful append, or the claim, was first sent
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // false: callbacks are dropped
 };
 
--- a/src/control/worker_links_test.cc
+++ b/src/control/worker_links_test.cc
@@ -20,6 +20,12 @@
 {
 protected:
     WorkerLinksTest()
+    {
+        connect({1, Duration(10'000)});
+        run(Duration(50));
+    }
+    // Creates the links with these options, and one to worker "w".
+    void connect(WorkerLinksOptions options)
     {
         WorkerLinks::Callbacks callbacks;
         callbacks.report = [](const WorkerId &, const RunReport &) {};
@@ -31,18 +37,16 @@
         };
         callbacks.stopConfirmed = [](const StopOrder &) {};
         callbacks.reachable = [](const WorkerId &, bool) {};
-        callbacks.lost = [](const WorkerId &) {};
+        callbacks.lost = [this](const WorkerId &) { m_lost = true; };
         callbacks.replaced = [](const WorkerId &) {};
         callbacks.fenced = [] {};
         callbacks.busy = [](const WorkerId &) { return true; };
         callbacks.storedPosition = [](const WorkerId &) -> int64_t { return 0; };
         callbacks.suspendedLeaseExpiry = [](const WorkerId &) { return std::nullopt; };
-        m_links.emplace(m_io, m_clock, m_workers, WorkerLinksOptions{1, Duration(10'000)},
-                        std::move(callbacks));
+        m_links.emplace(m_io, m_clock, m_workers, options, std::move(callbacks));
         WorkerEntry entry;
         entry.id = "w";
         m_links->setEntry(entry, true);
-        run(Duration(50));
     }
     void run(Duration time) { m_io.run_for(time); }
     static StartOrder startOrder(int32_t index)
@@ -69,6 +73,39 @@
     std::function<bool()> m_wanted = [] { return true; };
     std::function<void(const StartOrder &, StartOutcome)> m_answered;
     std::optional<WorkerLinks> m_links;
+    bool m_lost = false;
+};
+
+// Worker "w" has the clock of the test, so that the ends of its leases can be compared with times
+// of the test.
+class WorkerLeaseTest : public WorkerLinksTest
+{
+protected:
+    // From the sending of the last stored append to the latest end of a lease.
+    static constexpr Duration MaxLeaseAfterAppend{6'000};
+
+    WorkerLeaseTest()
+    {
+        m_workers.workerTimeMs = [this] { return toMs(m_clock.now()); };
+        connect({1, Duration(10'000), m_clock.now()});
+    }
+    // Removes the links, lets their calls end, and forgets the leases that these requested.
+    void disconnect()
+    {
+        m_links.reset();
+        run(Duration(1'000));
+        m_io.restart(); // it has run out of work
+        m_workers.workers["w"].latestLeaseEndMs = 0;
+    }
+    // Sends starts for longer than leases may be extended.
+    void sendStarts()
+    {
+        for (int i = 0; i < 18; ++i) {
+            m_links->start(startOrder(i));
+            run(Duration(170));
+        }
+    }
+    Instant latestLeaseEnd() { return instantFromMs(m_workers.workers["w"].latestLeaseEndMs); }
 };
 
 } // namespace
@@ -176,4 +213,57 @@
     EXPECT_GT(m_workers.workers["w"].leaseEndMs, 0);
 }
 
+// Guards against tasks that run twice: a former scheduler that is cut off from the log requests
+// leases for longer than its successor waits.
+TEST_F(WorkerLeaseTest, NoLeaseOutlastsTheLastStoredAppendByMoreThanTheBound)
+{
+    const Instant storedSentAt = m_clock.now();
+    m_links->onAppendStored(storedSentAt);
+    sendStarts();
+    EXPECT_LE(latestLeaseEnd(), storedSentAt + MaxLeaseAfterAppend);
+    EXPECT_GE(latestLeaseEnd(), storedSentAt + MaxLeaseAfterAppend - Duration(200));
+}
+
+// Guards against the same where the answer of the log comes late.
+TEST_F(WorkerLeaseTest, ASlowAppendExtendsTheBoundFromWhenItWasSent)
+{
+    const Instant storedSentAt = m_clock.now();
+    run(Duration(1'500));
+    m_links->onAppendStored(storedSentAt);
+    sendStarts();
+    EXPECT_LE(latestLeaseEnd(), storedSentAt + MaxLeaseAfterAppend);
+}
+
+// Guards against the same with a scheduler that stored nothing but its claim, and that began long
+// after it had sent the claim.
+TEST_F(WorkerLeaseTest, LeasesAreBoundFromWhenTheClaimWasSent)
+{
+    disconnect();
+    const Instant claimSentAt = m_clock.now() - Duration(1'000);
+    connect({1, Duration(10'000), claimSentAt});
+    sendStarts();
+    EXPECT_GT(latestLeaseEnd(), claimSentAt);
+    EXPECT_LE(latestLeaseEnd(), claimSentAt + MaxLeaseAfterAppend);
+    disconnect();
+    connect({1, Duration(10'000), claimSentAt});
+    sendStarts();
+    EXPECT_EQ(m_workers.workers["w"].latestLeaseEndMs, 0) << "the tenure may have been lost since";
+}
+
+// Guards against tasks of a lost worker that wait for longer than leases can last, and against
+// those that run twice because they do not wait long enough.
+TEST_F(WorkerLeaseTest, AnUnresponsiveWorkerIsLostOnceTheLeasesOfTheFormerSchedulerHaveExpired)
+{
+    m_workers.workers["w"].unresponsive = true;
+    const Instant formerHeldAt = m_clock.now() - Duration(3'000);
+    connect({2, Duration(10'000), m_clock.now(), formerHeldAt});
+    while (!m_lost && m_clock.now() < formerHeldAt + Duration(8'000)) {
+        m_links->tick();
+        run(Duration(20));
+    }
+    const Duration waited = m_clock.now() - formerHeldAt;
+    EXPECT_GT(waited, MaxLeaseAfterAppend * 102 / 100) << "a worker's clock may be 2% slow";
+    EXPECT_LT(waited, Duration(6'600));
+}
+
 } // namespace cardamompaddle
