--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -150,9 +150,13 @@
         const auto it = m_storedPositions.find(id);
         return it == m_storedPositions.end() ? 0 : it->second;
     };
-    m_links = std::make_unique<WorkerLinks>(
-        m_context.io, m_context.clock, m_workers,
-        WorkerLinksOptions{m_options.tenure.epoch, m_options.maxLease}, std::move(links));
+    WorkerLinksOptions linksOptions;
+    linksOptions.epoch = m_options.tenure.epoch;
+    linksOptions.maxLease = m_options.maxLease;
+    linksOptions.tenureHeldAt = m_options.claimSentAt;
+    linksOptions.formerTenureHeldAt = m_options.formerTenureHeldAt;
+    m_links = std::make_unique<WorkerLinks>(m_context.io, m_context.clock, m_workers, linksOptions,
+                                            std::move(links));
     m_approvalRequester = std::make_unique<ApprovalRequester>(
         m_context.clock, m_context.policy, m_context.peers, m_dispatcher, m_options.tenure.holder,
         [this] { schedulePass(); });
@@ -458,7 +462,7 @@
     if (records.empty() && now - m_lastStoredAt < HeartbeatInterval && !m_onReleased) {
         // Nothing to store: the finished runs belong to no task that is still open.
         std::swap(m_storedPositions, m_batchPositions);
-        m_links->onAppendStored(m_writer.firstSentAt());
+        m_links->onAppendStored(m_writer.storedSentAt());
         return;
     }
     m_startsInBatch = std::exchange(m_startsToRecord, {});
@@ -558,7 +562,7 @@
     if (!m_batchUsedWorkers.empty())
         schedulePass();
     m_batchUsedWorkers.clear();
-    m_links->onAppendStored(m_writer.firstSentAt());
+    m_links->onAppendStored(m_writer.storedSentAt());
     if (m_onReleased && m_releaseInBatch)
         return finishRelease();
     const bool soon = m_onReleased || !m_startsToRecord.empty();
