--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -115,6 +115,9 @@
     bool isScheduler() const { return m_scheduler != nullptr; }
 
 private:
+    // Of the topics, while this instance is not the scheduler.
+    static constexpr Duration FollowerPollInterval{800};
+
     // An attempt to become the scheduler.
     struct Claim
     {
