Do not take a worker for lost before its first poll could be answered

Found by the review. Callers would have seen work done twice: since the wait of a takeover counts from the last sign of the former scheduler, a scheduler that begins more than 6.4 s after it (a long outage of the log) marked each worker lost at its first tick, before the answer to the first poll, and started again what had finished there unreported. The link now waits 0.6 s from its creation at least. WorkerLeaseTest.AWorkerIsNotLostBeforeItsFirstPollCouldBeAnswered fails without it (m_lost is true at once); 31 tests of links, leases and takeovers pass with it.

--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -47,6 +47,9 @@
 // successor knows when all of them have expired.
 constexpr Duration MaxLeaseAfterAppend{6'000};
 constexpr Duration LeaseExpiryMargin{200};
+// A worker that answers does so within this time. It is not lost before, however long ago the
+// former scheduler was active: finished runs that it has not reported yet would start again.
+constexpr Duration FirstPollTime{600};
 
 // Returns the time after which a lease has expired even on a slow worker's clock.
 Duration maxLeaseDuration(Duration lease)
@@ -96,7 +99,8 @@
     // without the log for a while.
     const Instant latestExpiry =
         latestLeaseExpiry(m_options.formerTenureHeldAt, m_options.maxLease);
-    link.leaseExpiry = m_callbacks.suspendedLeaseExpiry(entry.id).value_or(latestExpiry);
+    link.leaseExpiry = std::max(m_callbacks.suspendedLeaseExpiry(entry.id).value_or(latestExpiry),
+                                link.unreachableSince + FirstPollTime);
     poll(entry.id);
 }
 
--- a/src/control/worker_links_test.cc
+++ b/src/control/worker_links_test.cc
@@ -250,6 +250,18 @@
     EXPECT_EQ(m_workers.workers["w"].latestLeaseEndMs, 0) << "the tenure may have been lost since";
 }
 
+// Guards against a worker that is taken for lost although it answers, because scheduling begins
+// long after the last sign of the former scheduler: its finished runs would start again.
+TEST_F(WorkerLeaseTest, AWorkerIsNotLostBeforeItsFirstPollCouldBeAnswered)
+{
+    connect({2, Duration(10'000), m_clock.now(), m_clock.now() - Duration(20'000)});
+    m_links->tick();
+    EXPECT_FALSE(m_lost);
+    run(Duration(300));
+    m_links->tick();
+    EXPECT_FALSE(m_lost);
+}
+
 // Guards against tasks of a lost worker that wait for longer than leases can last, and against
 // those that run twice because they do not wait long enough.
 TEST_F(WorkerLeaseTest, AnUnresponsiveWorkerIsLostOnceTheLeasesOfTheFormerSchedulerHaveExpired)
