--- a/src/control/stop_sequence_test.cc
+++ b/src/control/stop_sequence_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
@@ -45,9 +46,8 @@
 
 std::vector<StopAction> actions(const std::vector<Taken> &all)
 {
-    std::vector<StopAction> out;
-    for (const Taken &it : all)
-        out.push_back(it.action);
+    std::vector<StopAction> out(all.size());
+    std::transform(all.begin(), all.end(), out.begin(), [](const Taken &it) { return it.action; });
     return out;
 }
 
