Request approvals for one step through several instances at once

Cause: a step had one call to the policy service in progress, each named at most 30 workers, about a third of them were approved, and an approval expires after 2 s. A gang that needs the approved workers of more than two or three calls never had enough of them at one time, or only by chance.

Change: each call in progress claims its workers, and a step gets calls until the places that it has and expects cover what it needs; the expectation is the smoothed share of workers that the route's policy approves. Steps take turns, so that a wide one does not take all callers. A late call gives its workers free for another one. A gang counts as served only if a placement exists, and asks about workers without room once it has waited.

--- a/src/bench/dispatcher_bench.cc
+++ b/src/bench/dispatcher_bench.cc
@@ -274,7 +274,7 @@
             if (m_random() % 10 < 7)
                 answer.push_back(approval);
         }
-        m_dispatcher.approvalRequested(pending->step);
+        m_dispatcher.approvalRequested(*pending);
         m_dispatcher.approvalAnswered(*pending, &answer, m_now, m_now);
     }
 
--- a/src/control/approval_requester.cc
+++ b/src/control/approval_requester.cc
@@ -62,7 +62,7 @@
             noShortCall = true;
             continue;
         }
-        m_dispatcher.approvalRequested(pending->step);
+        m_dispatcher.approvalRequested(*pending);
         send(member.name, member.address, *pending);
     }
 }
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -127,7 +127,9 @@
     Impl &impl;
     Instant now;
     int64_t unixMs = 0;
-    std::vector<dispatch::Step *> steps; // most urgent first; null once settled
+    // Most urgent first; null once settled or moved to `nextRound`.
+    std::vector<dispatch::Step *> steps;
+    std::vector<dispatch::Step *> nextRound; // have been given a call in this round
 };
 
 Dispatcher::ApprovalSearch::ApprovalSearch(std::unique_ptr<State> state) : m_state(std::move(state))
@@ -137,25 +139,34 @@
 
 std::optional<PendingApproval> Dispatcher::ApprovalSearch::next(Duration maxDecisionTime)
 {
-    for (dispatch::Step *&step : m_state->steps) {
-        if (step == nullptr)
-            continue;
-        bool settled = false;
-        auto pending = m_state->impl.pendingApproval(*step, m_state->now, m_state->unixMs,
-                                                     maxDecisionTime, settled);
-        if (pending)
+    State &state = *m_state;
+    for (;;) {
+        bool skipped = false; // a step whose calls take too long for this caller
+        for (dispatch::Step *&step : state.steps) {
+            if (step == nullptr)
+                continue;
+            if (state.impl.approvalPolicyOf(*step).decisionTime > maxDecisionTime) {
+                skipped = true;
+                continue;
+            }
+            auto pending = state.impl.pendingApproval(*step, state.now, state.unixMs);
+            dispatch::Step *const examined = std::exchange(step, nullptr);
+            if (!pending)
+                continue;
+            state.nextRound.push_back(examined);
             return pending;
-        if (settled)
-            step = nullptr;
+        }
+        if (skipped || state.nextRound.empty())
+            return std::nullopt;
+        state.steps = std::exchange(state.nextRound, {});
     }
-    return std::nullopt;
 }
 
 Dispatcher::ApprovalSearch Dispatcher::searchPendingApprovals(Instant now, int64_t unixMs)
 {
     auto steps = m_impl->stepsForApproval(now, unixMs);
     return ApprovalSearch(std::make_unique<ApprovalSearch::State>(
-        ApprovalSearch::State{*m_impl, now, unixMs, std::move(steps)}));
+        ApprovalSearch::State{*m_impl, now, unixMs, std::move(steps), {}}));
 }
 
 std::optional<PendingApproval> Dispatcher::nextPendingApproval(Instant now, int64_t unixMs,
@@ -164,10 +175,16 @@
     return searchPendingApprovals(now, unixMs).next(maxDecisionTime);
 }
 
-void Dispatcher::approvalRequested(const StepRef &step)
+void Dispatcher::approvalRequested(const PendingApproval &pending)
 {
-    if (dispatch::Step *found = m_impl->findStep(step))
-        found->approvalCallActive = true;
+    if (dispatch::Step *step = m_impl->findStep(pending.step))
+        step->approvalCalls[pending.call] = {pending.workers.begin(), pending.workers.end()};
+}
+
+void Dispatcher::approvalLate(const PendingApproval &pending)
+{
+    if (dispatch::Step *step = m_impl->findStep(pending.step))
+        step->approvalCalls.erase(pending.call);
 }
 
 void Dispatcher::approvalAnswered(const PendingApproval &pending,
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -36,9 +36,10 @@
         nullptr;
 };
 
-// A step that needs the approval of the policy service before it can start.
+// A call to the policy service that a step needs before it can start.
 struct PendingApproval
 {
+    uint64_t call = 0; // unique for each call of a dispatcher
     StepRef step;
     std::vector<WorkerId> workers; // candidates to name in the call
     Duration expectedCallTime{0};
@@ -124,9 +125,9 @@
         ~ApprovalSearch();
         ApprovalSearch(const ApprovalSearch &) = delete;
         ApprovalSearch &operator=(const ApprovalSearch &) = delete;
-        // Returns the most urgent step that lacks approvals. Skips routes whose
-        // ApprovalPolicy::decisionTime exceeds `maxDecisionTime`. Call approvalRequested() when
-        // the call is sent.
+        // Returns a call for the most urgent step that lacks approvals. Each step gets one call
+        // before any gets a second one. Skips routes whose ApprovalPolicy::decisionTime exceeds
+        // `maxDecisionTime`. Call approvalRequested() when the call is sent.
         std::optional<PendingApproval> next(Duration maxDecisionTime);
 
     private:
@@ -139,8 +140,12 @@
     // Returns the first result of such a search.
     std::optional<PendingApproval> nextPendingApproval(Instant now, int64_t unixMs,
                                                        Duration maxDecisionTime);
-    // Excludes the step from nextPendingApproval() until approvalAnswered() is called.
-    void approvalRequested(const StepRef &step);
+    // Records that the call was sent: until approvalAnswered() or approvalLate() is called for it,
+    // its workers are named in no other call for the step.
+    void approvalRequested(const PendingApproval &pending);
+    // Handles a call whose answer is late: its workers may be named in another call. The answer
+    // still counts if it comes.
+    void approvalLate(const PendingApproval &pending);
     // Handles the answer to an approval call, null if the call failed. `at` is when the call was
     // sent; the validity of approvals counts from it.
     void approvalAnswered(const PendingApproval &pending, const std::vector<work::Approval> *answer,
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -19,9 +19,17 @@
 // margin, but only for steps that become ready within MaxApprovalLead.
 constexpr Duration ApprovalLeadMargin{150};
 constexpr Duration MaxApprovalLead{1'000};
-// Minimum time between the end of a call and the next call for the same step.
+// Minimum time between the end of a call that named all candidates and the next call for the same
+// step.
 constexpr Duration ApprovalCallInterval{250};
-constexpr Duration ApprovalCallRetryInterval{100};
+
+// Assumed of a route until its policy service has answered.
+constexpr double InitialApprovedShare = 0.5;
+constexpr double MinApprovedShare = 0.05;
+// An answer about this many workers has half of the weight in the smoothed share.
+constexpr double ApprovedShareHalfWeight = 30;
+// The tasks of a gang start together or not at all, so more places than it needs are requested.
+constexpr double GangPlacesMargin = 1.25;
 
 int64_t fittingTasks(const Worker &worker, const Step &step)
 {
@@ -34,8 +42,11 @@
     bound(room.cpuMilli, step.taskResources.cpuMilli);
     bound(room.memoryMb, step.taskResources.memoryMb);
     bound(room.accelerators, step.taskResources.accelerators);
-    if (step.spec->maxPerWorker > 0)
-        count = std::min<int64_t>(count, step.spec->maxPerWorker);
+    if (step.spec->maxPerWorker > 0) {
+        const auto active = step.perWorker.find(worker.entry.id);
+        const int32_t taken = active == step.perWorker.end() ? 0 : active->second;
+        count = std::min<int64_t>(count, std::max(0, step.spec->maxPerWorker - taken));
+    }
     return count;
 }
 
@@ -60,61 +71,110 @@
     return out;
 }
 
-// Sets `settled` if no call is needed for the step, whatever the caller can take.
-std::optional<PendingApproval> Dispatcher::Impl::pendingApproval(const Step &step, Instant now,
-                                                                 int64_t unixMs,
-                                                                 Duration maxDecisionTime,
-                                                                 bool &settled)
+const ApprovalPolicy &Dispatcher::Impl::approvalPolicyOf(const Step &step) const
+{
+    return *routeOf(*step.job)->approval;
+}
+
+bool Dispatcher::Impl::isApprovalDue(const Step &step, Instant now, int64_t unixMs) const
+{
+    const Duration lead =
+        expectedCallTime(approvalPolicyOf(step), MaxWorkersPerSlowCall) + ApprovalLeadMargin;
+    return step.nextApprovalCallAt <= now && (isReady(step, unixMs) || isDueSoon(step, now, lead));
+}
+
+ApprovalCandidates Dispatcher::Impl::approvalCandidates(const Step &step, Instant now) const
 {
     const WorkRoute &route = *routeOf(*step.job);
-    settled = step.approvalCallActive || step.nextApprovalCallAt > now;
-    if (settled || route.approval->decisionTime > maxDecisionTime)
-        return std::nullopt;
-    if (!isReady(step, unixMs)
-        && !isDueSoon(step, now,
-                      expectedCallTime(*route.approval, MaxWorkersPerSlowCall)
-                          + ApprovalLeadMargin)) {
-        settled = true;
-        return std::nullopt;
-    }
-    int64_t approvedPlaces = 0; // tasks that fit on workers with a valid approval
-    std::vector<std::pair<int64_t, WorkerId>> expired;
-    std::vector<std::pair<int64_t, WorkerId>> unapproved;
+    const double share = approvedShareOf(route.name);
+    const bool asksAhead = hasPrecedence(step, now);
+    ApprovalCandidates out;
     for (const auto &[id, worker] : m_workers) {
         const int64_t fitting = fittingTasks(*worker, step);
-        if (fitting <= 0 || step.deniedWorkers.contains(id)
+        const auto approval = step.approvals.find(id);
+        const bool approved = approval != step.approvals.end();
+        // Of a worker without room, it helps only a gang to know whether it is approved, as places
+        // are kept for it there.
+        if ((fitting <= 0 && (!asksAhead || approved)) || step.deniedWorkers.contains(id)
             || !isEligible(*worker, step, route, now))
             continue;
-        const auto approval = step.approvals.find(id);
-        if (approval == step.approvals.end())
-            unapproved.push_back({-fitting, id});
-        else if (approval->second.expires < now + ApprovalMargin)
-            expired.push_back({-fitting, id});
+        if (approved && approval->second.expires >= now + ApprovalMargin) {
+            out.approvedPlaces += fitting;
+            // The other lists matter only while this is not enough.
+            if (!step.spec->gang && out.approvedPlaces >= step.waiting)
+                break;
+            continue;
+        }
+        const bool requested =
+            std::any_of(step.approvalCalls.begin(), step.approvalCalls.end(),
+                        [&id = id](const auto &call) { return call.second.contains(id); });
+        if (requested)
+            out.requestedPlaces += static_cast<double>(fitting) * (approved ? 1 : share);
         else
-            approvedPlaces += fitting;
-        if (approvedPlaces >= step.waiting)
-            break;
+            (approved ? out.expired : out.unknown).push_back({-fitting, id});
     }
-    settled = approvedPlaces >= step.waiting || (expired.empty() && unapproved.empty());
-    if (settled)
+    return out;
+}
+
+// Returns whether the gang could start now on workers with a valid approval. A member that may not
+// start yet for another reason than its place counts as placed.
+bool Dispatcher::Impl::hasPlacement(Step &step, Instant now)
+{
+    std::vector<Worker *> places;
+    return hasBlockedMember(step, now)
+           || findGangPlacement(step, candidatesFor(step, *routeOf(*step.job), now), now, places);
+}
+
+std::optional<PendingApproval> Dispatcher::Impl::pendingApproval(Step &step, Instant now,
+                                                                 int64_t unixMs)
+{
+    if (!isApprovalDue(step, now, unixMs))
         return std::nullopt;
+    ApprovalCandidates candidates = approvalCandidates(step, now);
+    const double needed = step.waiting * (step.spec->gang ? GangPlacesMargin : 1);
+    const double missing =
+        needed - candidates.requestedPlaces - static_cast<double>(candidates.approvedPlaces);
+    const bool enough = missing <= 0 || candidates.approvedPlaces >= step.waiting;
+    const bool placeable =
+        !step.spec->gang || !step.approvalCalls.empty() || hasPlacement(step, now);
+    if ((enough && placeable) || (candidates.expired.empty() && candidates.unknown.empty()))
+        return std::nullopt;
+    const ApprovalPolicy &policy = approvalPolicyOf(step);
+    const size_t maxWorkers =
+        policy.perWorkerMs >= SlowPerWorkerMs ? MaxWorkersPerSlowCall : MaxWorkersPerCall;
     PendingApproval pending;
+    pending.call = ++m_lastApprovalCall;
     pending.step = {step.job->spec->id, step.occurrence, step.number};
-    pending.validity = route.approval->validity;
-    const size_t maxWorkers =
-        route.approval->perWorkerMs >= SlowPerWorkerMs ? MaxWorkersPerSlowCall : MaxWorkersPerCall;
-    // Renewals of expired approvals come first, then the workers with the most free capacity.
-    std::sort(unapproved.begin(), unapproved.end());
-    for (const auto *candidates : {&expired, &unapproved}) {
-        for (const auto &[negatedFitting, id] : *candidates) {
+    pending.validity = policy.validity;
+    // Renewals of expired approvals come first, then the workers with the most room.
+    for (ApprovalCandidates::List *list : {&candidates.expired, &candidates.unknown}) {
+        std::sort(list->begin(), list->end());
+        for (const auto &[negatedFitting, id] : *list) {
             if (pending.workers.size() < maxWorkers)
                 pending.workers.push_back(id);
         }
     }
-    pending.expectedCallTime = expectedCallTime(*route.approval, pending.workers.size());
+    pending.expectedCallTime = expectedCallTime(policy, pending.workers.size());
     return pending;
 }
 
+double Dispatcher::Impl::approvedShareOf(const std::string &route) const
+{
+    const auto it = m_approvedShare.find(route);
+    return std::max(MinApprovedShare,
+                    it == m_approvedShare.end() ? InitialApprovedShare : it->second);
+}
+
+void Dispatcher::Impl::updateApprovedShare(const std::string &route, size_t requested,
+                                           size_t approved)
+{
+    if (requested == 0)
+        return;
+    const auto n = static_cast<double>(requested);
+    double &share = m_approvedShare.try_emplace(route, InitialApprovedShare).first->second;
+    share += (static_cast<double>(approved) / n - share) * n / (n + ApprovedShareHalfWeight);
+}
+
 // Forgets all answers about the worker, approvals and denials.
 void Dispatcher::Impl::forgetApprovals(const WorkerId &id)
 {
@@ -133,21 +193,27 @@
     Step *step = findStep(pending.step);
     if (step == nullptr)
         return;
-    step->approvalCallActive = false;
-    step->nextApprovalCallAt =
-        now + (answer == nullptr ? ApprovalCallRetryInterval : ApprovalCallInterval);
+    step->approvalCalls.erase(pending.call);
     if (answer == nullptr)
         return;
+    // A full call left out candidates, which are named at once.
+    const bool full = pending.workers.size() >= MaxWorkersPerSlowCall;
+    step->nextApprovalCallAt = full ? now : now + ApprovalCallInterval;
     // The policy service answers for one incarnation of a worker.
     const auto restartedSince = [this, at](const WorkerId &id) {
         const auto it = m_workers.find(id);
         return it != m_workers.end() && it->second->restartedAt >= at;
     };
     std::set<WorkerId> approved;
+    size_t firstRequested = 0; // workers whose approval was unknown
+    size_t firstApproved = 0;
+    for (const WorkerId &worker : pending.workers)
+        firstRequested += step->approvals.contains(worker) ? 0 : 1;
     for (const work::Approval &approval : *answer) {
         if (restartedSince(approval.worker))
             continue;
         approved.insert(approval.worker);
+        firstApproved += step->approvals.contains(approval.worker) ? 0 : 1;
         step->approvals[approval.worker] = {approval.ticket, at + pending.validity};
     }
     for (const WorkerId &worker : pending.workers) {
@@ -158,6 +224,7 @@
             emitEvent("approval_withdrawn", pending.step.job,
                       "step=" + pending.step.toString() + " worker=" + worker);
     }
+    updateApprovedShare(step->job->spec->route, firstRequested, firstApproved);
     emitEvent("approval", pending.step.job,
               "step=" + pending.step.toString() + " asked=" + std::to_string(pending.workers.size())
                   + " approved=" + std::to_string(approved.size())
--- /dev/null
+++ b/src/dispatch/dispatcher_approvals_test.cc
@@ -0,0 +1,201 @@
+#include "dispatch/dispatcher_testing.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cardamompaddle {
+namespace {
+
+constexpr int64_t WorkerCpuMilli = 8'000;
+constexpr Duration Validity{2'000};
+
+class ApprovalsTest : public DispatcherTest
+{
+protected:
+    ApprovalsTest()
+    {
+        m_route.approval = ApprovalPolicy{Duration(400), 5.7, Validity};
+        setCatalog();
+    }
+    void joinWorkers(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            join(entry("w" + std::to_string(100 + i), WorkerCpuMilli));
+    }
+    // Returns a gang of which each member takes a whole worker.
+    static work::StepSpec gang(int32_t tasks)
+    {
+        work::StepSpec out = step(tasks, WorkerCpuMilli);
+        out.gang = true;
+        return out;
+    }
+    std::optional<PendingApproval> next()
+    {
+        return m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration::max());
+    }
+    // Sends all calls that are pending.
+    std::vector<PendingApproval> sendAll()
+    {
+        std::vector<PendingApproval> out;
+        for (auto pending = next(); pending; pending = next()) {
+            m_dispatcher.approvalRequested(*pending);
+            out.push_back(*pending);
+        }
+        return out;
+    }
+    // Answers that one in `divisor` of the named workers is approved.
+    void answer(const PendingApproval &pending, Instant sentAt, int divisor)
+    {
+        std::vector<work::Approval> approved;
+        for (const WorkerId &id : pending.workers) {
+            if (std::stoi(id.substr(1)) % divisor == 0) {
+                work::Approval approval;
+                approval.worker = id;
+                approved.push_back(approval);
+            }
+        }
+        m_dispatcher.approvalAnswered(pending, &approved, sentAt, m_now);
+    }
+};
+
+// Guards against a gang that never starts because its approvals expire before one call after the
+// other has brought enough of them.
+TEST_F(ApprovalsTest, AGangThatNeedsSeveralCallsStartsWithinOneRoundOfThem)
+{
+    joinWorkers(200);
+    add("job", {gang(60)});
+    decide();
+    const Instant sentAt = m_now;
+    const auto calls = sendAll();
+    EXPECT_GE(calls.size(), 5U);
+    m_now += Duration(600);
+    for (const PendingApproval &call : calls)
+        answer(call, sentAt, 2);
+    EXPECT_EQ(decide().starts.size(), 60U);
+}
+
+TEST_F(ApprovalsTest, CallsInProgressNameDifferentWorkers)
+{
+    joinWorkers(100);
+    add("job", {gang(60)});
+    std::set<WorkerId> named;
+    size_t total = 0;
+    for (const PendingApproval &call : sendAll()) {
+        named.insert(call.workers.begin(), call.workers.end());
+        total += call.workers.size();
+    }
+    EXPECT_EQ(total, named.size());
+}
+
+// Guards against all callers being taken by one wide step while others wait for their first call.
+TEST_F(ApprovalsTest, EachStepGetsACallBeforeAnyGetsASecondOne)
+{
+    joinWorkers(200);
+    add("wide", {gang(60)});
+    add("narrow", {step(1)});
+    auto search = m_dispatcher.searchPendingApprovals(m_now, UnixNow);
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 3; ++i) {
+        const auto pending = search.next(Duration::max());
+        ASSERT_TRUE(pending);
+        m_dispatcher.approvalRequested(*pending);
+        jobs.push_back(pending->step.job);
+    }
+    EXPECT_EQ(std::set<std::string>(jobs.begin(), jobs.begin() + 2),
+              (std::set<std::string>{"narrow", "wide"}));
+    EXPECT_EQ(jobs[2], "wide");
+}
+
+// Guards against a step that waits for the timeout of a call on a connection that has gone silent.
+TEST_F(ApprovalsTest, TheWorkersOfALateCallAreNamedInAnotherOne)
+{
+    joinWorkers(1);
+    add("job", {step(1)});
+    const auto first = next();
+    ASSERT_TRUE(first);
+    m_dispatcher.approvalRequested(*first);
+    EXPECT_FALSE(next());
+    m_dispatcher.approvalLate(*first);
+    const auto second = next();
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second->workers, first->workers);
+    EXPECT_NE(second->call, first->call);
+}
+
+TEST_F(ApprovalsTest, ALateAnswerStillCounts)
+{
+    joinWorkers(1);
+    add("job", {step(1)});
+    const auto pending = next();
+    ASSERT_TRUE(pending);
+    m_dispatcher.approvalRequested(*pending);
+    m_dispatcher.approvalLate(*pending);
+    const Instant sentAt = m_now;
+    m_now += Duration(900);
+    answer(*pending, sentAt, 1);
+    EXPECT_EQ(decide().starts.size(), 1U);
+}
+
+// Guards against a step that names no further worker because a place counts twice: as free on an
+// approved worker, and as taken under the step's limit for each worker.
+TEST_F(ApprovalsTest, PlacesThatTheLimitForEachWorkerTakesAreNotCounted)
+{
+    joinWorkers(2);
+    work::StepSpec spread = step(4);
+    spread.maxPerWorker = 2;
+    add("job", {spread});
+    const auto pending = next();
+    ASSERT_TRUE(pending);
+    m_dispatcher.approvalRequested(*pending);
+    answer(*pending, m_now, 2); // w100 only
+    EXPECT_EQ(startAll().size(), 2U);
+    m_now += Duration(300);
+    EXPECT_FALSE(next()) << "w101 is denied";
+    join(entry("w102", WorkerCpuMilli));
+    const auto again = next();
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->workers, std::vector<WorkerId>{"w102"});
+}
+
+// Guards against calls for more workers than a step can use.
+TEST_F(ApprovalsTest, AStepThatOneCallServesGetsOneCall)
+{
+    joinWorkers(200);
+    add("job", {step(10)});
+    EXPECT_EQ(sendAll().size(), 1U);
+}
+
+// Guards against a gang that learns which workers are approved only once they have room, when
+// other work takes it first.
+TEST_F(ApprovalsTest, AWaitingGangAsksAboutWorkersWithoutRoom)
+{
+    joinWorkers(2);
+    m_route.approval.reset();
+    m_route.approval = ApprovalPolicy{Duration(400), 5.7, Validity};
+    setCatalog();
+    add("other", {step(1, WorkerCpuMilli)});
+    const auto other = next();
+    ASSERT_TRUE(other);
+    m_dispatcher.approvalRequested(*other);
+    answer(*other, m_now, 1);
+    ASSERT_EQ(startAll().size(), 1U);
+    add("job", {gang(2)});
+    decide();
+    const auto early = next();
+    ASSERT_TRUE(early);
+    EXPECT_EQ(early->workers.size(), 1U);
+    m_dispatcher.approvalRequested(*early);
+    answer(*early, m_now, 1);
+    m_now += Duration(600);
+    const auto ahead = next();
+    ASSERT_TRUE(ahead);
+    EXPECT_EQ(ahead->workers.size(), 1U);
+    EXPECT_NE(ahead->workers, early->workers);
+}
+
+} // namespace
+} // namespace cardamompaddle
--- a/src/dispatch/dispatcher_overdue.cc
+++ b/src/dispatch/dispatcher_overdue.cc
@@ -100,7 +100,7 @@
     out += count("avoided", avoided);
     if (route.approval)
         out += count("denied", denied) + count("unapproved", unapproved) + count("expired", expired)
-               + " call_active=" + (step.approvalCallActive ? "true" : "false");
+               + count("calls", static_cast<int64_t>(step.approvalCalls.size()));
     return out;
 }
 
--- a/src/dispatch/dispatcher_overdue_test.cc
+++ b/src/dispatch/dispatcher_overdue_test.cc
@@ -64,15 +64,15 @@
     add("j", {step(1)});
     const auto pending = m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration::max())
                              .value_or(PendingApproval{});
-    m_dispatcher.approvalRequested(pending.step);
+    m_dispatcher.approvalRequested(pending);
     PendingApproval about = pending;
     about.workers = {"denied"};
     const std::vector<work::Approval> none;
     m_dispatcher.approvalAnswered(about, &none, m_now, m_now);
-    m_dispatcher.approvalRequested(pending.step);
+    m_dispatcher.approvalRequested(pending);
     EXPECT_THAT(overdueAfter(Duration(3'000)),
                 ElementsAre(AllOf(HasSubstr("reason=approval"), HasSubstr("denied=1"),
-                                  HasSubstr("unapproved=1"), HasSubstr("call_active=true"))));
+                                  HasSubstr("unapproved=1"), HasSubstr("calls=1"))));
 }
 
 TEST_F(OverdueTest, AWaitEndsWithAStart)
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -98,6 +98,21 @@
     return !task.previousWorker.empty() && m_unreconciled.contains(task.previousWorker);
 }
 
+// Returns whether the step is a gang that has waited long enough to go before the other work of its
+// priority.
+bool Dispatcher::Impl::hasPrecedence(const Step &step, Instant now)
+{
+    return step.spec->gang && step.waitingSince && now - *step.waitingSince >= GangPatience;
+}
+
+// Returns whether a member of the gang may not start yet, wherever its place is.
+bool Dispatcher::Impl::hasBlockedMember(const Step &step, Instant now) const
+{
+    return std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task &task) {
+        return task.notBefore > now || mayBeRunningUnreported(task);
+    });
+}
+
 // Returns the steps that may start tasks, most urgent first. With `includeDueSoon`, also those that
 // become ready within `lead`.
 std::vector<Step *> Dispatcher::Impl::stepsByUrgency(Instant now, int64_t unixMs,
@@ -262,6 +277,7 @@
                                 Orders &out)
 {
     const Attempt &attempt = createAttempt(step, index, run, worker, now);
+    step.waitingSince.reset();
     const auto approval = step.approvals.find(worker.entry.id);
     out.starts.push_back({worker.entry.id, taskRefOf(attempt), run, step.job->spec,
                           checkpointForStart(step, index),
@@ -409,6 +425,7 @@
     updateDemand(now, unixMs);
     for (Step *step : stepsByUrgency(now, unixMs, false, Duration::zero())) {
         const WorkRoute &route = *routeOf(*step->job);
+        step->waitingSince = step->waitingSince.value_or(now);
         step->spec->gang ? placeGang(*step, route, now, unixMs, out)
                          : placeIndependent(*step, route, now, unixMs, out);
     }
--- a/src/dispatch/dispatcher_test.cc
+++ b/src/dispatch/dispatcher_test.cc
@@ -180,7 +180,7 @@
     const auto pending = m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration(1'000));
     ASSERT_TRUE(pending);
     EXPECT_EQ(pending->workers.size(), 2U);
-    m_dispatcher.approvalRequested(pending->step);
+    m_dispatcher.approvalRequested(*pending);
     EXPECT_FALSE(m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration(1'000)));
     work::Approval approval;
     approval.worker = "v";
@@ -324,7 +324,7 @@
     add("job", {step(1)});
     const auto pending = m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration(1'000));
     ASSERT_TRUE(pending);
-    m_dispatcher.approvalRequested(pending->step);
+    m_dispatcher.approvalRequested(*pending);
     const std::vector<work::Approval> none;
     m_dispatcher.approvalAnswered(*pending, &none, m_now, m_now + Duration(50));
     m_now += Duration(1'000);
@@ -344,7 +344,7 @@
     add("job", {step(1)});
     const auto pending = m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration(1'000));
     ASSERT_TRUE(pending);
-    m_dispatcher.approvalRequested(pending->step);
+    m_dispatcher.approvalRequested(*pending);
     const std::vector<work::Approval> none;
     m_dispatcher.approvalAnswered(*pending, &none, m_now, m_now + Duration(50));
     m_dispatcher.removeWorker("v");
@@ -364,7 +364,7 @@
     add("job", {step(1)});
     const auto pending = m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration(1'000));
     ASSERT_TRUE(pending);
-    m_dispatcher.approvalRequested(pending->step);
+    m_dispatcher.approvalRequested(*pending);
     const Instant askedAt = m_now;
     m_now += Duration(20);
     report("v", {}, {}, 2);
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -39,9 +39,11 @@
 
     // dispatcher_approvals.cc
     std::vector<dispatch::Step *> stepsForApproval(Instant now, int64_t unixMs);
-    std::optional<PendingApproval> pendingApproval(const dispatch::Step &step, Instant now,
-                                                   int64_t unixMs, Duration maxDecisionTime,
-                                                   bool &settled);
+    // The policy of the step's route, which must have one.
+    const ApprovalPolicy &approvalPolicyOf(const dispatch::Step &step) const;
+    // Returns the next call for the step; none if it needs no further one at present.
+    std::optional<PendingApproval> pendingApproval(dispatch::Step &step, Instant now,
+                                                   int64_t unixMs);
     void approvalAnswered(const PendingApproval &pending, const std::vector<work::Approval> *answer,
                           Instant at, Instant now);
     void forgetApprovals(const WorkerId &id);
@@ -118,6 +120,8 @@
     bool isDueSoon(const Step &step, Instant now, Duration lead) const;
     bool mayStartNow(const Step &step) const;
     bool mayBeRunningUnreported(const Task &task) const;
+    static bool hasPrecedence(const Step &step, Instant now);
+    bool hasBlockedMember(const Step &step, Instant now) const;
     std::vector<Step *> stepsByUrgency(Instant now, int64_t unixMs, bool includeDueSoon,
                                        Duration lead);
     // Returns whether work of the route may start on the worker by its registry entry.
@@ -161,6 +165,13 @@
     void countOrphanedRun(Worker &worker, const TaskRef &ref);
     void releaseOrphanedUse(Worker &worker);
 
+    // dispatcher_approvals.cc
+    bool isApprovalDue(const Step &step, Instant now, int64_t unixMs) const;
+    dispatch::ApprovalCandidates approvalCandidates(const Step &step, Instant now) const;
+    bool hasPlacement(Step &step, Instant now);
+    double approvedShareOf(const std::string &route) const;
+    void updateApprovedShare(const std::string &route, size_t requested, size_t approved);
+
     // dispatcher_overdue.cc
     std::string describeWait(const Step &step, const Task &task, const WorkRoute &route,
                              Instant now) const;
@@ -192,6 +203,9 @@
     // Team name and route priority.
     using TeamPriority = std::pair<std::string, int32_t>;
     std::map<TeamPriority, dispatch::RecentDemand> m_recentDemand;
+    // Share of workers that the policy service approves, by route; smoothed.
+    std::map<std::string, double> m_approvedShare;
+    uint64_t m_lastApprovalCall = 0; // see PendingApproval::call
     std::map<TeamPriority, Resources> m_priorityUse; // updated by decide()
     // Resources of runs that are being stopped, by team, less what waiting steps of the present
     // decision have claimed.
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -22,6 +22,9 @@
 // time to reach the worker.
 inline constexpr Duration ApprovalMargin{200};
 
+// A gang that has waited for this long has precedence over other work of its priority.
+inline constexpr Duration GangPatience{500};
+
 // Returns what one task of the step requires.
 Resources resourcesOfTask(const work::StepSpec &spec);
 
@@ -125,6 +128,18 @@
     Instant expires;
 };
 
+// Workers that may run a step, by what is known of their approval. The second value of a pair is
+// the worker; the first is the number of tasks that fit there, negated, so that the workers with
+// the most room sort first.
+struct ApprovalCandidates
+{
+    using List = std::vector<std::pair<int64_t, WorkerId>>;
+    int64_t approvedPlaces = 0; // tasks that fit on workers with a valid approval
+    double requestedPlaces = 0; // expected from the calls in progress
+    List expired; // approved before, and named in no call in progress
+    List unknown; // never named in an answered call nor in one in progress
+};
+
 // One step of one occurrence of a job.
 struct Step
 {
@@ -140,6 +155,9 @@
     int32_t succeeded = 0;
     int64_t longestRunMs = 0; // of runs that succeeded under this scheduler; 0 if none has
     WaitReason waitReason = WaitReason::None;
+    // Since when decide() has found tasks that could start and has started none; unset while there
+    // are no such tasks.
+    std::optional<Instant> waitingSince;
     bool gangBroken = false; // remaining members must finish before the gang starts again
     Resources taskResources; // required by one task
     // Estimated run time of the longest chain from this step to the job's end.
@@ -147,7 +165,8 @@
     std::map<WorkerId, int32_t> perWorker; // active tasks; bounded by maxPerWorker
     std::map<WorkerId, KnownApproval> approvals;
     std::set<WorkerId> deniedWorkers;
-    bool approvalCallActive = false; // an approval call is in progress
+    // Workers that are named in calls which are in progress and not late, by number of the call.
+    std::map<uint64_t, std::set<WorkerId>> approvalCalls;
     Instant nextApprovalCallAt; // earliest time of the next approval call
 
     bool done() const { return succeeded == static_cast<int32_t>(tasks.size()); }
