Repeat late approval calls elsewhere, and come back at once after an outage

Cause: a call on a dead connection held its step until the timeout, and a failed caller was left out for 1.5 to 24 s even if the service had answered nobody. A call that timed out may still hold its caller's turn at the service.

Change: a call that is late by 0.2 s is repeated through another instance; its answer still counts. A failure is the caller's own only if the service has answered another one meanwhile; only such failures back off exponentially, from 0.5 s on. Others wait 0.3 s, and the first answer ends that wait. A caller is not used while an abandoned call of it may hold its turn. Timeouts leave 0.8 s instead of 0.4 s, since waiting for them delays no step any more.

--- a/src/control/approval_requester.cc
+++ b/src/control/approval_requester.cc
@@ -10,10 +10,15 @@
 namespace {
 
 constexpr Duration MaxShortCall{150}; // longest expected time of a short call
-constexpr Duration CallTimeoutMargin{400}; // timeout beyond the expected time of a call
+// An answer that takes this much longer than expected is late: another caller repeats the call.
+constexpr Duration LateMargin{200};
+constexpr Duration CallTimeoutMargin{800}; // timeout beyond the expected time of a call
 constexpr Duration PeerTimeoutMargin{200}; // extra timeout of a call that a peer makes
-constexpr Duration CallerBackoff{1'500}; // after a failed call; doubles with each further failure
-constexpr int MaxBackoffDoublings = 4;
+// After a failure that is the caller's own; doubles with each further one.
+constexpr Duration CallerBackoff{500};
+constexpr int MaxBackoffDoublings = 5;
+// After a failure while no other caller was answered either.
+constexpr Duration OutageBackoff{300};
 // One caller in this many makes only short calls, so that short calls do not queue behind long
 // ones.
 constexpr size_t CallersPerShortCaller = 3;
@@ -36,21 +41,23 @@
                                      int64_t unixMs)
 {
     const Instant now = m_clock.now();
+    reportLateCalls(now);
     std::vector<const work::Member *> available;
+    bool allBusy = true;
     for (const auto &[name, member] : members) {
-        if (name == m_self || m_callers[name].backoffUntil <= now)
-            available.push_back(&member);
+        const Caller &caller = m_callers[name];
+        if (caller.backoffUntil > now || caller.turnFreeAt > now)
+            continue;
+        available.push_back(&member);
+        allBusy = allBusy && caller.call;
     }
-    const bool allBusy =
-        std::all_of(available.begin(), available.end(),
-                    [this](const work::Member *member) { return m_callers[member->name].busy; });
     if (allBusy)
         return;
     Dispatcher::ApprovalSearch search = m_dispatcher.searchPendingApprovals(now, unixMs);
     bool noShortCall = false; // nothing is left for callers of short calls only
     for (size_t i = 0; i < available.size(); ++i) {
         const work::Member &member = *available[i];
-        if (m_callers[member.name].busy)
+        if (m_callers[member.name].call)
             continue;
         const bool shortOnly = available.size() > 1 && i % CallersPerShortCaller == 0;
         if (shortOnly && noShortCall)
@@ -67,18 +74,34 @@
     }
 }
 
+void ApprovalRequester::reportLateCalls(Instant now)
+{
+    for (auto &[name, caller] : m_callers) {
+        if (!caller.call || caller.call->late)
+            continue;
+        const Duration took = now - caller.call->sentAt;
+        if (took < caller.call->pending.expectedCallTime + LateMargin)
+            continue;
+        caller.call->late = true;
+        m_dispatcher.approvalLate(caller.call->pending);
+        logInfo("approval_late",
+                "job=" + caller.call->pending.step.job
+                    + " step=" + caller.call->pending.step.toString() + " caller=" + name
+                    + " took_ms=" + std::to_string(took.count()) + " expected_ms="
+                    + std::to_string(caller.call->pending.expectedCallTime.count()));
+    }
+}
+
 void ApprovalRequester::send(const std::string &name, const std::string &address,
                              const PendingApproval &pending)
 {
-    m_callers[name].busy = true;
-    const Instant sentAt = m_clock.now();
+    m_callers[name].call = {pending, m_clock.now()};
     const Duration timeout = pending.expectedCallTime + CallTimeoutMargin;
     if (name == m_self) {
         m_policy.approve(pending.step.toString(), pending.workers, timeout,
-                         [this, alive = m_alive, name, pending,
-                          sentAt](const Result<std::vector<work::Approval>> &answer) {
+                         [this, alive = m_alive, name](const Answer &answer) {
                              if (*alive)
-                                 onAnswer(name, pending, sentAt, answer);
+                                 onAnswer(name, answer);
                          });
         return;
     }
@@ -86,36 +109,68 @@
     request.step = pending.step.toString();
     request.workers = pending.workers;
     request.timeoutMs = timeout.count();
-    m_peers.approve(
-        address, request, timeout + PeerTimeoutMargin,
-        [this, alive = m_alive, name, pending, sentAt](Result<work::ApprovalAnswer> answer) {
-            if (!*alive)
-                return;
-            if (!answer)
-                return onAnswer(name, pending, sentAt, answer.error());
-            if (!answer->ok)
-                return onAnswer(name, pending, sentAt,
-                                Error{ErrorCode::Unavailable, answer->error});
-            onAnswer(name, pending, sentAt, std::move(answer->approved));
-        });
+    m_peers.approve(address, request, timeout + PeerTimeoutMargin,
+                    [this, alive = m_alive, name](Result<work::ApprovalAnswer> answer) {
+                        if (!*alive)
+                            return;
+                        if (!answer)
+                            return onAnswer(name, answer.error());
+                        if (!answer->ok)
+                            return onAnswer(name, Error{ErrorCode::Unavailable, answer->error});
+                        onAnswer(name, std::move(answer->approved));
+                    });
 }
 
-void ApprovalRequester::onAnswer(const std::string &name, const PendingApproval &pending,
-                                 Instant sentAt, const Result<std::vector<work::Approval>> &answer)
+void ApprovalRequester::onAnswer(const std::string &name, const Answer &answer)
 {
     const Instant now = m_clock.now();
-    Caller &caller = m_callers[name];
-    caller.busy = false;
-    if (!answer) {
-        caller.backoffUntil =
-            now + CallerBackoff * (1 << std::min(caller.failures++, MaxBackoffDoublings));
-        logWarn("approval_failed", "step=" + pending.step.toString() + " caller=" + name
-                                       + " reason=\"" + answer.error().reason + "\"");
-    }
+    const Call call = *std::exchange(m_callers[name].call, std::nullopt);
     if (answer)
-        caller.failures = 0;
-    m_dispatcher.approvalAnswered(pending, answer ? &answer.value() : nullptr, sentAt, now);
+        handleSuccess(name, now);
+    else
+        handleFailure(name, call, answer.error().reason, now);
+    m_dispatcher.approvalAnswered(call.pending, answer ? &answer.value() : nullptr, call.sentAt,
+                                  now);
     m_answered();
 }
 
+void ApprovalRequester::handleFailure(const std::string &name, const Call &call,
+                                      const std::string &reason, Instant now)
+{
+    Caller &caller = m_callers[name];
+    const bool own = isOwnFailure(name, call);
+    Duration backoff = OutageBackoff;
+    if (own)
+        backoff = CallerBackoff * (1 << std::min(caller.failures++, MaxBackoffDoublings));
+    caller.failedAt = now;
+    caller.backoffUntil = now + backoff;
+    caller.turnFreeAt = now + call.pending.expectedCallTime;
+    logWarn("approval_failed",
+            "job=" + call.pending.step.job + " step=" + call.pending.step.toString()
+                + " caller=" + name + " took_ms=" + std::to_string((now - call.sentAt).count())
+                + " own_failure=" + (own ? "true" : "false") + " reason=\"" + reason + "\"");
+}
+
+void ApprovalRequester::handleSuccess(const std::string &name, Instant now)
+{
+    // The policy service is back for those that failed while it answered nobody.
+    for (auto &[other, caller] : m_callers) {
+        if (caller.failures == 0)
+            caller.backoffUntil = Instant::min();
+    }
+    m_callers[name].failures = 0;
+    m_answeredAt = now;
+    m_answeredCaller = name;
+}
+
+bool ApprovalRequester::isOwnFailure(const std::string &name, const Call &call) const
+{
+    if (m_answeredCaller.empty() || m_answeredCaller == name)
+        return false;
+    // A caller that fails again has failed before with an answer to another one in between.
+    const Instant failedBefore = m_callers.at(name).failedAt;
+    const bool answeredSinceFailure = failedBefore != Instant::min() && m_answeredAt > failedBefore;
+    return m_answeredAt >= call.sentAt || answeredSinceFailure;
+}
+
 } // namespace cardamompaddle
--- a/src/control/approval_requester.h
+++ b/src/control/approval_requester.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cardamompaddle {
@@ -27,21 +28,41 @@
     ApprovalRequester(const ApprovalRequester &) = delete;
     ApprovalRequester &operator=(const ApprovalRequester &) = delete;
 
-    // Sends one call through each idle member, as long as approvals are pending.
+    // Sends calls through idle members, at most one at a time through each, as long as approvals
+    // are pending. Repeats calls whose answer is late through other members. Call it several times
+    // a second.
     void sendRequests(const std::map<std::string, work::Member> &members, int64_t unixMs);
 
 private:
+    using Answer = Result<std::vector<work::Approval>>;
+
+    // A call without an answer.
+    struct Call
+    {
+        PendingApproval pending;
+        Instant sentAt;
+        bool late = false;
+    };
     // An entry instance through which calls are made.
     struct Caller
     {
-        bool busy = false;
+        std::optional<Call> call;
+        // The policy service may still handle an abandoned call of the caller until then, and would
+        // keep the next one waiting.
+        Instant turnFreeAt = Instant::min();
         Instant backoffUntil = Instant::min();
-        int failures = 0; // consecutive
+        Instant failedAt = Instant::min();
+        int failures = 0; // consecutive ones that are the caller's own
     };
 
+    void reportLateCalls(Instant now);
     void send(const std::string &name, const std::string &address, const PendingApproval &pending);
-    void onAnswer(const std::string &name, const PendingApproval &pending, Instant sentAt,
-                  const Result<std::vector<work::Approval>> &answer);
+    void onAnswer(const std::string &name, const Answer &answer);
+    void handleFailure(const std::string &name, const Call &call, const std::string &reason,
+                       Instant now);
+    void handleSuccess(const std::string &name, Instant now);
+    // Whether the failure is the caller's own, as the policy service has answered another one.
+    bool isOwnFailure(const std::string &name, const Call &call) const;
 
     const Clock &m_clock;
     PolicyGateway &m_policy;
@@ -50,6 +71,8 @@
     std::string m_self;
     std::function<void()> m_answered;
     std::map<std::string, Caller> m_callers;
+    Instant m_answeredAt = Instant::min(); // when a call last succeeded
+    std::string m_answeredCaller; // the caller of that call
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
