Hold places and team limit for a gang that has waited

Cause: single tasks take each place and each part of the limit that becomes free, so a gang starts only if enough of it is free by chance.

Change: a gang that has waited for 0.5 s goes before the other work of its priority, and the first such gang of a pool holds the places, that of a team the limit, which it needs; less urgent work gets the rest, more urgent work is not affected. Nothing is held for a gang that fits nowhere, or of which a member may not start yet.

--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -118,7 +118,7 @@
 std::vector<Step *> Dispatcher::Impl::stepsByUrgency(Instant now, int64_t unixMs,
                                                      bool includeDueSoon, Duration lead)
 {
-    using Key = std::tuple<int32_t, UrgencyClass, int64_t, int64_t, uint64_t>;
+    using Key = std::tuple<int32_t, bool, UrgencyClass, int64_t, int64_t, uint64_t>;
     std::vector<std::pair<Key, Step *>> keyed;
     for (const auto &[id, job] : m_jobs) {
         const WorkRoute *route = job->isTerminal() ? nullptr : routeOf(*job);
@@ -134,8 +134,9 @@
             const double weight = team == m_catalog->teams.end() ? 1 : team->second.weight;
             const int64_t share = dominantShareMillionths(*job->teamUse, m_total);
             const auto weightedShare = static_cast<int64_t>(static_cast<double>(share) / weight);
-            keyed.push_back(
-                {{route->priority, urgency, weightedShare, slack, job->sequence}, step.get()});
+            keyed.push_back({{route->priority, !hasPrecedence(*step, now), urgency, weightedShare,
+                              slack, job->sequence},
+                             step.get()});
         }
     }
     std::sort(keyed.begin(), keyed.end(),
@@ -149,7 +150,7 @@
 
 bool Dispatcher::Impl::hasRoom(const Worker &worker, const Step &step) const
 {
-    return (worker.used + step.taskResources).fitsIn(worker.entry.capacity);
+    return (worker.used + worker.held + step.taskResources).fitsIn(worker.entry.capacity);
 }
 
 bool Dispatcher::Impl::acceptsStarts(const Worker &worker, const WorkRoute &route) const
@@ -190,13 +191,20 @@
     const Resources *limit = limitOf(job);
     if (limit == nullptr)
         return true;
-    const auto unreported = m_unreportedUse.find(job.spec->team);
-    const Resources total =
-        *job.teamUse + more
-        + (unreported == m_unreportedUse.end() ? Resources{} : unreported->second);
-    return (limit->cpuMilli == 0 || total.cpuMilli <= limit->cpuMilli)
-           && (limit->memoryMb == 0 || total.memoryMb <= limit->memoryMb)
-           && (limit->accelerators == 0 || total.accelerators <= limit->accelerators);
+    Resources total = *job.teamUse + more;
+    for (const auto *others : {&m_unreportedUse, &m_heldLimit}) {
+        if (const auto it = others->find(job.spec->team); it != others->end())
+            total += it->second;
+    }
+    return fitsLimit(total, *limit);
+}
+
+// Returns whether the use of a team is within its limit, in which 0 means unlimited.
+bool Dispatcher::Impl::fitsLimit(const Resources &use, const Resources &limit)
+{
+    return (limit.cpuMilli == 0 || use.cpuMilli <= limit.cpuMilli)
+           && (limit.memoryMb == 0 || use.memoryMb <= limit.memoryMb)
+           && (limit.accelerators == 0 || use.accelerators <= limit.accelerators);
 }
 
 // Returns the workers on which tasks of the step may start in this pass, ordered by ID. Room and
@@ -378,9 +386,13 @@
     const Resources reserve = yieldsToUrgentWork(step, route, unixMs)
                                   ? reserveForUrgentWork(*step.job, route)
                                   : Resources{};
+    const bool mayHold = hasPrecedence(step, now) && !hasBlockedMember(step, now);
     if (!withinLimit(*step.job, all + reserve)) {
         preemptLessUrgent(step, route, unixMs);
-        return setWaitReason(step, WaitReason::TeamLimit);
+        setWaitReason(step, WaitReason::TeamLimit);
+        if (mayHold)
+            holdLimit(step, all);
+        return;
     }
     std::vector<Worker *> places;
     bool found = false;
@@ -395,9 +407,14 @@
             return findGangPlacement(step, it.second, now, places);
         });
     }
-    if (!found && !findGangPlacement(step, candidates, now, places))
-        return setWaitReason(step, reasonForNoWorker(step, route, now));
+    if (!found && !findGangPlacement(step, candidates, now, places)) {
+        setWaitReason(step, reasonForNoWorker(step, route, now));
+        if (mayHold)
+            holdPlaces(step, route, now);
+        return;
+    }
     setWaitReason(step, WaitReason::None);
+    setHolds(step, false, 0);
     int64_t lastRun = 0;
     for (const Task &task : step.tasks)
         lastRun = std::max(lastRun, task.lastRun);
@@ -421,6 +438,7 @@
 Orders Dispatcher::Impl::decide(Instant now, int64_t unixMs)
 {
     Orders out;
+    resetHolds();
     updateUnreportedUse(unixMs);
     updateDemand(now, unixMs);
     for (Step *step : stepsByUrgency(now, unixMs, false, Duration::zero())) {
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -130,6 +130,7 @@
                     Instant now) const;
     bool hasRoom(const Worker &worker, const Step &step) const;
     bool withinLimit(const Job &job, const Resources &more) const;
+    static bool fitsLimit(const Resources &use, const Resources &limit);
     const Resources *limitOf(const Job &job) const;
     static bool reachedMaxPerWorker(const Worker &worker, const Step &step);
     std::vector<Worker *> candidatesFor(const Step &step, const WorkRoute &route, Instant now);
@@ -149,6 +150,12 @@
     int64_t nextRunNumber(int64_t lastRun) const;
     void collectStops(Instant now, Orders &out);
 
+    // dispatcher_holds.cc
+    void resetHolds();
+    void holdLimit(Step &step, const Resources &needed);
+    void holdPlaces(Step &step, const WorkRoute &route, Instant now);
+    void setHolds(Step &step, bool holds, int64_t freePlaces);
+
     // dispatcher_crashes.cc
     void workerReplaced(const WorkerId &id, Instant now);
     void recordNewRuns(const Worker &worker);
@@ -210,6 +217,10 @@
     // Resources of runs that are being stopped, by team, less what waiting steps of the present
     // decision have claimed.
     std::map<std::string, Resources> m_stoppingUse;
+    // Pools and teams of which a gang holds places or limit; see dispatcher_holds.cc. Valid during
+    // and after a decision, until the next one.
+    std::set<std::string> m_poolsWithHolds;
+    std::map<std::string, Resources> m_heldLimit;
     // Whose steps can have no further run preempted for them in the present decision.
     std::set<TeamPriority> m_preemptionExhausted;
     Resources m_total; // capacity of all listed workers
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -158,6 +158,7 @@
     // Since when decide() has found tasks that could start and has started none; unset while there
     // are no such tasks.
     std::optional<Instant> waitingSince;
+    bool holds = false; // a gang for which places or limit are held
     bool gangBroken = false; // remaining members must finish before the gang starts again
     Resources taskResources; // required by one task
     // Estimated run time of the longest chain from this step to the job's end.
@@ -213,6 +214,7 @@
     // What the orphaned runs use, counted in the use of their teams until the next report.
     std::vector<std::pair<Resources *, Resources>> orphanedUse;
     Resources used;
+    Resources held; // for a gang that waits; see dispatcher_holds.cc
     std::optional<int64_t> incarnationStartedAtMs; // from the last report; Unix time
     Instant restartedAt = Instant::min(); // when a report first showed the present incarnation
     int64_t endPosition = 0; // see Dispatcher::endPosition()
