Look for further approval calls of a step only if more places are expected to be needed

A step with a call in progress was examined against all workers in each pass, to find that it needs no second one; before, it was skipped. A call now keeps how many tasks it is expected to place, and a step is examined again only if that is not enough.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -178,7 +178,8 @@
 void Dispatcher::approvalRequested(const PendingApproval &pending)
 {
     if (dispatch::Step *step = m_impl->findStep(pending.step))
-        step->approvalCalls[pending.call] = {pending.workers.begin(), pending.workers.end()};
+        step->approvalCalls[pending.call] = {{pending.workers.begin(), pending.workers.end()},
+                                             pending.expectedPlaces};
 }
 
 void Dispatcher::approvalLate(const PendingApproval &pending)
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -42,6 +42,7 @@
     uint64_t call = 0; // unique for each call of a dispatcher
     StepRef step;
     std::vector<WorkerId> workers; // candidates to name in the call
+    double expectedPlaces = 0; // tasks that fit on the workers which are likely to be approved
     Duration expectedCallTime{0};
     Duration validity{0}; // of an approval
 };
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -3,6 +3,9 @@
 #include "dispatch/internal/impl.h"
 
 #include <algorithm>
+#include <numeric>
+#include <tuple>
+#include <utility>
 
 namespace cardamompaddle {
 
@@ -50,6 +53,20 @@
     return count;
 }
 
+int64_t placesOf(const ApprovalCandidates::List &list)
+{
+    return std::accumulate(list.begin(), list.end(), int64_t{0},
+                           [](int64_t sum, const auto &it) { return sum + it.first; });
+}
+
+// Returns the places that are expected from the calls in progress.
+double placesRequested(const Step &step)
+{
+    return std::accumulate(
+        step.approvalCalls.begin(), step.approvalCalls.end(), 0.0,
+        [](double sum, const auto &it) { return sum + it.second.expectedPlaces; });
+}
+
 Duration expectedCallTime(const ApprovalPolicy &policy, size_t workers)
 {
     return policy.decisionTime
@@ -86,7 +103,6 @@
 ApprovalCandidates Dispatcher::Impl::approvalCandidates(const Step &step, Instant now) const
 {
     const WorkRoute &route = *routeOf(*step.job);
-    const double share = approvedShareOf(route.name);
     const bool asksAhead = hasPrecedence(step, now);
     ApprovalCandidates out;
     for (const auto &[id, worker] : m_workers) {
@@ -107,12 +123,15 @@
         }
         const bool requested =
             std::any_of(step.approvalCalls.begin(), step.approvalCalls.end(),
-                        [&id = id](const auto &call) { return call.second.contains(id); });
-        if (requested)
-            out.requestedPlaces += static_cast<double>(fitting) * (approved ? 1 : share);
-        else
-            (approved ? out.expired : out.unknown).push_back({-fitting, id});
+                        [&id = id](const auto &it) { return it.second.workers.contains(id); });
+        if (!requested)
+            (approved ? out.expired : out.unknown).emplace_back(fitting, id);
     }
+    // As long as the gang cannot start for lack of room, renewed approvals would only expire again.
+    const auto reachable =
+        static_cast<double>(out.approvedPlaces + placesOf(out.expired) + placesOf(out.unknown));
+    if (step.spec->gang && reachable + placesRequested(step) < step.waiting)
+        out.expired.clear();
     return out;
 }
 
@@ -128,34 +147,46 @@
 std::optional<PendingApproval> Dispatcher::Impl::pendingApproval(Step &step, Instant now,
                                                                  int64_t unixMs)
 {
-    if (!isApprovalDue(step, now, unixMs))
+    const double needed = step.waiting * (step.spec->gang ? GangPlacesMargin : 1);
+    if (placesRequested(step) >= needed || !isApprovalDue(step, now, unixMs))
         return std::nullopt;
     ApprovalCandidates candidates = approvalCandidates(step, now);
-    const double needed = step.waiting * (step.spec->gang ? GangPlacesMargin : 1);
-    const double missing =
-        needed - candidates.requestedPlaces - static_cast<double>(candidates.approvedPlaces);
-    const bool enough = missing <= 0 || candidates.approvedPlaces >= step.waiting;
+    const auto approvedPlaces = static_cast<double>(candidates.approvedPlaces);
+    const bool enough = candidates.approvedPlaces >= step.waiting
+                        || approvedPlaces + placesRequested(step) >= needed;
     const bool placeable =
         !step.spec->gang || !step.approvalCalls.empty() || hasPlacement(step, now);
     if ((enough && placeable) || (candidates.expired.empty() && candidates.unknown.empty()))
         return std::nullopt;
+    return callFor(step, std::move(candidates));
+}
+
+// Returns a call that names the candidates: those whose approval has expired first, then those
+// with the most room.
+PendingApproval Dispatcher::Impl::callFor(const Step &step, ApprovalCandidates candidates)
+{
     const ApprovalPolicy &policy = approvalPolicyOf(step);
     const size_t maxWorkers =
         policy.perWorkerMs >= SlowPerWorkerMs ? MaxWorkersPerSlowCall : MaxWorkersPerCall;
-    PendingApproval pending;
-    pending.call = ++m_lastApprovalCall;
-    pending.step = {step.job->spec->id, step.occurrence, step.number};
-    pending.validity = policy.validity;
-    // Renewals of expired approvals come first, then the workers with the most room.
-    for (ApprovalCandidates::List *list : {&candidates.expired, &candidates.unknown}) {
-        std::sort(list->begin(), list->end());
-        for (const auto &[negatedFitting, id] : *list) {
-            if (pending.workers.size() < maxWorkers)
-                pending.workers.push_back(id);
+    PendingApproval out;
+    out.call = ++m_lastApprovalCall;
+    out.step = {step.job->spec->id, step.occurrence, step.number};
+    out.validity = policy.validity;
+    const auto name = [&](ApprovalCandidates::List &list, double share) {
+        std::sort(list.begin(), list.end(), [](const auto &a, const auto &b) {
+            return std::tie(b.first, a.second) < std::tie(a.first, b.second);
+        });
+        for (const auto &[fitting, id] : list) {
+            if (out.workers.size() >= maxWorkers)
+                return;
+            out.workers.push_back(id);
+            out.expectedPlaces += static_cast<double>(fitting) * share;
         }
-    }
-    pending.expectedCallTime = expectedCallTime(policy, pending.workers.size());
-    return pending;
+    };
+    name(candidates.expired, 1);
+    name(candidates.unknown, approvedShareOf(step.job->spec->route));
+    out.expectedCallTime = expectedCallTime(policy, out.workers.size());
+    return out;
 }
 
 double Dispatcher::Impl::approvedShareOf(const std::string &route) const
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -175,6 +175,7 @@
     // dispatcher_approvals.cc
     bool isApprovalDue(const Step &step, Instant now, int64_t unixMs) const;
     dispatch::ApprovalCandidates approvalCandidates(const Step &step, Instant now) const;
+    PendingApproval callFor(const Step &step, dispatch::ApprovalCandidates candidates);
     bool hasPlacement(Step &step, Instant now);
     double approvedShareOf(const std::string &route) const;
     void updateApprovedShare(const std::string &route, size_t requested, size_t approved);
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -128,16 +128,21 @@
     Instant expires;
 };
 
-// Workers that may run a step, by what is known of their approval. The second value of a pair is
-// the worker; the first is the number of tasks that fit there, negated, so that the workers with
-// the most room sort first.
+// A call to the policy service that is in progress.
+struct ApprovalCall
+{
+    std::set<WorkerId> workers;
+    double expectedPlaces = 0; // see PendingApproval
+};
+
+// Workers without a valid approval that may run a step and are named in no call in progress, with
+// the number of tasks that fit there.
 struct ApprovalCandidates
 {
     using List = std::vector<std::pair<int64_t, WorkerId>>;
     int64_t approvedPlaces = 0; // tasks that fit on workers with a valid approval
-    double requestedPlaces = 0; // expected from the calls in progress
-    List expired; // approved before, and named in no call in progress
-    List unknown; // never named in an answered call nor in one in progress
+    List expired; // approved before
+    List unknown; // not known to be approved or denied
 };
 
 // One step of one occurrence of a job.
@@ -166,8 +171,7 @@
     std::map<WorkerId, int32_t> perWorker; // active tasks; bounded by maxPerWorker
     std::map<WorkerId, KnownApproval> approvals;
     std::set<WorkerId> deniedWorkers;
-    // Workers that are named in calls which are in progress and not late, by number of the call.
-    std::map<uint64_t, std::set<WorkerId>> approvalCalls;
+    std::map<uint64_t, ApprovalCall> approvalCalls; // by number; those that are not late
     Instant nextApprovalCallAt; // earliest time of the next approval call
 
     bool done() const { return succeeded == static_cast<int32_t>(tasks.size()); }
