Tell from the logs what a ready step lacks, from 2 s on

Cause: task_overdue came from 3 s on for four tasks a second, always the same ones. It counted workers only: not the places on approved ones, the approval calls or the team's limit, and its reason was "nothing" for a job that may be running and for a gang that was interrupted. Jobs without a route had a line, but it didn't name the route.

Change: one line for each step after 2 s without a start, at most eight a second and by turns, with the first reason that applies, places by approval, calls, team limit, the task that blocks the step and whether it has room. The wait is kept for each step in place of each task; decide() sets it, and any run that starts or is adopted ends it. Dispatcher::waitingSteps() counts the waits by reason, for metrics.

Without the reset in createAttempt(), AnAdoptedRunEndsTheWait and AWaitEndsWithAStart fail; without blockingTask() ABackoffIsTheReasonOfAGang does. ShowsTheStateOfApprovals expects calls_active=1 and two more fields in place of call_active=true.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -187,6 +187,11 @@
     return m_impl->nextEvent(now, unixMs);
 }
 
+WaitingStepsByReason Dispatcher::waitingSteps(Instant now, int64_t unixMs) const
+{
+    return m_impl->waitingSteps(now, unixMs);
+}
+
 void Dispatcher::reportOverdueTasks(Instant now, int64_t unixMs)
 {
     m_impl->reportOverdueTasks(now, unixMs);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "dispatch/catalog.h"
+#include "dispatch/step_wait.h"
 #include "dispatch/worker_runs.h"
 
 #include <cstdint>
@@ -153,8 +154,10 @@
     // a later event, ask again then.
     std::optional<Instant> nextEvent(Instant now, int64_t unixMs) const;
 
-    // Emits a "task_overdue" event, with the reasons, for steps that have tasks which could have
-    // started long ago and still wait; a few steps in each call. Call it about once a second.
+    // Returns how many ready steps have nothing starting, for which reason and for how long.
+    WaitingStepsByReason waitingSteps(Instant now, int64_t unixMs) const;
+    // Emits a "task_overdue" event, with what they lack, for ready steps that have had nothing
+    // starting for some seconds; a few steps in each call, by turns. Call it about once a second.
     void reportOverdueTasks(Instant now, int64_t unixMs);
 
     // Returns the parts of the jobs' progress that changed since the last call; a part other than
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -133,6 +133,7 @@
     Step *step = findStep(pending.step);
     if (step == nullptr)
         return;
+    ++(answer == nullptr ? step->failedApprovalCalls : step->answeredApprovalCalls);
     step->approvalCallActive = false;
     step->nextApprovalCallAt =
         now + (answer == nullptr ? ApprovalCallRetryInterval : ApprovalCallInterval);
--- a/src/dispatch/dispatcher_overdue.cc
+++ b/src/dispatch/dispatcher_overdue.cc
@@ -1,8 +1,9 @@
-// Diagnostics: why tasks that could have started long ago still wait.
+// Diagnostics: what ready steps that have had nothing starting for long still lack.
 
 #include "dispatch/internal/impl.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace cardamompaddle {
 
@@ -10,49 +11,78 @@
 
 namespace {
 
-constexpr Duration OverdueAfter{3'000};
-constexpr size_t MaxReportedSteps = 4; // in one call
+constexpr Duration OverdueAfter{2'000};
+// The report is made once a second, so this is the number of lines in a second.
+constexpr size_t MaxLinesPerReport = 8;
+// A wait is unexpected if the approved workers have room for this many times what the step needs.
+constexpr int64_t AmpleRoomFactor = 2;
 
-struct OverdueStep
+std::string count(std::string_view name, int64_t n)
 {
-    const Step *step;
-    const Task *task; // the one that has waited longest
-    int32_t tasks; // that wait
-};
+    return " " + std::string(name) + "=" + std::to_string(n);
+}
 
-// Returns the waiting task that has waited longest, null if none waits.
-const Task *updateWaitingSince(Step &step, Instant now)
+std::string flag(std::string_view name, bool value)
 {
-    const Task *oldest = nullptr;
-    for (Task &task : step.tasks) {
-        if (task.state != TaskState::Waiting)
-            continue;
-        task.waitingSince = task.waitingSince.value_or(now);
-        if (oldest == nullptr || *task.waitingSince < *oldest->waitingSince)
-            oldest = &task;
+    return " " + std::string(name) + "=" + (value ? "true" : "false");
+}
+
+// CPU in thousandths of a core, memory in MiB and accelerators, separated by slashes.
+std::string amounts(std::string_view name, const Resources &it)
+{
+    return count(name, it.cpuMilli) + "/" + std::to_string(it.memoryMb) + "/"
+           + std::to_string(it.accelerators);
+}
+
+// Number of tasks of a step that fit on workers.
+struct Places
+{
+    int64_t free = 0; // beside what runs there now
+    int64_t total = 0; // if nothing ran there
+
+    std::string toString(std::string_view name) const
+    {
+        return count(name, free) + "/" + std::to_string(total);
     }
-    return oldest;
+};
+
+// Returns how many tasks of the step fit into `free`, at most `limit`.
+int64_t fittingTasks(const Resources &free, const Step &step, int64_t limit)
+{
+    int64_t out = limit;
+    const auto bound = [&out](int64_t amount, int64_t need) {
+        if (need > 0)
+            out = std::min(out, std::max<int64_t>(0, amount) / need);
+    };
+    bound(free.cpuMilli, step.taskResources.cpuMilli);
+    bound(free.memoryMb, step.taskResources.memoryMb);
+    bound(free.accelerators, step.taskResources.accelerators);
+    return out;
 }
 
-// Long-running steps first, as each second without them is lost to their users, then those that
-// have waited longest.
-bool reportedBefore(const OverdueStep &a, const OverdueStep &b)
+void addPlaces(Places &places, const Worker &worker, const Step &step)
 {
-    if (a.step->spec->longRunning != b.step->spec->longRunning)
-        return a.step->spec->longRunning;
-    return *a.task->waitingSince < *b.task->waitingSince;
+    const auto tasks = static_cast<int64_t>(step.tasks.size());
+    const auto found = step.perWorker.find(worker.entry.id);
+    const int32_t active = found == step.perWorker.end() ? 0 : found->second;
+    const int32_t most = step.spec->maxPerWorker;
+    const int64_t limit = most > 0 ? std::min<int64_t>(most, tasks) : tasks;
+    const int64_t limitNow = most > 0 ? std::clamp<int64_t>(most - active, 0, tasks) : tasks;
+    places.total += fittingTasks(worker.entry.capacity, step, limit);
+    places.free += fittingTasks(worker.entry.capacity - worker.used, step, limitNow);
 }
 
-std::string count(std::string_view name, int64_t n)
+const Task &firstWaitingTask(const Step &step)
 {
-    return " " + std::string(name) + "=" + std::to_string(n);
+    return *std::find_if(step.tasks.begin(), step.tasks.end(),
+                         [](const Task &task) { return task.state == TaskState::Waiting; });
 }
 
 } // namespace
 
-// Counts each worker under the first reason for which the task cannot start there.
-std::string Dispatcher::Impl::describeWait(const Step &step, const Task &task,
-                                           const WorkRoute &route, Instant now) const
+// Counts each worker under the first reason for which no task of the step can start there.
+std::string Dispatcher::Impl::describeWorkers(const Step &step, const WorkRoute &route,
+                                              Instant now) const
 {
     int64_t unusable = 0; // not listed, draining, of another pool or in a zone that is out
     int64_t silent = 0; // not reported or unreachable
@@ -87,50 +117,141 @@
         else
             ++usable;
     }
-    std::string out = " reason=" + std::string(waitReasonName(step.waitReason));
-    if (mayBeRunningUnreported(task))
-        out += " may_run_on=" + task.previousWorker;
-    if (step.job->mayBeRunning)
-        out += count("unreconciled_workers", static_cast<int64_t>(m_unreconciled.size()));
-    out += count("backoff_ms", std::max<int64_t>(0, (task.notBefore - now).count()));
-    if (!withinLimit(*step.job, step.taskResources))
-        out += " over_limit=true";
-    out += count("usable", usable) + count("full", full) + count("unsuitable", unsuitable);
-    out += count("silent", silent) + count("unusable", unusable) + count("orphaned", orphaned);
-    out += count("avoided", avoided);
+    std::string out = count("usable", usable) + count("full", full);
+    out += count("unsuitable", unsuitable) + count("silent", silent) + count("unusable", unusable);
+    out += count("orphaned", orphaned) + count("avoided", avoided);
     if (route.approval)
-        out += count("denied", denied) + count("unapproved", unapproved) + count("expired", expired)
-               + " call_active=" + (step.approvalCallActive ? "true" : "false");
+        out +=
+            count("denied", denied) + count("unapproved", unapproved) + count("expired", expired);
     return out;
 }
 
+// Tells whether the step has room, on which workers by their approval, and of the approval calls.
+std::string Dispatcher::Impl::describePlaces(Step &step, const WorkRoute &route, Instant now)
+{
+    Places approved;
+    Places expired;
+    Places unknown;
+    Places denied;
+    for (const auto &[id, worker] : m_workers) {
+        if (!isEligible(*worker, step, route, now))
+            continue;
+        const auto approval = step.approvals.find(id);
+        if (!route.approval)
+            addPlaces(approved, *worker, step);
+        else if (step.deniedWorkers.contains(id))
+            addPlaces(denied, *worker, step);
+        else if (approval == step.approvals.end())
+            addPlaces(unknown, *worker, step);
+        else
+            addPlaces(approval->second.expires < now + ApprovalMargin ? expired : approved, *worker,
+                      step);
+    }
+    const bool placement = hasPlacementNow(step, route, now);
+    std::string out =
+        flag("has_room", placement || approved.free >= AmpleRoomFactor * step.waiting);
+    out += flag("placement", placement);
+    if (!route.approval)
+        return out + approved.toString("places");
+    out += approved.toString("approved_places") + expired.toString("expired_places");
+    out += unknown.toString("unknown_places") + denied.toString("denied_places");
+    out += count("calls_active", step.approvalCallActive ? 1 : 0);
+    return out + count("calls_answered", step.answeredApprovalCalls)
+           + count("calls_failed", step.failedApprovalCalls);
+}
+
+// Returns whether the workers that may run the step have room for what has to start together. The
+// limit of the team is not considered.
+bool Dispatcher::Impl::hasPlacementNow(Step &step, const WorkRoute &route, Instant now)
+{
+    const std::vector<Worker *> candidates = candidatesFor(step, route, now);
+    if (step.spec->gang) {
+        std::vector<Worker *> places;
+        return findGangPlacement(step, candidates, now, places);
+    }
+    return std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task &task) {
+        return task.state == TaskState::Waiting && task.notBefore <= now
+               && !mayBeRunningUnreported(task)
+               && chooseWorker(step, task, candidates, now) != nullptr;
+    });
+}
+
+// Compares what the step wants at once with the limit of its team.
+std::string Dispatcher::Impl::describeTeam(const Step &step, const WorkRoute &route,
+                                           int64_t unixMs) const
+{
+    const Job &job = *step.job;
+    const Resources *limit = limitOf(job);
+    const auto unreported = m_unreportedUse.find(job.spec->team);
+    const Resources wants = step.taskResources * (step.spec->gang ? step.waiting : 1);
+    const Resources reserve =
+        yieldsToUrgentWork(step, route, unixMs) ? reserveForUrgentWork(job, route) : Resources{};
+    std::string out = " team=" + job.spec->team + amounts("wants", wants);
+    out += amounts("team_use", *job.teamUse);
+    out += amounts("team_limit", limit == nullptr ? Resources{} : *limit);
+    out += amounts("unreported_use",
+                   unreported == m_unreportedUse.end() ? Resources{} : unreported->second);
+    out += amounts("urgent_reserve", reserve);
+    return out + flag("over_limit", !withinLimit(job, wants + reserve));
+}
+
+// Tells what keeps the step, or its task that blocks it, from starting wherever there is room.
+std::string Dispatcher::Impl::describeBlock(const Step &step, const Task &task, Instant now) const
+{
+    std::string out;
+    if (step.job->mayBeRunning)
+        out += count("unreconciled_workers", static_cast<int64_t>(m_unreconciled.size()));
+    if (step.active > 0 || step.gangBroken)
+        out += count("active", step.active) + count("stopping", step.stopping);
+    if (mayBeRunningUnreported(task))
+        out += " may_run_on=" + task.previousWorker;
+    return out + count("backoff_ms", std::max<int64_t>(0, (task.notBefore - now).count()));
+}
+
+void Dispatcher::Impl::reportOverdueStep(Step &step, Instant now, int64_t unixMs)
+{
+    const Task *blocking = blockingTask(step, now);
+    const Task &task = blocking == nullptr ? firstWaitingTask(step) : *blocking;
+    const TaskRef ref{{step.job->spec->id, step.occurrence, step.number},
+                      static_cast<int32_t>(&task - step.tasks.data())};
+    std::string detail = "task=" + ref.toString();
+    detail += count("waited_ms", (now - waitStart(step, now)).count());
+    detail += count("tasks", step.waiting) + flag("gang", step.spec->gang);
+    detail += flag("long_running", step.spec->longRunning);
+    detail += " reason=" + std::string(stepWaitName(waitOf(step, now)));
+    detail += " route=" + step.job->spec->route;
+    if (const WorkRoute *route = routeOf(*step.job)) {
+        detail += describePlaces(step, *route, now) + describeBlock(step, task, now);
+        detail += describeTeam(step, *route, unixMs) + describeWorkers(step, *route, now);
+    }
+    emitEvent("task_overdue", ref.step.job, std::move(detail));
+}
+
+// Notes which steps are ready. Those that have been reported least recently come first, then
+// long-running ones, as each second without them is lost to their users, then the longest waits.
 void Dispatcher::Impl::reportOverdueTasks(Instant now, int64_t unixMs)
 {
-    std::vector<OverdueStep> overdue;
+    using Key = std::tuple<Instant, bool, Instant>;
+    std::vector<std::pair<Key, Step *>> overdue;
     for (const auto &[id, job] : m_jobs) {
         for (const auto &step : job->steps) {
-            const bool due = step->waiting > 0 && !job->isTerminal() && isReady(*step, unixMs);
-            const Task *oldest = due ? updateWaitingSince(*step, now) : nullptr;
-            if (oldest != nullptr && now - *oldest->waitingSince >= OverdueAfter)
-                overdue.push_back({step.get(), oldest, step->waiting});
+            if (!isWaiting(*step, unixMs))
+                continue;
+            step->readySince = step->readySince.value_or(now);
+            const Instant since = waitStart(*step, now);
+            if (now - since >= OverdueAfter)
+                overdue.push_back(
+                    {{step->reportedAt, !step->spec->longRunning, since}, step.get()});
         }
     }
-    const size_t reported = std::min(overdue.size(), MaxReportedSteps);
-    std::partial_sort(overdue.begin(), overdue.begin() + static_cast<ptrdiff_t>(reported),
-                      overdue.end(), reportedBefore);
-    overdue.resize(reported);
-    for (const OverdueStep &it : overdue) {
-        const Step &step = *it.step;
-        const TaskRef ref{{step.job->spec->id, step.occurrence, step.number},
-                          static_cast<int32_t>(it.task - step.tasks.data())};
-        const WorkRoute *route = routeOf(*step.job);
-        emitEvent("task_overdue", ref.step.job,
-                  "task=" + ref.toString()
-                      + " waited_ms=" + std::to_string((now - *it.task->waitingSince).count())
-                      + " tasks=" + std::to_string(it.tasks)
-                      + " long_running=" + (step.spec->longRunning ? "true" : "false")
-                      + (route == nullptr ? std::string(" reason=no_route")
-                                          : describeWait(step, *it.task, *route, now)));
+    const size_t lines = std::min(overdue.size(), MaxLinesPerReport);
+    std::partial_sort(overdue.begin(), overdue.begin() + static_cast<ptrdiff_t>(lines),
+                      overdue.end(),
+                      [](const auto &a, const auto &b) { return a.first < b.first; });
+    overdue.resize(lines);
+    for (const auto &[key, step] : overdue) {
+        step->reportedAt = now;
+        reportOverdueStep(*step, now, unixMs);
     }
 }
 
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -409,6 +409,7 @@
     updateDemand(now, unixMs);
     for (Step *step : stepsByUrgency(now, unixMs, false, Duration::zero())) {
         const WorkRoute &route = *routeOf(*step->job);
+        step->waitingSince = step->waitingSince.value_or(now);
         step->spec->gang ? placeGang(*step, route, now, unixMs, out)
                          : placeIndependent(*step, route, now, unixMs, out);
     }
--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -84,7 +84,8 @@
     attempt.run = run;
     attempt.orderedAt = now;
     attempt.lastProgressAt = now;
-    task.waitingSince.reset();
+    step.waitingSince.reset();
+    step.readySince.reset();
     task.lastRun = std::max(task.lastRun, run);
     if (task.state == TaskState::Waiting) {
         task.state = TaskState::Active;
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -47,6 +47,9 @@
     void forgetApprovals(const WorkerId &id);
     dispatch::Step *findStep(const StepRef &ref);
 
+    // dispatcher_waits.cc
+    WaitingStepsByReason waitingSteps(Instant now, int64_t unixMs) const;
+
     // dispatcher_overdue.cc
     void reportOverdueTasks(Instant now, int64_t unixMs);
 
@@ -161,9 +164,20 @@
     void countOrphanedRun(Worker &worker, const TaskRef &ref);
     void releaseOrphanedUse(Worker &worker);
 
+    // dispatcher_waits.cc
+    // Returns whether the step is ready and has tasks that wait.
+    bool isWaiting(const Step &step, int64_t unixMs) const;
+    static Instant waitStart(const Step &step, Instant now);
+    const Task *blockingTask(const Step &step, Instant now) const;
+    StepWait waitOf(const Step &step, Instant now) const;
+
     // dispatcher_overdue.cc
-    std::string describeWait(const Step &step, const Task &task, const WorkRoute &route,
-                             Instant now) const;
+    std::string describeWorkers(const Step &step, const WorkRoute &route, Instant now) const;
+    std::string describePlaces(Step &step, const WorkRoute &route, Instant now);
+    bool hasPlacementNow(Step &step, const WorkRoute &route, Instant now);
+    std::string describeTeam(const Step &step, const WorkRoute &route, int64_t unixMs) const;
+    std::string describeBlock(const Step &step, const Task &task, Instant now) const;
+    void reportOverdueStep(Step &step, Instant now, int64_t unixMs);
 
     // dispatcher_urgency.cc
     static int64_t objectiveMs(const Job &job, const WorkRoute &route);
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -87,8 +87,6 @@
     std::set<int64_t> crashedRuns;
     int64_t lastRun = 0; // highest run number ordered or reported
     Instant notBefore; // end of the backoff after a failure
-    // Since when it could have started and waits, as reportOverdueTasks() has seen it.
-    std::optional<Instant> waitingSince;
     std::string checkpoint;
     WorkerId lastFailedOn; // worker of the last failed run; avoided if another fits
     WorkerId previousWorker; // worker that an earlier scheduler placed it on; may be empty
@@ -140,6 +138,13 @@
     int32_t succeeded = 0;
     int64_t longestRunMs = 0; // of runs that succeeded under this scheduler; 0 if none has
     WaitReason waitReason = WaitReason::None;
+    // Since when decide() has found tasks that could start and has started none; unset while there
+    // are no such tasks.
+    std::optional<Instant> waitingSince;
+    // The same for all ready steps, also those that decide() leaves out, as reportOverdueTasks()
+    // has seen it.
+    std::optional<Instant> readySince;
+    Instant reportedAt = Instant::min(); // when reportOverdueTasks() last reported the step
     bool gangBroken = false; // remaining members must finish before the gang starts again
     Resources taskResources; // required by one task
     // Estimated run time of the longest chain from this step to the job's end.
@@ -149,6 +154,8 @@
     std::set<WorkerId> deniedWorkers;
     bool approvalCallActive = false; // an approval call is in progress
     Instant nextApprovalCallAt; // earliest time of the next approval call
+    int32_t answeredApprovalCalls = 0;
+    int32_t failedApprovalCalls = 0;
 
     bool done() const { return succeeded == static_cast<int32_t>(tasks.size()); }
 };
