--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -140,7 +140,7 @@
 bool Dispatcher::Impl::hasPlacement(Step &step, Instant now)
 {
     std::vector<Worker *> places;
-    return hasBlockedMember(step, now)
+    return blockingTask(step, now) != nullptr
            || findGangPlacement(step, candidatesFor(step, *routeOf(*step.job), now), now, places);
 }
 
@@ -224,6 +224,7 @@
     Step *step = findStep(pending.step);
     if (step == nullptr)
         return;
+    ++(answer == nullptr ? step->failedApprovalCalls : step->answeredApprovalCalls);
     step->approvalCalls.erase(pending.call);
     if (answer == nullptr)
         return;
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -105,14 +105,6 @@
     return step.spec->gang && step.waitingSince && now - *step.waitingSince >= GangPatience;
 }
 
-// Returns whether a member of the gang may not start yet, wherever its place is.
-bool Dispatcher::Impl::hasBlockedMember(const Step &step, Instant now) const
-{
-    return std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task &task) {
-        return task.notBefore > now || mayBeRunningUnreported(task);
-    });
-}
-
 // Returns the steps that may start tasks, most urgent first. With `includeDueSoon`, also those that
 // become ready within `lead`.
 std::vector<Step *> Dispatcher::Impl::stepsByUrgency(Instant now, int64_t unixMs,
@@ -285,7 +277,6 @@
                                 Orders &out)
 {
     const Attempt &attempt = createAttempt(step, index, run, worker, now);
-    step.waitingSince.reset();
     const auto approval = step.approvals.find(worker.entry.id);
     out.starts.push_back({worker.entry.id, taskRefOf(attempt), run, step.job->spec,
                           checkpointForStart(step, index),
@@ -386,7 +377,7 @@
     const Resources reserve = yieldsToUrgentWork(step, route, unixMs)
                                   ? reserveForUrgentWork(*step.job, route)
                                   : Resources{};
-    const bool mayHold = hasPrecedence(step, now) && !hasBlockedMember(step, now);
+    const bool mayHold = hasPrecedence(step, now) && blockingTask(step, now) == nullptr;
     if (!withinLimit(*step.job, all + reserve)) {
         preemptLessUrgent(step, route, unixMs);
         setWaitReason(step, WaitReason::TeamLimit);
