Close idle connections to an address after a timeout

Cause: a connection that went silent for good is found dead only by a timeout. The client closed that connection alone and kept the other idle ones to the address, as dead as it, for up to 30 s. Each later request took one of them first and waited for its whole timeout.

Change: when a request or its connect times out, the idle connections to the address that have served nothing since that request was started are closed. Those used successfully later stay.

HttpClientPoolTest.ATimeoutClosesTheConnectionsThatWereIdleBeforeIt failed without the change: 3 idle connections left, the second request timed out after 200 ms. It passes with it, 20 of 20 runs; net_test passes whole. ATimeoutKeepsTheConnectionsUsedSinceTheRequest passes with and without: it guards against closing more than that.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -61,6 +61,8 @@
     // Returns the most recently used connection to `address` that is usable, if any.
     std::optional<tcp::socket> takeFromPool(const std::string &address);
     void returnToPool(const std::string &address, tcp::socket socket);
+    // Closes the idle connections to `address` that were returned to the pool at `time` or before.
+    void closeIdleSince(const std::string &address, SteadyTime time);
     // Closes the connections that have been idle for longer than the idle timeout. Does nothing if
     // the last check was less than ExpiryCheckInterval ago.
     void closeExpired();
@@ -105,6 +107,7 @@
     void onHeader(error_code ec);
     void onBody(error_code ec);
     void fail(const std::string &what);
+    void onTimeout();
     void finish(Result<HttpResponse> result);
     void armTimer(SteadyTime until);
 
@@ -116,6 +119,7 @@
     boost::beast::flat_buffer m_buffer;
     http::request<http::string_body> m_message;
     http::response_parser<http::string_body> m_parser;
+    SteadyTime m_startedAt;
     SteadyTime m_deadline;
     bool m_sent = false;
     bool m_finished = false;
@@ -123,7 +127,8 @@
 
 void Call::start(HttpClient::Impl &client, Duration timeout)
 {
-    m_deadline = std::chrono::steady_clock::now() + timeout;
+    m_startedAt = std::chrono::steady_clock::now();
+    m_deadline = m_startedAt + timeout;
     const auto endpoint = parseEndpoint(m_address);
     if (!endpoint) {
         asio::post(client.io,
@@ -217,6 +222,14 @@
                  m_address + ": " + what});
 }
 
+void Call::onTimeout()
+{
+    // What silenced this connection, such as a lost link, probably silenced its neighbours as well.
+    if (const auto client = m_client.lock())
+        client->closeIdleSince(m_address, m_startedAt);
+    fail("timed out");
+}
+
 void Call::finish(Result<HttpResponse> result)
 {
     if (m_finished)
@@ -245,7 +258,7 @@
     m_timer.async_wait([self = shared_from_this(), until](error_code ec) {
         // A wait that completed just before the timer was set again is stale.
         if (!ec && self->m_timer.expiry() == until)
-            self->fail("timed out");
+            self->onTimeout();
     });
 }
 
@@ -278,6 +291,18 @@
     sockets.push_back({std::move(socket), std::chrono::steady_clock::now()});
 }
 
+void HttpClient::Impl::closeIdleSince(const std::string &address, SteadyTime time)
+{
+    const auto it = idle.find(address);
+    if (it == idle.end())
+        return;
+    auto &sockets = it->second;
+    while (!sockets.empty() && sockets.front().idleSince <= time)
+        sockets.pop_front();
+    if (sockets.empty())
+        idle.erase(it);
+}
+
 void HttpClient::Impl::closeExpired()
 {
     const SteadyTime now = std::chrono::steady_clock::now();
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -36,6 +36,10 @@
 //
 // The client never retries a request. It checks a pooled connection before use and replaces one
 // that the server has closed. If a connection breaks later, the request fails with OutcomeUnknown.
+//
+// A connection can go silent without being closed, for example when a link loses all packets. When
+// a request times out, the client closes the idle connections to the same address that have served
+// nothing since that request was started, so that one timeout suffices for all of them.
 class HttpClient
 {
 public:
--- /dev/null
+++ b/src/net/http_client_pool_test.cc
@@ -0,0 +1,177 @@
+// Tests of the HTTP client's connection pool: which idle connections later requests may use.
+#include "net/http_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cardamompaddle {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+constexpr Duration Timeout{200};
+// A response to a request that met no silent connection arrives much sooner than this.
+constexpr Duration Prompt{100};
+
+// A server on the client's event loop. Its open connections can go silent for good, as behind a
+// link that loses their packets, while new ones are served.
+class SilencedServer
+{
+public:
+    explicit SilencedServer(asio::io_context &io)
+        : m_io(io), m_acceptor(io, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        accept();
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+    // From now on nothing is read from or written to the open connections.
+    void silenceOpenConnections()
+    {
+        for (const auto &it : m_connections)
+            it->silent = true;
+    }
+    // The number of connections that were accepted so far.
+    size_t accepted() const { return m_connections.size(); }
+
+private:
+    struct Connection
+    {
+        explicit Connection(tcp::socket accepted) : socket(std::move(accepted)) { }
+
+        tcp::socket socket;
+        std::string request;
+        bool silent = false;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](error_code ec, tcp::socket socket) {
+            if (ec)
+                return;
+            m_connections.push_back(std::make_shared<Connection>(std::move(socket)));
+            serve(m_connections.back());
+            accept();
+        });
+    }
+    void serve(const std::shared_ptr<Connection> &connection)
+    {
+        asio::async_read_until(connection->socket, asio::dynamic_buffer(connection->request),
+                               "\r\n\r\n", [this, connection](error_code ec, size_t) {
+                                   if (ec || connection->silent)
+                                       return;
+                                   connection->request.clear();
+                                   static const std::string response =
+                                       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+                                   error_code ignored;
+                                   asio::write(connection->socket, asio::buffer(response), ignored);
+                                   serve(connection);
+                               });
+    }
+
+    asio::io_context &m_io;
+    tcp::acceptor m_acceptor;
+    std::vector<std::shared_ptr<Connection>> m_connections;
+};
+
+class HttpClientPoolTest : public testing::Test
+{
+protected:
+    using SteadyClock = std::chrono::steady_clock;
+
+    struct Outcome
+    {
+        std::optional<Result<HttpResponse>> response; // empty while the request is open
+        SteadyClock::time_point sentAt;
+        SteadyClock::time_point endedAt;
+
+        bool ok() const { return response && response->ok(); }
+        SteadyClock::duration time() const { return endedAt - sentAt; }
+    };
+
+    std::shared_ptr<Outcome> send(Duration timeout = Timeout)
+    {
+        auto outcome = std::make_shared<Outcome>();
+        outcome->sentAt = SteadyClock::now();
+        m_client.request(m_server.address(), "GET", "/", "", timeout,
+                         [outcome](Result<HttpResponse> response, bool) {
+                             outcome->response = std::move(response);
+                             outcome->endedAt = SteadyClock::now();
+                         });
+        return outcome;
+    }
+    void runUntilEnded(const Outcome &outcome)
+    {
+        while (!outcome.response)
+            m_io.run_one();
+    }
+    Outcome call()
+    {
+        const auto outcome = send();
+        runUntilEnded(*outcome);
+        return *outcome;
+    }
+    // Leaves `count` idle connections in the pool.
+    void openIdleConnections(size_t count)
+    {
+        std::vector<std::shared_ptr<Outcome>> outcomes;
+        for (size_t i = 0; i < count; ++i)
+            outcomes.push_back(send());
+        for (const auto &it : outcomes)
+            runUntilEnded(*it);
+        ASSERT_EQ(m_client.idleConnections(), count);
+    }
+
+    asio::io_context m_io;
+    SilencedServer m_server{m_io};
+    HttpClient m_client{m_io};
+};
+
+// Guards against meeting the idle connections of a silent failure one by one, each for a whole
+// timeout.
+TEST_F(HttpClientPoolTest, ATimeoutClosesTheConnectionsThatWereIdleBeforeIt)
+{
+    openIdleConnections(4);
+    m_server.silenceOpenConnections();
+    EXPECT_FALSE(call().ok());
+    EXPECT_EQ(m_client.idleConnections(), 0U);
+    const Outcome second = call();
+    EXPECT_TRUE(second.ok());
+    EXPECT_LT(second.time(), Prompt);
+}
+
+// Guards against new connections for each request to a server that is slow with some of them: a
+// connection that has served a request since the failed one was sent stays in the pool.
+TEST_F(HttpClientPoolTest, ATimeoutKeepsTheConnectionsUsedSinceTheRequest)
+{
+    openIdleConnections(2);
+    m_server.silenceOpenConnections();
+    const auto silent = send();
+    const auto alsoSilent = send();
+    const auto served = send(); // over a new connection
+    runUntilEnded(*served);
+    ASSERT_TRUE(served->ok());
+    runUntilEnded(*silent);
+    runUntilEnded(*alsoSilent);
+    EXPECT_FALSE(silent->ok());
+    EXPECT_EQ(m_client.idleConnections(), 1U);
+    EXPECT_TRUE(call().ok());
+    EXPECT_EQ(m_server.accepted(), 3U);
+}
+
+} // namespace
+} // namespace cardamompaddle
