--- a/src/net/http_client_pool_test.cc
+++ b/src/net/http_client_pool_test.cc
@@ -1,14 +1,11 @@
 // Tests of the HTTP client's connection pool: which idle connections later requests may use.
 #include "net/http_client.h"
+#include "net/silenced_server_testing.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
-#include <algorithm>
-#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -17,77 +14,11 @@
 namespace {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
-using tcp = asio::ip::tcp;
 
 constexpr Duration Timeout{200};
 // A response to a request that met no silent connection arrives much sooner than this.
 constexpr Duration Prompt{100};
 
-// A server on the client's event loop. Its open connections can go silent for good, as behind a
-// link that loses their packets, while new ones are served.
-class SilencedServer
-{
-public:
-    explicit SilencedServer(asio::io_context &io)
-        : m_io(io), m_acceptor(io, {asio::ip::make_address("127.0.0.1"), 0})
-    {
-        accept();
-    }
-
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
-    }
-    // From now on nothing is read from or written to the open connections.
-    void silenceOpenConnections()
-    {
-        for (const auto &it : m_connections)
-            it->silent = true;
-    }
-    // The number of connections that were accepted so far.
-    size_t accepted() const { return m_connections.size(); }
-
-private:
-    struct Connection
-    {
-        explicit Connection(tcp::socket accepted) : socket(std::move(accepted)) { }
-
-        tcp::socket socket;
-        std::string request;
-        bool silent = false;
-    };
-
-    void accept()
-    {
-        m_acceptor.async_accept([this](error_code ec, tcp::socket socket) {
-            if (ec)
-                return;
-            m_connections.push_back(std::make_shared<Connection>(std::move(socket)));
-            serve(m_connections.back());
-            accept();
-        });
-    }
-    void serve(const std::shared_ptr<Connection> &connection)
-    {
-        asio::async_read_until(connection->socket, asio::dynamic_buffer(connection->request),
-                               "\r\n\r\n", [this, connection](error_code ec, size_t) {
-                                   if (ec || connection->silent)
-                                       return;
-                                   connection->request.clear();
-                                   static const std::string response =
-                                       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-                                   error_code ignored;
-                                   asio::write(connection->socket, asio::buffer(response), ignored);
-                                   serve(connection);
-                               });
-    }
-
-    asio::io_context &m_io;
-    tcp::acceptor m_acceptor;
-    std::vector<std::shared_ptr<Connection>> m_connections;
-};
-
 class HttpClientPoolTest : public testing::Test
 {
 protected:
