Let the log not hold a read after a failed one

Cause: after a read without an answer, a follower sent one that the log may hold for 1.5 s and gave it a timeout of 3 s. If that one was lost as well, shortly before the log came back, the follower noticed 3 s later.

Change: while the log counts as unavailable, reads ask for no wait, and their timeout is 1.5 s. An answer is proof only of what was stored before its wait ended, so the wait that was asked for is passed on.

--- a/src/control/log_follower.cc
+++ b/src/control/log_follower.cc
@@ -137,15 +137,18 @@
 void LogFollower::read()
 {
     const Instant requestedAt = m_clock.now();
-    m_log.read(m_options.topic, m_nextOffset, m_options.readWait,
-               m_options.readWait + AnswerTimeout,
-               [this, alive = m_alive, requestedAt](Result<LogSlice> slice) {
+    // After a failure the log does not hold the read, so that its answer shows at once that the log
+    // is back, and a lost one is noticed sooner.
+    const bool unavailable = m_availableSince == Instant::max();
+    const Duration wait = unavailable ? Duration::zero() : m_options.readWait;
+    m_log.read(m_options.topic, m_nextOffset, wait, wait + AnswerTimeout,
+               [this, alive = m_alive, requestedAt, wait](Result<LogSlice> slice) {
                    if (*alive)
-                       onRead(std::move(slice), requestedAt);
+                       onRead(std::move(slice), requestedAt, wait);
                });
 }
 
-void LogFollower::onRead(Result<LogSlice> slice, Instant requestedAt)
+void LogFollower::onRead(Result<LogSlice> slice, Instant requestedAt, Duration wait)
 {
     if (!slice && slice.error().code == ErrorCode::NotFound) {
         logWarn("log_expired", "topic=" + m_options.topic
@@ -164,7 +167,7 @@
     if (m_nextOffset < slice->end)
         return runAfter(hasRecords ? Duration::zero() : m_options.retryDelay, [this] { read(); });
     // An empty answer proves that nothing was appended until the wait ended.
-    const Instant waitedUntil = std::min(requestedAt + m_options.readWait, m_clock.now());
+    const Instant waitedUntil = std::min(requestedAt + wait, m_clock.now());
     m_currentAsOf = std::max(m_currentAsOf, hasRecords ? requestedAt : waitedUntil);
     if (hasRecords && m_options.pollInterval > Duration::zero())
         return runAfter(m_options.pollInterval, [this] { read(); });
--- a/src/control/log_follower.h
+++ b/src/control/log_follower.h
@@ -82,7 +82,8 @@
     void removeMissingKeys();
     void onLoadFailure(const Error &error);
     void read();
-    void onRead(Result<LogSlice> slice, Instant requestedAt);
+    // `wait` is how long the log might hold the read.
+    void onRead(Result<LogSlice> slice, Instant requestedAt, Duration wait);
     // Begins the refresh that was requested meanwhile, unless one or a load is in progress.
     void startNextRefresh();
     // Reads without waiting, concurrently with the read that the log may be holding.
--- a/src/control/log_follower_test.cc
+++ b/src/control/log_follower_test.cc
@@ -40,12 +40,17 @@
         std::function<void()> answer; // set once the call is carried out
         std::function<void(const Error &)> fail;
         bool newest = false; // readNewest()
+        Duration wait{0}; // how long the log may hold the read
+        Duration timeout{0};
     };
 
     void append(AppendRequest, Duration, AppendDone) override { }
-    void read(const std::string &, int64_t from, Duration, Duration, ReadDone done) override
+    void read(const std::string &, int64_t from, Duration wait, Duration timeout,
+              ReadDone done) override
     {
         Call call;
+        call.wait = wait;
+        call.timeout = timeout;
         call.carryOut = [this, from, done] { return [done, it = slice(from)] { done(it); }; };
         call.fail = [done](const Error &error) { done(error); };
         calls.push_back(std::move(call));
@@ -147,11 +152,11 @@
     boost::asio::io_context m_io; // declared first: outlives the follower's timer
 
 public:
-    FollowerModel()
+    explicit FollowerModel(Duration readWait = Duration::zero())
     {
         LogFollowerOptions options;
         options.topic = Topic;
-        options.readWait = Duration::zero();
+        options.readWait = readWait;
         options.retryDelay = Duration::zero();
         LogFollower::Callbacks callbacks;
         callbacks.record = [this](const KeyedRecord &record) { onRecord(record); };
@@ -289,6 +294,25 @@
     EXPECT_EQ(model.state(), model.log.state());
 }
 
+// Guards against a reader that notices only seconds later that the log answers again: a read that
+// was lost shortly before must not be one that the log might have held.
+TEST(LogFollowerTest, AReadAfterAFailedOneIsNotHeldByTheLog)
+{
+    constexpr Duration ReadWait{1'500};
+    FollowerModel model(ReadWait);
+    model.settle();
+    ASSERT_EQ(model.log.calls.at(0).wait, ReadWait);
+    const Duration timeout = model.log.calls.at(0).timeout;
+    model.log.fail(0);
+    model.runTimers();
+    ASSERT_EQ(model.log.calls.size(), 1U);
+    EXPECT_EQ(model.log.calls[0].wait, Duration::zero());
+    EXPECT_EQ(model.log.calls[0].timeout, timeout - ReadWait);
+    model.log.answer(0);
+    ASSERT_EQ(model.log.calls.size(), 1U);
+    EXPECT_EQ(model.log.calls[0].wait, ReadWait) << "once the log has answered";
+}
+
 // Guards against a job that returns to an earlier state: a record that a peer publishes during a
 // load, newer than the page of its key, must not be followed by an older one.
 TEST(LogFollowerTest, AnOlderRecordDoesNotFollowOneReceivedDuringALoad)
