--- a/src/control/approval_requester.cc
+++ b/src/control/approval_requester.cc
@@ -3,6 +3,7 @@
 #include "logging/event_log.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace cardamompaddle {
@@ -10,6 +11,8 @@
 namespace {
 
 constexpr Duration MaxShortCall{150}; // longest expected time of a short call
+// An answer that takes this much longer than expected is late.
+constexpr Duration LateMargin{200};
 constexpr Duration CallTimeoutMargin{400}; // timeout beyond the expected time of a call
 constexpr Duration PeerTimeoutMargin{200}; // extra timeout of a call that a peer makes
 constexpr Duration CallerBackoff{1'500}; // after a failed call; doubles with each further failure
@@ -20,11 +23,17 @@
 
 } // namespace
 
+std::string_view approvalOutcomeName(ApprovalOutcome outcome)
+{
+    static constexpr std::array<std::string_view, 3> Names = {"answered", "late", "failed"};
+    return Names.at(static_cast<size_t>(outcome));
+}
+
 ApprovalRequester::ApprovalRequester(const Clock &clock, PolicyGateway &policy, PeerGateway &peers,
                                      Dispatcher &dispatcher, std::string self,
-                                     std::function<void()> answered)
+                                     std::function<void()> answered, ApprovalObserver observer)
     : m_clock(clock), m_policy(policy), m_peers(peers), m_dispatcher(dispatcher),
-      m_self(std::move(self)), m_answered(std::move(answered))
+      m_self(std::move(self)), m_answered(std::move(answered)), m_observer(std::move(observer))
 { }
 
 ApprovalRequester::~ApprovalRequester()
@@ -114,6 +123,11 @@
     }
     if (answer)
         caller.failures = 0;
+    if (m_observer) {
+        const bool late = now - sentAt > pending.expectedCallTime + LateMargin;
+        const ApprovalOutcome answered = late ? ApprovalOutcome::Late : ApprovalOutcome::Answered;
+        m_observer({name, answer ? answered : ApprovalOutcome::Failed, now - sentAt});
+    }
     m_dispatcher.approvalAnswered(pending, answer ? &answer.value() : nullptr, sentAt, now);
     m_answered();
 }
--- a/src/control/approval_requester.h
+++ b/src/control/approval_requester.h
@@ -8,21 +8,42 @@
 #include "dispatch/dispatcher.h"
 #include "platform/worker.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace cardamompaddle {
 
+enum class ApprovalOutcome : uint8_t {
+    Answered,
+    Late, // answered, but later than expected
+    Failed,
+};
+// Stable name, for example "answered".
+std::string_view approvalOutcomeName(ApprovalOutcome outcome);
+
+struct EndedApprovalCall
+{
+    std::string_view caller; // name of the member that made the call
+    ApprovalOutcome outcome = ApprovalOutcome::Answered;
+    Duration took{0};
+};
+// Called once for each call that has ended.
+using ApprovalObserver = std::function<void(const EndedApprovalCall &)>;
+
 class ApprovalRequester
 {
 public:
     // `self` is the member name of this instance. Its calls go to `policy`; the calls of other
     // members are made through `peers`. `answered` is called after each answer, also a failed one,
-    // has been passed to the dispatcher. All references must outlive the requester.
+    // has been passed to the dispatcher. `observer` may be null. All references must outlive the
+    // requester.
     ApprovalRequester(const Clock &clock, PolicyGateway &policy, PeerGateway &peers,
-                      Dispatcher &dispatcher, std::string self, std::function<void()> answered);
+                      Dispatcher &dispatcher, std::string self, std::function<void()> answered,
+                      ApprovalObserver observer = nullptr);
     ~ApprovalRequester();
     ApprovalRequester(const ApprovalRequester &) = delete;
     ApprovalRequester &operator=(const ApprovalRequester &) = delete;
@@ -49,6 +70,7 @@
     Dispatcher &m_dispatcher;
     std::string m_self;
     std::function<void()> m_answered;
+    ApprovalObserver m_observer;
     std::map<std::string, Caller> m_callers;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/control/approval_requester_test.cc
+++ b/src/control/approval_requester_test.cc
@@ -2,7 +2,10 @@
 
 #include "dispatch/dispatcher_testing.h"
 
-#include <gtest/gtest.h>
+#include <gmock/gmock.h>
+
+#include <string>
+#include <vector>
 
 namespace cardamompaddle {
 namespace {
@@ -71,7 +74,19 @@
     ManualClock m_clock;
     PendingCalls m_calls;
     std::map<std::string, work::Member> m_members;
-    ApprovalRequester m_approvals{m_clock, m_calls, m_calls, m_dispatcher, "a", [] {}};
+    std::vector<std::string> m_outcomes; // "CALLER OUTCOME MS" of each ended call
+    ApprovalRequester m_approvals{m_clock,
+                                  m_calls,
+                                  m_calls,
+                                  m_dispatcher,
+                                  "a",
+                                  [] {},
+                                  [this](const EndedApprovalCall &call) {
+                                      m_outcomes.push_back(
+                                          std::string(call.caller) + " "
+                                          + std::string(approvalOutcomeName(call.outcome)) + " "
+                                          + std::to_string(call.took.count()));
+                                  }};
 };
 
 TEST_F(ApprovalRequesterTest, OneCallAtATimeForEachMember)
@@ -105,5 +120,25 @@
     m_calls.peers.back().second(work::ApprovalAnswer{});
 }
 
+// Guards against calls that fail or are late through one member and cannot be told from the others.
+TEST_F(ApprovalRequesterTest, TheObserverLearnsCallerOutcomeAndTime)
+{
+    for (const char *id : {"j1", "j2", "j3"})
+        add(id, {step(1)});
+    sendRequests();
+    ASSERT_EQ(m_calls.own.size(), 1U);
+    ASSERT_EQ(m_calls.peers.size(), 1U);
+    m_clock.time += Duration(30);
+    m_calls.own.back().second(std::vector<work::Approval>{});
+    m_clock.time += Duration(570);
+    failPeer();
+    m_calls.own.clear();
+    sendRequests();
+    ASSERT_EQ(m_calls.own.size(), 1U);
+    m_clock.time += Duration(300);
+    m_calls.own.back().second(std::vector<work::Approval>{});
+    EXPECT_THAT(m_outcomes, ::testing::ElementsAre("a answered 30", "b failed 600", "a late 300"));
+}
+
 } // namespace
 } // namespace cardamompaddle
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -113,6 +113,12 @@
     // Makes isReady() false, releases the tenure if it is held here, and then calls `done`.
     void stop(std::function<void()> done);
     bool isScheduler() const { return m_scheduler != nullptr; }
+    // Ready steps that wait, as Dispatcher::waitingSteps(); none while this instance does not
+    // schedule.
+    WaitingStepsByReason waitingSteps() const
+    {
+        return m_scheduler ? m_scheduler->waitingSteps() : WaitingStepsByReason{};
+    }
 
 private:
     // Of the topics, while this instance is not the scheduler.
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -159,7 +159,7 @@
                                             std::move(links));
     m_approvalRequester = std::make_unique<ApprovalRequester>(
         m_context.clock, m_context.policy, m_context.peers, m_dispatcher, m_options.tenure.holder,
-        [this] { schedulePass(); });
+        [this] { schedulePass(); }, m_context.approvalObserver);
     LogFollower::Callbacks registry;
     registry.record = [this](const KeyedRecord &record) { onWorkerRecord(record); };
     registry.loaded = [this](const std::set<std::string> &ids) { onRegistryLoaded(ids); };
@@ -616,6 +616,11 @@
                                         : std::max(m_averageAppendTime, inFlight);
 }
 
+WaitingStepsByReason Scheduler::waitingSteps() const
+{
+    return m_dispatcher.waitingSteps(m_context.clock.now(), m_context.unixClock());
+}
+
 // Without waiting for the answer: until it comes, all instances go on loading the log.
 void Scheduler::reportSlowAppend(Instant now)
 {
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -53,6 +53,7 @@
     // Decodes a registry entry. Errors: InvalidArgument if it describes no usable worker.
     std::function<Result<WorkerEntry>(const KeyedRecord &)> decodeWorker;
     LogLimits logLimits;
+    ApprovalObserver approvalObserver = nullptr; // may be null
 };
 
 struct SchedulerOptions
@@ -97,6 +98,8 @@
     // that is longer.
     Duration appendTime() const;
     Instant lastStoredAt() const { return m_lastStoredAt; }
+    // Ready steps that wait; see Dispatcher::waitingSteps().
+    WaitingStepsByReason waitingSteps() const;
     // How long instances have held the tenure; see TenureClock.
     int64_t heldMs() const { return m_tenureClock.heldMs(); }
     // Releases the tenure as release() does, and records that the holder was overloaded.
