Test that explain shows why a job waits

Cause: no test covered the lines of waiting jobs in cardamompaddle explain, among them approval_failed, which names the step and not the job.

Change: a test only; explain selects these lines already.

Result: the test passes on the present explain. With its match of the step and task fields disabled, ExplainShowsWhyAJobWaits fails.

--- a/src/cli/commands_test.cc
+++ b/src/cli/commands_test.cc
@@ -212,5 +212,27 @@
     EXPECT_EQ(runWithoutDefaults({"explain", "j1", "/no/such/file"}), ExitCode::Usage);
 }
 
+// Guards against a history that does not show what a job waits for: the waits of its steps, and
+// approval calls that failed, whose lines name the step only.
+TEST_F(CliTest, ExplainShowsWhyAJobWaits)
+{
+    writeFile("log",
+              "t=1000 level=INFO instance=a event=job_queued job=j1\n"
+              "t=1100 level=INFO instance=a event=step_waits job=j1 step=j1.0.0 for=approval\n"
+              "t=2200 level=WARN instance=a event=approval_failed step=j1.0.0 caller=b\n"
+              "t=2300 level=WARN instance=a event=approval_failed step=j10.0.0 caller=b\n"
+              "t=3100 level=INFO instance=a event=task_overdue job=j1 task=j1.0.0.0 "
+              "waited_ms=2000 reason=approval has_room=false\n"
+              "t=3100 level=INFO instance=a event=task_overdue job=j10 task=j10.0.0.0 "
+              "waited_ms=2000 reason=room has_room=false\n");
+    EXPECT_EQ(runWithoutDefaults({"explain", "j1", path("log")}), ExitCode::Done);
+    EXPECT_EQ(out.str(),
+              "+0ms instance=a event=job_queued job=j1\n"
+              "+100ms instance=a event=step_waits job=j1 step=j1.0.0 for=approval\n"
+              "+1200ms instance=a event=approval_failed step=j1.0.0 caller=b\n"
+              "+2100ms instance=a event=task_overdue job=j1 task=j1.0.0.0 waited_ms=2000 "
+              "reason=approval has_room=false\n");
+}
+
 } // namespace
 } // namespace cardamompaddle
