--- a/src/control/approval_requester.cc
+++ b/src/control/approval_requester.cc
@@ -3,6 +3,7 @@
 #include "logging/event_log.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace cardamompaddle {
@@ -25,11 +26,17 @@
 
 } // namespace
 
+std::string_view approvalOutcomeName(ApprovalOutcome outcome)
+{
+    static constexpr std::array<std::string_view, 3> Names = {"answered", "late", "failed"};
+    return Names.at(static_cast<size_t>(outcome));
+}
+
 ApprovalRequester::ApprovalRequester(const Clock &clock, PolicyGateway &policy, PeerGateway &peers,
                                      Dispatcher &dispatcher, std::string self,
-                                     std::function<void()> answered)
+                                     std::function<void()> answered, ApprovalObserver observer)
     : m_clock(clock), m_policy(policy), m_peers(peers), m_dispatcher(dispatcher),
-      m_self(std::move(self)), m_answered(std::move(answered))
+      m_self(std::move(self)), m_answered(std::move(answered)), m_observer(std::move(observer))
 { }
 
 ApprovalRequester::~ApprovalRequester()
@@ -129,6 +136,11 @@
         handleSuccess(name, now);
     else
         handleFailure(name, call, answer.error().reason, now);
+    if (m_observer) {
+        const ApprovalOutcome answered =
+            call.late ? ApprovalOutcome::Late : ApprovalOutcome::Answered;
+        m_observer({name, answer ? answered : ApprovalOutcome::Failed, now - call.sentAt});
+    }
     m_dispatcher.approvalAnswered(call.pending, answer ? &answer.value() : nullptr, call.sentAt,
                                   now);
     m_answered();
