Reserve instances for short approval calls only while a route has short ones

What callers saw: steps wait for approvals although instances make no calls.

Cause: one instance in three, and two of four, is reserved for calls to policy services that decide within 150 ms. If each policy service of the catalog takes longer, these instances never make a call.

Change: none is reserved unless a route has short calls.

Evidence: AllMembersMakeCallsIfNoRouteHasShortOnes failed without the change (0 calls of the reserved instance) and passes with it.

--- a/src/control/approval_requester.cc
+++ b/src/control/approval_requester.cc
@@ -20,7 +20,7 @@
 // After a failure while no other caller was answered either.
 constexpr Duration OutageBackoff{300};
 // One caller in this many makes only short calls, so that short calls do not queue behind long
-// ones.
+// ones. Applies only while a route has short calls.
 constexpr size_t CallersPerShortCaller = 3;
 
 } // namespace
@@ -53,13 +53,15 @@
     }
     if (allBusy)
         return;
+    const bool hasShortCalls = m_dispatcher.hasApprovalsWithin(MaxShortCall);
     Dispatcher::ApprovalSearch search = m_dispatcher.searchPendingApprovals(now, unixMs);
     bool noShortCall = false; // nothing is left for callers of short calls only
     for (size_t i = 0; i < available.size(); ++i) {
         const work::Member &member = *available[i];
         if (m_callers[member.name].call)
             continue;
-        const bool shortOnly = available.size() > 1 && i % CallersPerShortCaller == 0;
+        const bool shortOnly =
+            hasShortCalls && available.size() > 1 && i % CallersPerShortCaller == 0;
         if (shortOnly && noShortCall)
             continue;
         const auto pending = search.next(shortOnly ? MaxShortCall : Duration::max());
--- a/src/control/approval_requester_test.cc
+++ b/src/control/approval_requester_test.cc
@@ -109,6 +109,18 @@
     EXPECT_EQ(m_calls.peers[0].address, "b:1");
 }
 
+// Guards against instances that make no calls at all, because they are reserved for short calls and
+// no route has any.
+TEST_F(ApprovalRequesterTest, AllMembersMakeCallsIfNoRouteHasShortOnes)
+{
+    m_route.approval = ApprovalPolicy{Duration(400), 5.7, Duration(2'000)};
+    setCatalog();
+    addJobs(3);
+    sendRequests();
+    EXPECT_EQ(m_calls.own.size(), 1U);
+    EXPECT_EQ(m_calls.peers.size(), 1U);
+}
+
 // Guards against steps that repeatedly wait for an instance that has permanently failed.
 TEST_F(ApprovalRequesterTest, BackoffOfAMemberThatFailsAloneGrowsWithConsecutiveFailures)
 {
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -2,6 +2,7 @@
 
 #include "dispatch/internal/impl.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cardamompaddle {
@@ -169,6 +170,14 @@
         ApprovalSearch::State{*m_impl, now, unixMs, std::move(steps), {}}));
 }
 
+bool Dispatcher::hasApprovalsWithin(Duration maxDecisionTime) const
+{
+    const auto &routes = m_impl->m_catalog->routes;
+    return std::any_of(routes.begin(), routes.end(), [maxDecisionTime](const auto &it) {
+        return it.second.approval && it.second.approval->decisionTime <= maxDecisionTime;
+    });
+}
+
 std::optional<PendingApproval> Dispatcher::nextPendingApproval(Instant now, int64_t unixMs,
                                                                Duration maxDecisionTime)
 {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -137,6 +137,8 @@
         std::unique_ptr<State> m_state;
     };
     ApprovalSearch searchPendingApprovals(Instant now, int64_t unixMs);
+    // Returns whether a route has a policy whose ApprovalPolicy::decisionTime is at most this.
+    bool hasApprovalsWithin(Duration maxDecisionTime) const;
     // Returns the first result of such a search.
     std::optional<PendingApproval> nextPendingApproval(Instant now, int64_t unixMs,
                                                        Duration maxDecisionTime);
