Let the gang that has waited longest hold places

Cause: gangs with precedence were ordered by their team's share, which changes with each start, so the hold of a pool went from one gang to the next.

Change: gangs with precedence go in the order in which they began to wait. HoldsTest.TheGangThatHasWaitedLongestHoldsPlaces failed before and passes now.

--- a/src/dispatch/dispatcher_holds_test.cc
+++ b/src/dispatch/dispatcher_holds_test.cc
@@ -174,6 +174,27 @@
     EXPECT_EQ(eventDetails("hold_began").size(), 1U);
 }
 
+// Guards against gangs that take each other's places, so that none of them gets all that it needs.
+TEST_F(HoldsTest, TheGangThatHasWaitedLongestHoldsPlaces)
+{
+    joinWorkers(2);
+    addSingles("singles", 20);
+    ASSERT_EQ(startedJobs().size(), 4U);
+    addGang("z-older", 2);
+    startedJobs();
+    m_now += Patience;
+    // Shorter, so that it has less slack.
+    work::StepSpec spec = step(2, WorkerCpuMilli);
+    spec.gang = true;
+    spec.estimatedMs = 100;
+    add("a-newer", {spec});
+    startedJobs();
+    m_now += Patience;
+    const auto jobs = endRunsOneByOne();
+    ASSERT_EQ(jobs.size(), 2U);
+    EXPECT_EQ(jobs, (std::vector<std::string>{"z-older", "z-older"}));
+}
+
 TEST_F(HoldsTest, ACancelledGangHoldsNothing)
 {
     joinWorkers(2);
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -105,12 +105,19 @@
     return step.spec->gang && step.waitingSince && now - *step.waitingSince >= GangPatience;
 }
 
+// Returns the place of the step among those of its priority: gangs with precedence come first, in
+// the order in which they began to wait, so that what is held for one does not go to another.
+Instant Dispatcher::Impl::precedenceOf(const Step &step, Instant now)
+{
+    return hasPrecedence(step, now) ? *step.waitingSince : Instant::max();
+}
+
 // Returns the steps that may start tasks, most urgent first. With `includeDueSoon`, also those that
 // become ready within `lead`.
 std::vector<Step *> Dispatcher::Impl::stepsByUrgency(Instant now, int64_t unixMs,
                                                      bool includeDueSoon, Duration lead)
 {
-    using Key = std::tuple<int32_t, bool, UrgencyClass, int64_t, int64_t, uint64_t>;
+    using Key = std::tuple<int32_t, Instant, UrgencyClass, int64_t, int64_t, uint64_t>;
     std::vector<std::pair<Key, Step *>> keyed;
     for (const auto &[id, job] : m_jobs) {
         const WorkRoute *route = job->isTerminal() ? nullptr : routeOf(*job);
@@ -126,7 +133,7 @@
             const double weight = team == m_catalog->teams.end() ? 1 : team->second.weight;
             const int64_t share = dominantShareMillionths(*job->teamUse, m_total);
             const auto weightedShare = static_cast<int64_t>(static_cast<double>(share) / weight);
-            keyed.push_back({{route->priority, !hasPrecedence(*step, now), urgency, weightedShare,
+            keyed.push_back({{route->priority, precedenceOf(*step, now), urgency, weightedShare,
                               slack, job->sequence},
                              step.get()});
         }
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -124,6 +124,7 @@
     bool mayStartNow(const Step &step) const;
     bool mayBeRunningUnreported(const Task &task) const;
     static bool hasPrecedence(const Step &step, Instant now);
+    static Instant precedenceOf(const Step &step, Instant now);
     std::vector<Step *> stepsByUrgency(Instant now, int64_t unixMs, bool includeDueSoon,
                                        Duration lead);
     // Returns whether work of the route may start on the worker by its registry entry.
