Give each step its first approval call before others get further ones

Cause: each search began its turns anew, so the most urgent steps had further calls before later ones had any; steps without a gang had several calls at once and no pause between them; steps held only by the limit of their team renewed approvals as often as others.

Change: steps without a call go first, those held by the limit last. Only a gang has several calls at once, or the next one without a pause. ApprovalsTest.AStepWithoutACallGoesBeforeThoseThatHaveHadOne failed before and passes now (dispatch_test: 164 passed).

--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -67,6 +67,21 @@
         [](double sum, const auto &it) { return sum + it.second.expectedPlaces; });
 }
 
+// The order in which steps get calls when there are fewer callers than calls; urgency decides
+// between steps of equal turn.
+enum class ApprovalTurn : uint8_t {
+    First, // nothing was requested for the step yet
+    Further,
+    Limited, // could not start even with approvals
+};
+
+ApprovalTurn approvalTurn(const Step &step)
+{
+    if (step.answeredApprovalCalls == 0 && step.approvalCalls.empty())
+        return ApprovalTurn::First;
+    return step.waitReason == WaitReason::TeamLimit ? ApprovalTurn::Limited : ApprovalTurn::Further;
+}
+
 Duration expectedCallTime(const ApprovalPolicy &policy, size_t workers)
 {
     return policy.decisionTime
@@ -85,6 +100,9 @@
 {
     std::vector<Step *> out = stepsByUrgency(now, unixMs, true, MaxApprovalLead);
     std::erase_if(out, [this](const Step *step) { return !routeOf(*step->job)->approval; });
+    std::stable_sort(out.begin(), out.end(), [](const Step *a, const Step *b) {
+        return approvalTurn(*a) < approvalTurn(*b);
+    });
     return out;
 }
 
@@ -148,7 +166,10 @@
                                                                  int64_t unixMs)
 {
     const double needed = step.waiting * (step.spec->gang ? GangPlacesMargin : 1);
-    if (placesRequested(step) >= needed || !isApprovalDue(step, now, unixMs))
+    // Only a gang needs several calls at once; other steps start with what one call brings.
+    const bool settled =
+        step.spec->gang ? placesRequested(step) >= needed : !step.approvalCalls.empty();
+    if (settled || !isApprovalDue(step, now, unixMs))
         return std::nullopt;
     ApprovalCandidates candidates = approvalCandidates(step, now);
     const auto approvedPlaces = static_cast<double>(candidates.approvedPlaces);
@@ -228,9 +249,9 @@
     step->approvalCalls.erase(pending.call);
     if (answer == nullptr)
         return;
-    // A full call left out candidates, which are named at once.
+    // A full call left out candidates, of which a gang may need more at once.
     const bool full = pending.workers.size() >= MaxWorkersPerSlowCall;
-    step->nextApprovalCallAt = full ? now : now + ApprovalCallInterval;
+    step->nextApprovalCallAt = full && step->spec->gang ? now : now + ApprovalCallInterval;
     // The policy service answers for one incarnation of a worker.
     const auto restartedSince = [this, at](const WorkerId &id) {
         const auto it = m_workers.find(id);
--- a/src/dispatch/dispatcher_approvals_test.cc
+++ b/src/dispatch/dispatcher_approvals_test.cc
@@ -110,6 +110,24 @@
     EXPECT_EQ(jobs[2], "wide");
 }
 
+// Guards against a step that waits for its first call while steps that have had one get all
+// callers.
+TEST_F(ApprovalsTest, AStepWithoutACallGoesBeforeThoseThatHaveHadOne)
+{
+    joinWorkers(200);
+    add("wide", {gang(60)});
+    const auto first = next();
+    ASSERT_TRUE(first);
+    m_dispatcher.approvalRequested(*first);
+    answer(*first, m_now, 2);
+    m_now += Duration(300);
+    m_jobRoute = "batch"; // less urgent
+    add("narrow", {step(1)});
+    const auto second = next();
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second->step.job, "narrow");
+}
+
 // Guards against a step that waits for the timeout of a call on a connection that has gone silent.
 TEST_F(ApprovalsTest, TheWorkersOfALateCallAreNamedInAnotherOne)
 {
