--- a/src/control/approval_requester.cc
+++ b/src/control/approval_requester.cc
@@ -139,8 +139,8 @@
     else
         handleFailure(name, call, answer.error().reason, now);
     if (m_observer) {
-        const ApprovalOutcome answered =
-            call.late ? ApprovalOutcome::Late : ApprovalOutcome::Answered;
+        const bool late = now - call.sentAt >= call.pending.expectedCallTime + LateMargin;
+        const ApprovalOutcome answered = late ? ApprovalOutcome::Late : ApprovalOutcome::Answered;
         m_observer({name, answer ? answered : ApprovalOutcome::Failed, now - call.sentAt});
     }
     m_dispatcher.approvalAnswered(call.pending, answer ? &answer.value() : nullptr, call.sentAt,
