--- a/src/dispatch/dispatcher_overdue.cc
+++ b/src/dispatch/dispatcher_overdue.cc
@@ -155,7 +155,7 @@
         return out + approved.toString("places");
     out += approved.toString("approved_places") + expired.toString("expired_places");
     out += unknown.toString("unknown_places") + denied.toString("denied_places");
-    out += count("calls_active", step.approvalCallActive ? 1 : 0);
+    out += count("calls_active", static_cast<int64_t>(step.approvalCalls.size()));
     return out + count("calls_answered", step.answeredApprovalCalls)
            + count("calls_failed", step.failedApprovalCalls);
 }
@@ -183,6 +183,7 @@
     const Job &job = *step.job;
     const Resources *limit = limitOf(job);
     const auto unreported = m_unreportedUse.find(job.spec->team);
+    const auto held = m_heldLimit.find(job.spec->team);
     const Resources wants = step.taskResources * (step.spec->gang ? step.waiting : 1);
     const Resources reserve =
         yieldsToUrgentWork(step, route, unixMs) ? reserveForUrgentWork(job, route) : Resources{};
@@ -191,6 +192,7 @@
     out += amounts("team_limit", limit == nullptr ? Resources{} : *limit);
     out += amounts("unreported_use",
                    unreported == m_unreportedUse.end() ? Resources{} : unreported->second);
+    out += amounts("held_limit", held == m_heldLimit.end() ? Resources{} : held->second);
     out += amounts("urgent_reserve", reserve);
     return out + flag("over_limit", !withinLimit(job, wants + reserve));
 }
@@ -217,6 +219,8 @@
     std::string detail = "task=" + ref.toString();
     detail += count("waited_ms", (now - waitStart(step, now)).count());
     detail += count("tasks", step.waiting) + flag("gang", step.spec->gang);
+    if (step.spec->gang)
+        detail += flag("holds", step.holds);
     detail += flag("long_running", step.spec->longRunning);
     detail += " reason=" + std::string(stepWaitName(waitOf(step, now)));
     detail += " route=" + step.job->spec->route;
--- a/src/dispatch/dispatcher_overdue_test.cc
+++ b/src/dispatch/dispatcher_overdue_test.cc
@@ -16,6 +16,14 @@
 class OverdueTest : public DispatcherTest
 {
 protected:
+    static PendingApproval callFor(const std::string &job, std::vector<WorkerId> workers)
+    {
+        PendingApproval out;
+        out.step = {job, 0, 0};
+        out.workers = std::move(workers);
+        out.validity = Duration(2'000);
+        return out;
+    }
     // Returns the reported waits after `wait`.
     std::vector<std::string> overdueAfter(Duration wait)
     {
@@ -73,12 +81,12 @@
     add("j", {step(1)});
     const auto pending = m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration::max())
                              .value_or(PendingApproval{});
-    m_dispatcher.approvalRequested(pending.step);
+    m_dispatcher.approvalRequested(pending);
     PendingApproval about = pending;
     about.workers = {"denied"};
     const std::vector<work::Approval> none;
     m_dispatcher.approvalAnswered(about, &none, m_now, m_now);
-    m_dispatcher.approvalRequested(pending.step);
+    m_dispatcher.approvalRequested(pending);
     EXPECT_THAT(overdueAfter(Duration(3'000)),
                 ElementsAre(AllOf(HasSubstr("reason=approval"), HasSubstr("denied=1"),
                                   HasSubstr("unapproved=1"), HasSubstr("calls_active=1"),
@@ -199,7 +207,7 @@
             out.emplace_back();
             out.back().worker = id;
         }
-        const PendingApproval pending{{job, 0, 0}, std::move(asked), Duration(20), Duration(2'000)};
+        const PendingApproval pending = callFor(job, std::move(asked));
         m_dispatcher.approvalAnswered(pending, &out, at, m_now);
     };
     answer("filler", {"approved"}, {"approved"}, m_now);
@@ -208,8 +216,7 @@
     answer("j", {"expired"}, {"expired"}, m_now - Duration(100));
     m_now += Duration(2'000);
     answer("j", {"approved", "denied"}, {"approved"}, m_now);
-    m_dispatcher.approvalAnswered({{"j", 0, 0}, {"unknown"}, Duration(20), Duration(2'000)},
-                                  nullptr, m_now, m_now);
+    m_dispatcher.approvalAnswered(callFor("j", {"unknown"}), nullptr, m_now, m_now);
     m_dispatcher.reportOverdueTasks(m_now, UnixNow);
     EXPECT_THAT(eventDetails("task_overdue"),
                 ElementsAre(AllOf(HasSubstr("has_room=false"), HasSubstr("approved_places=0/2"),
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -39,9 +39,11 @@
 
     // dispatcher_approvals.cc
     std::vector<dispatch::Step *> stepsForApproval(Instant now, int64_t unixMs);
-    std::optional<PendingApproval> pendingApproval(const dispatch::Step &step, Instant now,
-                                                   int64_t unixMs, Duration maxDecisionTime,
-                                                   bool &settled);
+    // The policy of the step's route, which must have one.
+    const ApprovalPolicy &approvalPolicyOf(const dispatch::Step &step) const;
+    // Returns the next call for the step; none if it needs no further one at present.
+    std::optional<PendingApproval> pendingApproval(dispatch::Step &step, Instant now,
+                                                   int64_t unixMs);
     void approvalAnswered(const PendingApproval &pending, const std::vector<work::Approval> *answer,
                           Instant at, Instant now);
     void forgetApprovals(const WorkerId &id);
@@ -121,6 +123,8 @@
     bool isDueSoon(const Step &step, Instant now, Duration lead) const;
     bool mayStartNow(const Step &step) const;
     bool mayBeRunningUnreported(const Task &task) const;
+    static bool hasPrecedence(const Step &step, Instant now);
+    static Instant precedenceOf(const Step &step, Instant now);
     std::vector<Step *> stepsByUrgency(Instant now, int64_t unixMs, bool includeDueSoon,
                                        Duration lead);
     // Returns whether work of the route may start on the worker by its registry entry.
@@ -129,6 +133,7 @@
                     Instant now) const;
     bool hasRoom(const Worker &worker, const Step &step) const;
     bool withinLimit(const Job &job, const Resources &more) const;
+    static bool fitsLimit(const Resources &use, const Resources &limit);
     const Resources *limitOf(const Job &job) const;
     static bool reachedMaxPerWorker(const Worker &worker, const Step &step);
     std::vector<Worker *> candidatesFor(const Step &step, const WorkRoute &route, Instant now);
@@ -148,6 +153,12 @@
     int64_t nextRunNumber(int64_t lastRun) const;
     void collectStops(Instant now, Orders &out);
 
+    // dispatcher_holds.cc
+    void resetHolds();
+    void holdLimit(Step &step, const Resources &needed);
+    void holdPlaces(Step &step, const WorkRoute &route, Instant now);
+    void setHolds(Step &step, bool holds, int64_t freePlaces);
+
     // dispatcher_crashes.cc
     void workerReplaced(const WorkerId &id, Instant now);
     void recordNewRuns(const Worker &worker);
@@ -164,6 +175,14 @@
     void countOrphanedRun(Worker &worker, const TaskRef &ref);
     void releaseOrphanedUse(Worker &worker);
 
+    // dispatcher_approvals.cc
+    bool isApprovalDue(const Step &step, Instant now, int64_t unixMs) const;
+    dispatch::ApprovalCandidates approvalCandidates(const Step &step, Instant now) const;
+    PendingApproval callFor(const Step &step, dispatch::ApprovalCandidates candidates);
+    bool hasPlacement(Step &step, Instant now);
+    double approvedShareOf(const std::string &route) const;
+    void updateApprovedShare(const std::string &route, size_t requested, size_t approved);
+
     // dispatcher_waits.cc
     // Returns whether the step is ready and has tasks that wait.
     bool isWaiting(const Step &step, int64_t unixMs) const;
@@ -206,10 +225,17 @@
     // Team name and route priority.
     using TeamPriority = std::pair<std::string, int32_t>;
     std::map<TeamPriority, dispatch::RecentDemand> m_recentDemand;
+    // Share of workers that the policy service approves, by route; smoothed.
+    std::map<std::string, double> m_approvedShare;
+    uint64_t m_lastApprovalCall = 0; // see PendingApproval::call
     std::map<TeamPriority, Resources> m_priorityUse; // updated by decide()
     // Resources of runs that are being stopped, by team, less what waiting steps of the present
     // decision have claimed.
     std::map<std::string, Resources> m_stoppingUse;
+    // Pools and teams of which a gang holds places or limit; see dispatcher_holds.cc. Valid during
+    // and after a decision, until the next one.
+    std::set<std::string> m_poolsWithHolds;
+    std::map<std::string, Resources> m_heldLimit;
     // Whose steps can have no further run preempted for them in the present decision.
     std::set<TeamPriority> m_preemptionExhausted;
     Resources m_total; // capacity of all listed workers
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -22,6 +22,9 @@
 // time to reach the worker.
 inline constexpr Duration ApprovalMargin{200};
 
+// A gang that has waited for this long has precedence over other work of its priority.
+inline constexpr Duration GangPatience{500};
+
 // Returns what one task of the step requires.
 Resources resourcesOfTask(const work::StepSpec &spec);
 
@@ -123,6 +126,23 @@
     Instant expires;
 };
 
+// A call to the policy service that is in progress.
+struct ApprovalCall
+{
+    std::set<WorkerId> workers;
+    double expectedPlaces = 0; // see PendingApproval
+};
+
+// Workers without a valid approval that may run a step and are named in no call in progress, with
+// the number of tasks that fit there.
+struct ApprovalCandidates
+{
+    using List = std::vector<std::pair<int64_t, WorkerId>>;
+    int64_t approvedPlaces = 0; // tasks that fit on workers with a valid approval
+    List expired; // approved before
+    List unknown; // not known to be approved or denied
+};
+
 // One step of one occurrence of a job.
 struct Step
 {
@@ -141,6 +161,7 @@
     // Since when decide() has found tasks that could start and has started none; unset while there
     // are no such tasks.
     std::optional<Instant> waitingSince;
+    bool holds = false; // a gang for which places or limit are held
     // The same for all ready steps, also those that decide() leaves out, as reportOverdueTasks()
     // has seen it.
     std::optional<Instant> readySince;
@@ -152,7 +173,7 @@
     std::map<WorkerId, int32_t> perWorker; // active tasks; bounded by maxPerWorker
     std::map<WorkerId, KnownApproval> approvals;
     std::set<WorkerId> deniedWorkers;
-    bool approvalCallActive = false; // an approval call is in progress
+    std::map<uint64_t, ApprovalCall> approvalCalls; // by number; those that are not late
     Instant nextApprovalCallAt; // earliest time of the next approval call
     int32_t answeredApprovalCalls = 0;
     int32_t failedApprovalCalls = 0;
@@ -201,6 +222,7 @@
     // What the orphaned runs use, counted in the use of their teams until the next report.
     std::vector<std::pair<Resources *, Resources>> orphanedUse;
     Resources used;
+    Resources held; // for a gang that waits; see dispatcher_holds.cc
     std::optional<int64_t> incarnationStartedAtMs; // from the last report; Unix time
     Instant restartedAt = Instant::min(); // when a report first showed the present incarnation
     int64_t endPosition = 0; // see Dispatcher::endPosition()
