Ignore approval answers about a worker that was forgotten meanwhile

Cause, found by the review: a worker that is erased and listed again while the policy service is asked looked as if it had not restarted, so a step kept a denial of the former life for good. A late answer could also replace a newer approval by one that expires sooner.

Change: an answer counts only for workers that are known and had reported when the call was sent, and an approval is replaced only by one that is valid for longer. OverdueTest.ShowsThePlacesByApproval used a call that had been sent before its workers reported; its calls now come 0.2 s later, the checks are the same.

--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -70,7 +70,7 @@
 // The order in which steps get calls when there are fewer callers than calls; urgency decides
 // between steps of equal turn.
 enum class ApprovalTurn : uint8_t {
-    First, // nothing was requested for the step yet
+    First, // no call was answered and none is in progress
     Further,
     Limited, // could not start even with approvals
 };
@@ -175,9 +175,10 @@
     const auto approvedPlaces = static_cast<double>(candidates.approvedPlaces);
     const bool enough = candidates.approvedPlaces >= step.waiting
                         || approvedPlaces + placesRequested(step) >= needed;
-    const bool placeable =
-        !step.spec->gang || !step.approvalCalls.empty() || hasPlacement(step, now);
-    if ((enough && placeable) || (candidates.expired.empty() && candidates.unknown.empty()))
+    const auto placeable = [&] {
+        return !step.spec->gang || !step.approvalCalls.empty() || hasPlacement(step, now);
+    };
+    if ((enough && placeable()) || (candidates.expired.empty() && candidates.unknown.empty()))
         return std::nullopt;
     return callFor(step, std::move(candidates));
 }
@@ -255,7 +256,8 @@
     // The policy service answers for one incarnation of a worker.
     const auto restartedSince = [this, at](const WorkerId &id) {
         const auto it = m_workers.find(id);
-        return it != m_workers.end() && it->second->restartedAt >= at;
+        return it == m_workers.end() || it->second->knownSince > at
+               || it->second->restartedAt >= at;
     };
     std::set<WorkerId> approved;
     size_t firstRequested = 0; // workers whose approval was unknown
@@ -267,7 +269,10 @@
             continue;
         approved.insert(approval.worker);
         firstApproved += step->approvals.contains(approval.worker) ? 0 : 1;
-        step->approvals[approval.worker] = {approval.ticket, at + pending.validity};
+        KnownApproval &known = step->approvals[approval.worker];
+        // A late answer must not replace a newer one.
+        if (known.expires <= at + pending.validity)
+            known = {approval.ticket, at + pending.validity};
     }
     for (const WorkerId &worker : pending.workers) {
         if (approved.contains(worker) || restartedSince(worker))
--- a/src/dispatch/dispatcher_overdue_test.cc
+++ b/src/dispatch/dispatcher_overdue_test.cc
@@ -210,6 +210,7 @@
         const PendingApproval pending = callFor(job, std::move(asked));
         m_dispatcher.approvalAnswered(pending, &out, at, m_now);
     };
+    m_now += Duration(200); // calls name workers that have reported
     answer("filler", {"approved"}, {"approved"}, m_now);
     ASSERT_EQ(startAll().size(), 1U);
     m_dispatcher.reportOverdueTasks(m_now, UnixNow);
--- a/src/dispatch/dispatcher_workers.cc
+++ b/src/dispatch/dispatcher_workers.cc
@@ -154,6 +154,8 @@
         worker.restartedAt = now;
         forgetApprovals(id);
     }
+    if (!worker.incarnationStartedAtMs)
+        worker.knownSince = now;
     worker.incarnationStartedAtMs = report.startedAtMs;
     if (!worker.reported)
         emitEvent("worker_joined", "",
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -162,6 +162,7 @@
     // are no such tasks.
     std::optional<Instant> waitingSince;
     bool holds = false; // a gang for which places or limit are held
+    std::optional<Instant> heldSince; // since when it has held something, with interruptions
     // The same for all ready steps, also those that decide() leaves out, as reportOverdueTasks()
     // has seen it.
     std::optional<Instant> readySince;
@@ -202,6 +203,13 @@
     int32_t occurrences() const { return std::max(1, spec->repetitions); }
 };
 
+// A part of a team's limit that is held for a gang.
+struct HeldLimit
+{
+    Resources amount;
+    bool strict = true; // false: work that uses less than half of the limit goes on beside it
+};
+
 // Peak of the resources that a team's tasks of one priority needed at the same time. It decays with
 // time.
 struct RecentDemand
@@ -225,6 +233,7 @@
     Resources held; // for a gang that waits; see dispatcher_holds.cc
     std::optional<int64_t> incarnationStartedAtMs; // from the last report; Unix time
     Instant restartedAt = Instant::min(); // when a report first showed the present incarnation
+    Instant knownSince = Instant::max(); // the first report
     int64_t endPosition = 0; // see Dispatcher::endPosition()
     bool moreEnded = false; // of the last report
     AttemptSet attempts;
