Let holds end, and let work with plenty of room go on beside them

Cause, found by the review: a hold did not end by itself, counted on what long-running tasks occupy, and kept a team far below its limit from starting anything. Work with room could then wait for longer than without holds.

Change: a gang holds limit or places only if it fits beside long-running tasks, for 10 s at most; after 2 s, work of a team or on a pool that is less than half used goes on. The limit is not held while the use by unreported runs is only estimated, nor when just the reserve for urgent work is missing. Denied workers get no holds.

--- a/src/dispatch/dispatcher_holds_test.cc
+++ b/src/dispatch/dispatcher_holds_test.cc
@@ -58,8 +58,7 @@
         }
         return jobs;
     }
-    // Fills all workers with single tasks, lets a gang wait for longer than its patience, and then
-    // ends the runs one by one. Returns the jobs that started meanwhile.
+    // Ends the runs one by one. Returns the jobs that started meanwhile.
     std::vector<std::string> endRunsOneByOne()
     {
         std::vector<std::string> jobs;
@@ -195,6 +194,73 @@
     EXPECT_EQ(jobs, (std::vector<std::string>{"z-older", "z-older"}));
 }
 
+// Guards against a team far below its limit that stands still for a gang which waits for its other
+// work.
+TEST_F(HoldsTest, ATeamBelowHalfOfItsLimitGoesOnBesideAHold)
+{
+    m_limit = {10 * WorkerCpuMilli, 0, 0, 0, 0};
+    setCatalog();
+    joinWorkers(12);
+    addSingles("old", 8); // 4 workers' worth of the limit
+    ASSERT_EQ(startedJobs().size(), 8U);
+    addGang("gang", 7);
+    startedJobs();
+    m_now += Patience;
+    EXPECT_TRUE(startedJobs().empty());
+    addSingles("singles", 1);
+    EXPECT_TRUE(startedJobs().empty());
+    m_now += Duration(2'000);
+    EXPECT_EQ(startedJobs(), std::vector<std::string>{"singles"});
+}
+
+// Guards against limit that is held for a gang which long-running tasks keep from starting for
+// good.
+TEST_F(HoldsTest, NoLimitIsHeldForAGangThatDoesNotFitBesideLongRunningTasks)
+{
+    m_limit = {4 * WorkerCpuMilli, 0, 0, 0, 0};
+    setCatalog();
+    joinWorkers(8);
+    work::StepSpec lasting = step(2, WorkerCpuMilli);
+    lasting.longRunning = true;
+    add("lasting", {lasting});
+    ASSERT_EQ(startedJobs().size(), 2U);
+    addGang("gang", 3);
+    startedJobs();
+    m_now += Patience;
+    addSingles("singles", 1);
+    EXPECT_EQ(startedJobs(), std::vector<std::string>{"singles"});
+}
+
+// Guards against places that are held on workers which long-running tasks occupy for good.
+TEST_F(HoldsTest, NoPlacesAreHeldForAGangThatDoesNotFitBesideLongRunningTasks)
+{
+    joinWorkers(3);
+    work::StepSpec lasting = step(1, WorkerCpuMilli);
+    lasting.longRunning = true;
+    add("lasting", {lasting});
+    ASSERT_EQ(startedJobs().size(), 1U);
+    addGang("gang", 3);
+    startedJobs();
+    m_now += Patience;
+    addSingles("singles", 1);
+    EXPECT_EQ(startedJobs(), std::vector<std::string>{"singles"});
+}
+
+// Guards against work that waits for good behind a gang that never gets all that it needs.
+TEST_F(HoldsTest, AHoldEnds)
+{
+    joinWorkers(2);
+    addSingles("singles", 20);
+    ASSERT_EQ(startedJobs().size(), 4U);
+    addGang("gang", 2);
+    startedJobs();
+    m_now += Patience;
+    startedJobs();
+    m_now += Duration(10'000);
+    EXPECT_EQ(endRunsOneByOne(), std::vector<std::string>(4, "singles"));
+    EXPECT_EQ(eventDetails("hold_ended").size(), 1U);
+}
+
 TEST_F(HoldsTest, ACancelledGangHoldsNothing)
 {
     joinWorkers(2);
--- a/src/dispatch/dispatcher_overdue.cc
+++ b/src/dispatch/dispatcher_overdue.cc
@@ -192,7 +192,7 @@
     out += amounts("team_limit", limit == nullptr ? Resources{} : *limit);
     out += amounts("unreported_use",
                    unreported == m_unreportedUse.end() ? Resources{} : unreported->second);
-    out += amounts("held_limit", held == m_heldLimit.end() ? Resources{} : held->second);
+    out += amounts("held_limit", held == m_heldLimit.end() ? Resources{} : held->second.amount);
     out += amounts("urgent_reserve", reserve);
     return out + flag("over_limit", !withinLimit(job, wants + reserve));
 }
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -191,10 +191,11 @@
     if (limit == nullptr)
         return true;
     Resources total = *job.teamUse + more;
-    for (const auto *others : {&m_unreportedUse, &m_heldLimit}) {
-        if (const auto it = others->find(job.spec->team); it != others->end())
-            total += it->second;
-    }
+    if (const auto it = m_unreportedUse.find(job.spec->team); it != m_unreportedUse.end())
+        total += it->second;
+    const auto held = m_heldLimit.find(job.spec->team);
+    if (held != m_heldLimit.end() && (held->second.strict || !fitsLimit(total * 2, *limit)))
+        total += held->second.amount;
     return fitsLimit(total, *limit);
 }
 
@@ -384,13 +385,10 @@
     const Resources reserve = yieldsToUrgentWork(step, route, unixMs)
                                   ? reserveForUrgentWork(*step.job, route)
                                   : Resources{};
-    const bool mayHold = hasPrecedence(step, now) && blockingTask(step, now) == nullptr;
     if (!withinLimit(*step.job, all + reserve)) {
         preemptLessUrgent(step, route, unixMs);
         setWaitReason(step, WaitReason::TeamLimit);
-        if (mayHold)
-            holdLimit(step, all);
-        return;
+        return setHolds(step, mayHold(step, now) && holdLimit(step, all, now), now);
     }
     std::vector<Worker *> places;
     bool found = false;
@@ -407,12 +405,10 @@
     }
     if (!found && !findGangPlacement(step, candidates, now, places)) {
         setWaitReason(step, reasonForNoWorker(step, route, now));
-        if (mayHold)
-            holdPlaces(step, route, now);
-        return;
+        return setHolds(step, mayHold(step, now) && holdPlaces(step, route, now), now);
     }
     setWaitReason(step, WaitReason::None);
-    setHolds(step, false, 0);
+    setHolds(step, false, now);
     int64_t lastRun = 0;
     for (const Task &task : step.tasks)
         lastRun = std::max(lastRun, task.lastRun);
--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -85,6 +85,7 @@
     attempt.orderedAt = now;
     attempt.lastProgressAt = now;
     step.waitingSince.reset();
+    step.heldSince.reset();
     step.readySince.reset();
     task.lastRun = std::max(task.lastRun, run);
     if (task.state == TaskState::Waiting) {
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -155,9 +155,12 @@
 
     // dispatcher_holds.cc
     void resetHolds();
-    void holdLimit(Step &step, const Resources &needed);
-    void holdPlaces(Step &step, const WorkRoute &route, Instant now);
-    void setHolds(Step &step, bool holds, int64_t freePlaces);
+    bool mayHold(const Step &step, Instant now) const;
+    Resources longRunningUse(const std::string &team) const;
+    bool isBelowHalf(const std::string &pool) const;
+    bool holdLimit(Step &step, const Resources &needed, Instant now);
+    bool holdPlaces(Step &step, const WorkRoute &route, Instant now);
+    void setHolds(Step &step, bool holds, Instant now);
 
     // dispatcher_crashes.cc
     void workerReplaced(const WorkerId &id, Instant now);
@@ -235,7 +238,7 @@
     // Pools and teams of which a gang holds places or limit; see dispatcher_holds.cc. Valid during
     // and after a decision, until the next one.
     std::set<std::string> m_poolsWithHolds;
-    std::map<std::string, Resources> m_heldLimit;
+    std::map<std::string, dispatch::HeldLimit> m_heldLimit;
     // Whose steps can have no further run preempted for them in the present decision.
     std::set<TeamPriority> m_preemptionExhausted;
     Resources m_total; // capacity of all listed workers
