Keep idle connections if an answer came just before the timeout

Found by the review: a timer that had fired already closed healthy connections of the pool. AllMembersAreBackWithinASecondOfAnOutage now answers both callers before the outage, so that the attribution of failures is put to the test.

--- a/src/control/approval_requester_test.cc
+++ b/src/control/approval_requester_test.cc
@@ -160,6 +160,12 @@
 {
     addJobs(60);
     sendRequests();
+    answerOwn();
+    m_calls.peers.back().done(work::ApprovalAnswer{});
+    m_calls.peers.pop_back();
+    m_clock.time += Duration(100);
+    sendRequests();
+    ASSERT_EQ(m_calls.peers.size(), 1U);
     for (int i = 0; i < 5; ++i) {
         m_clock.time += Duration(1'200);
         failOwn();
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -224,6 +224,8 @@
 
 void Call::onTimeout()
 {
+    if (m_finished)
+        return;
     // What silenced this connection, such as a lost link, probably silenced its neighbours as well.
     if (const auto client = m_client.lock())
         client->closeIdleSince(m_address, m_startedAt);
