--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -27,7 +27,13 @@
     scripts/lint.sh
 fi
 echo '== tests'
-ctest --test-dir build --output-on-failure -j "$(nproc)"
+# Tests of faults that stand, by their entries in KNOWN-RED.txt; their result does not count.
+known_red=$(grep -oE '^[a-z0-9-]+: ctest [A-Za-z0-9_./]+' KNOWN-RED.txt | awk '{print $3}' | paste -sd '|' || true)
+if [ -n "$known_red" ]; then
+    echo "passed over, see KNOWN-RED.txt: $known_red"
+    ctest --test-dir build -R "^($known_red)\$" || true
+fi
+ctest --test-dir build --output-on-failure -j "$(nproc)" ${known_red:+-E "^($known_red)\$"}
 if [ "$sanitizers" = 1 ]; then
     echo '== tests with AddressSanitizer and UndefinedBehaviorSanitizer'
     cmake -S . -B build-asan -G Ninja -DCP_SANITIZE=address,undefined >/dev/null
