Split what the scheduler stores and the order of steps into files of their own, count fitting tasks in one place

HttpClient::closeIdleConnections() lets a caller that suspects a silent connection repeat a request on a new one before the first has timed out; it has no caller yet.

--- a/src/base/base_test.cc
+++ b/src/base/base_test.cc
@@ -27,6 +27,16 @@
 }
 
 // Guards against a fit check that ignores some of the resources.
+// Guards against counts that ignore the scarcest resource, and against negative ones.
+TEST(ResourcesTest, CountsHowManyTimesANeedFits)
+{
+    const Resources need{1'000, 100, 0, 0, 0};
+    EXPECT_EQ(countFitting({4'000, 250, 0, 0, 0}, need, 10), 2);
+    EXPECT_EQ(countFitting({4'000, 900, 0, 0, 0}, need, 3), 3) << "at most the limit";
+    EXPECT_EQ(countFitting({-500, 900, 0, 0, 0}, need, 3), 0);
+    EXPECT_EQ(countFitting({}, {}, 7), 7) << "nothing is needed";
+}
+
 TEST(ResourcesTest, FitsOnlyIfEveryAmountFits)
 {
     const Resources capacity{1000, 100, 1, 8, 64};
--- a/src/base/resources.cc
+++ b/src/base/resources.cc
@@ -43,6 +43,21 @@
            + " connections=" + std::to_string(connections);
 }
 
+int64_t countFitting(const Resources &free, const Resources &need, int64_t limit)
+{
+    int64_t count = limit;
+    const auto bound = [&count](int64_t available, int64_t needed) {
+        if (needed > 0)
+            count = std::min(count, std::max<int64_t>(0, available) / needed);
+    };
+    bound(free.cpuMilli, need.cpuMilli);
+    bound(free.memoryMb, need.memoryMb);
+    bound(free.accelerators, need.accelerators);
+    bound(free.slots, need.slots);
+    bound(free.connections, need.connections);
+    return count;
+}
+
 int64_t dominantShareMillionths(const Resources &used, const Resources &total)
 {
     int64_t largest = 0;
--- a/src/base/resources.h
+++ b/src/base/resources.h
@@ -34,6 +34,10 @@
     std::string toString() const;
 };
 
+// Returns how many times `need` fits into `free`, at most `limit`. Amounts of which `need` is 0 do
+// not bound the count.
+int64_t countFitting(const Resources &free, const Resources &need, int64_t limit);
+
 // Returns the dominant share: the largest fraction of any resource of `total` that `used` takes, in
 // parts per million. Ignores resources of which `total` has none. Uses integer arithmetic, so that
 // every build gives the same order.
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -114,6 +114,10 @@
     void workerCallsAnswered(const work::WorkerAnswers &answers) { m_workers.answered(answers); }
 
 private:
+    static constexpr Duration FlushDelay{25}; // batches changes of progress into one append
+    static constexpr Duration StartFlushDelay{12}; // batches starts into one append
+    static constexpr Duration HeartbeatInterval{150}; // longest time without an append
+
     void onWorkerRecord(const KeyedRecord &record);
     void onRegistryLoaded(const std::set<std::string> &ids);
     void onReport(const WorkerId &id, const RunReport &report);
--- /dev/null
+++ b/src/control/scheduler_records.cc
@@ -0,0 +1,245 @@
+// What a scheduler stores in the log and when: batches of progress, placements of tasks, workers in
+// use and the tenure.
+#include "control/scheduler.h"
+
+#include "logging/event_log.h"
+#include "work/codec.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace cardamompaddle {
+
+namespace {
+
+// When appends take SlowAppendTime on average, waiting for them would delay starts too much. Starts
+// are then sent before their record is stored, until the average has dropped to FastAppendTime.
+constexpr Duration SlowAppendTime{120};
+constexpr Duration FastAppendTime{50};
+// An append in flight for this long is reported to the peers before it is answered.
+constexpr Duration LateAppendTime{60};
+constexpr Duration MaxSlowAppendTime{700}; // a later answer is taken to be lost
+constexpr int AppendTimeAverageDivisor = 4; // the latest append has a weight of 1/4
+// Longer than it takes a worker that is up to answer the next poll after a lost answer.
+constexpr Duration MinSilenceToSuspendLease{600};
+// The time that is left of the leases is stored again this often, so that an instance which starts
+// meanwhile does not count the whole of it.
+constexpr Duration SuspensionStoreInterval{500};
+
+} // namespace
+
+// Stops recording starts before they are sent while the log is slow, and resumes once it is fast.
+//
+// A start may go out without a record only after a tenure with `startsRecorded` false is stored.
+// The tenure gets `startsRecorded` true again in an append that also holds the placement of every
+// running task.
+void Scheduler::updateStartRecording(Duration appendTime)
+{
+    m_averageAppendTime += (appendTime - m_averageAppendTime) / AppendTimeAverageDivisor;
+    const bool recorded = m_options.tenure.startsRecorded;
+    if (m_averageAppendTime >= SlowAppendTime) {
+        if (recorded)
+            setStartsRecorded(false);
+        else if (!m_tenureDirty)
+            m_recordBeforeStart = false;
+    } else if (m_averageAppendTime <= FastAppendTime && m_allReconciled) {
+        m_recordBeforeStart = true;
+        if (!recorded)
+            setStartsRecorded(true);
+    }
+}
+
+void Scheduler::setStartsRecorded(bool recorded)
+{
+    m_options.tenure.startsRecorded = recorded;
+    m_tenureDirty = true;
+    logInfo("starts_recorded", "promised=" + std::string(recorded ? "true" : "false")
+                                   + " append_ms=" + std::to_string(m_averageAppendTime.count()));
+}
+
+void Scheduler::scheduleFlush(Duration wait)
+{
+    if (m_writer.busy()) {
+        m_flushPending = true;
+        return;
+    }
+    const Instant due = m_context.clock.now() + wait;
+    if (m_flushArmed && m_flushDue <= due)
+        return;
+    m_flushArmed = true;
+    m_flushDue = due;
+    m_flushTimer.expires_after(wait);
+    m_flushTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+        if (ec || !*alive)
+            return;
+        m_flushArmed = false;
+        if (!m_writer.busy())
+            flush();
+    });
+}
+
+void Scheduler::flush()
+{
+    const LoadMeter::Scope measured(m_load, LoadPart::Flush);
+    std::vector<KeyedRecord> records;
+    m_flushPending = false;
+    m_batchPositions.clear();
+    for (const auto &[id, used] : m_context.jobTable.usedWorkers())
+        m_batchPositions[id] = m_dispatcher.endPosition(id);
+    for (const WorkerId &id : m_storedUsedWorkers)
+        m_batchPositions[id] = m_dispatcher.endPosition(id);
+    m_batchUrgent.clear();
+    for (const work::Progress &progress : m_dispatcher.takeProgress(m_tenureClock.heldMs())) {
+        const std::string key = work_key::progress(progress.id, progress.part);
+        if (progress.state >= work::JobState::Completed)
+            m_batchUrgent.insert(key);
+        const bool removed = progress.part != 0 && progress.steps.empty();
+        records.push_back({key, removed ? "" : encodeRecord(progress), removed, 0});
+    }
+    addWorkerRecords(records);
+    const Instant now = m_context.clock.now();
+    if (records.empty() && now - m_lastStoredAt < HeartbeatInterval && !m_onReleased) {
+        // Nothing to store: the finished runs belong to no task that is still open.
+        std::swap(m_storedPositions, m_batchPositions);
+        m_links->onAppendStored(m_writer.storedSentAt());
+        return;
+    }
+    m_startsInBatch = std::exchange(m_startsToRecord, {});
+    if (records.empty() || m_onReleased || std::exchange(m_tenureDirty, false)) {
+        work::Tenure tenure = m_options.tenure;
+        tenure.released = m_onReleased != nullptr;
+        tenure.heldMs = m_tenureClock.heldMs();
+        records.push_back({work_key::Tenure, encodeRecord(tenure), false, 0});
+        m_batchUrgent.insert(work_key::Tenure);
+        m_tenureRecordedAt = now;
+        m_releaseInBatch = tenure.released;
+    }
+    m_slowAppendReported = false;
+    m_writer.append(std::move(records),
+                    [this](const std::vector<KeyedRecord> &stored) { onStored(stored); });
+}
+
+void Scheduler::publish(const std::vector<KeyedRecord> &records)
+{
+    std::vector<KeyedRecord> urgent;
+    std::copy_if(records.begin(), records.end(), std::back_inserter(urgent),
+                 [this](const KeyedRecord &it) { return m_batchUrgent.contains(it.key); });
+    if (urgent.empty() && m_lastStoredAt - m_lastPublishedAt < HeartbeatInterval)
+        return;
+    m_lastPublishedAt = m_lastStoredAt;
+    const LoadMeter::Scope measured(m_load, LoadPart::Publish);
+    m_recordsStored(urgent, records.empty() ? 0 : records.back().offset + 1);
+}
+
+void Scheduler::addWorkerRecords(std::vector<KeyedRecord> &records)
+{
+    for (const WorkerId &id : m_usedWorkersToRemove) {
+        if (m_links->contains(id))
+            continue; // listed again
+        records.push_back({work_key::usedWorker(id), "", true, 0});
+        m_storedUsedWorkers.erase(id);
+        m_suspendedLeases.erase(id);
+    }
+    m_usedWorkersToRemove.clear();
+    m_batchUsedWorkers = std::exchange(m_usedWorkersToStore, {});
+    for (const WorkerId &id : m_batchUsedWorkers)
+        records.push_back(usedWorkerRecord(id, Duration::zero()));
+    suspendLeases(records);
+}
+
+KeyedRecord Scheduler::usedWorkerRecord(const WorkerId &id, Duration leasesExpireWithin) const
+{
+    work::UsedWorker used;
+    used.id = id;
+    used.address = m_links->address(id);
+    used.leasesExpireWithinMs = leasesExpireWithin.count();
+    return {work_key::usedWorker(id), encodeRecord(used), false, 0};
+}
+
+// Promises not to extend the leases of unresponsive workers, so that a later scheduler waits only
+// for what is left of them. The promise is kept from now on, before it is stored. It gives a time
+// span, which each instance counts from its own reading of the record, since clocks differ.
+void Scheduler::suspendLeases(std::vector<KeyedRecord> &records)
+{
+    const Instant now = m_context.clock.now();
+    for (const WorkerId &id : m_links->unreachableSince(now - MinSilenceToSuspendLease)) {
+        if (!m_storedUsedWorkers.contains(id) || m_batchUsedWorkers.contains(id))
+            continue;
+        const bool renewed = m_suspendedLeases.contains(id);
+        const auto storedAt = m_suspensionsStoredAt.find(id);
+        if (renewed && storedAt != m_suspensionsStoredAt.end()
+            && (now - storedAt->second < SuspensionStoreInterval
+                || storedAt->second >= m_suspendedLeases.at(id)))
+            continue;
+        // A span of 0 would withdraw the promise.
+        const Duration left = std::max(m_links->leaseExpiry(id) - now, Duration(1));
+        if (!renewed)
+            m_suspendedLeases[id] = now + left;
+        m_suspensionsStoredAt[id] = now;
+        records.push_back(usedWorkerRecord(id, left));
+        if (!renewed)
+            m_batchUrgent.insert(records.back().key);
+    }
+}
+
+void Scheduler::onStored(const std::vector<KeyedRecord> &records)
+{
+    m_lastStoredAt = m_context.clock.now();
+    m_tenureClock.recordStored(m_lastStoredAt);
+    publish(records);
+    updateStartRecording(m_lastStoredAt - m_writer.sentAt());
+    if (!m_onReleased) {
+        for (const StartOrder &start : std::exchange(m_startsInBatch, {}))
+            m_links->start(start);
+    }
+    std::swap(m_storedPositions, m_batchPositions);
+    for (const WorkerId &id : m_batchUsedWorkers) {
+        m_storedUsedWorkers.insert(id);
+        m_suspendedLeases.erase(id);
+        updateReachable(id);
+    }
+    if (!m_batchUsedWorkers.empty())
+        schedulePass();
+    m_batchUsedWorkers.clear();
+    m_links->onAppendStored(m_writer.storedSentAt());
+    if (m_onReleased && m_releaseInBatch)
+        return finishRelease();
+    const bool soon = m_onReleased || !m_startsToRecord.empty();
+    if (soon || m_flushPending || m_tenureDirty || m_dispatcher.hasProgress())
+        scheduleFlush(soon ? StartFlushDelay : FlushDelay);
+}
+
+// A part of a job's progress that the log does not take would keep the whole flush from being
+// stored. Its runs cannot be told to a later scheduler, so the job ends.
+void Scheduler::onRejected(const KeyedRecord &record, const std::string &reason)
+{
+    const auto jobId = work_key::jobOfProgress(record.key);
+    if (!jobId)
+        return;
+    m_dispatcher.giveUpJob(*jobId, "its progress cannot be stored: " + reason);
+    schedulePass();
+    scheduleFlush(Duration::zero());
+}
+
+Duration Scheduler::appendTime() const
+{
+    if (!m_writer.awaitsFirstAnswer())
+        return m_averageAppendTime;
+    const Duration inFlight = m_context.clock.now() - m_writer.sentAt();
+    return inFlight > MaxSlowAppendTime ? m_averageAppendTime
+                                        : std::max(m_averageAppendTime, inFlight);
+}
+
+// Without waiting for the answer: until it comes, all instances go on loading the log.
+void Scheduler::reportSlowAppend(Instant now)
+{
+    const bool slow = m_writer.awaitsFirstAnswer() && now - m_writer.sentAt() >= LateAppendTime;
+    if (!slow || std::exchange(m_slowAppendReported, true))
+        return;
+    m_recordsStored({}, 0);
+}
+
+} // namespace cardamompaddle
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -36,21 +36,13 @@
 
 int64_t fittingTasks(const Worker &worker, const Step &step)
 {
-    const Resources room = worker.entry.capacity - worker.used;
-    int64_t count = INT32_MAX;
-    const auto bound = [&count](int64_t free, int64_t need) {
-        if (need > 0)
-            count = std::min(count, std::max<int64_t>(0, free) / need);
-    };
-    bound(room.cpuMilli, step.taskResources.cpuMilli);
-    bound(room.memoryMb, step.taskResources.memoryMb);
-    bound(room.accelerators, step.taskResources.accelerators);
+    int64_t limit = INT32_MAX;
     if (step.spec->maxPerWorker > 0) {
         const auto active = step.perWorker.find(worker.entry.id);
         const int32_t taken = active == step.perWorker.end() ? 0 : active->second;
-        count = std::min<int64_t>(count, std::max(0, step.spec->maxPerWorker - taken));
+        limit = std::max(0, step.spec->maxPerWorker - taken);
     }
-    return count;
+    return countFitting(worker.entry.capacity - worker.used, step.taskResources, limit);
 }
 
 int64_t placesOf(const ApprovalCandidates::List &list)
--- a/src/dispatch/dispatcher_overdue.cc
+++ b/src/dispatch/dispatcher_overdue.cc
@@ -46,20 +46,6 @@
     }
 };
 
-// Returns how many tasks of the step fit into `free`, at most `limit`.
-int64_t fittingTasks(const Resources &free, const Step &step, int64_t limit)
-{
-    int64_t out = limit;
-    const auto bound = [&out](int64_t amount, int64_t need) {
-        if (need > 0)
-            out = std::min(out, std::max<int64_t>(0, amount) / need);
-    };
-    bound(free.cpuMilli, step.taskResources.cpuMilli);
-    bound(free.memoryMb, step.taskResources.memoryMb);
-    bound(free.accelerators, step.taskResources.accelerators);
-    return out;
-}
-
 void addPlaces(Places &places, const Worker &worker, const Step &step)
 {
     const auto tasks = static_cast<int64_t>(step.tasks.size());
@@ -68,8 +54,8 @@
     const int32_t most = step.spec->maxPerWorker;
     const int64_t limit = most > 0 ? std::min<int64_t>(most, tasks) : tasks;
     const int64_t limitNow = most > 0 ? std::clamp<int64_t>(most - active, 0, tasks) : tasks;
-    places.total += fittingTasks(worker.entry.capacity, step, limit);
-    places.free += fittingTasks(worker.entry.capacity - worker.used, step, limitNow);
+    places.total += countFitting(worker.entry.capacity, step.taskResources, limit);
+    places.free += countFitting(worker.entry.capacity - worker.used, step.taskResources, limitNow);
 }
 
 const Task &firstWaitingTask(const Step &step)
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -28,8 +28,6 @@
 // Weight of the free share of a worker. The fuller of two otherwise equal workers wins, which keeps
 // capacity for large tasks together.
 constexpr double FreeShareWeight = 0.2;
-// Below this share of completed work, the remaining time is not extrapolated from progress.
-constexpr double MinProgressForEstimate = 0.05;
 
 double fraction(int64_t part, int64_t whole)
 {
@@ -51,102 +49,6 @@
     return it == m_catalog->routes.end() ? nullptr : &it->second;
 }
 
-bool Dispatcher::Impl::isReady(const Step &step, int64_t unixMs) const
-{
-    const work::Submission &spec = *step.job->spec;
-    if (spec.repetitions > 0 && unixMs < spec.firstDueMs + step.occurrence * spec.intervalMs)
-        return false;
-    return std::all_of(step.spec->after.begin(), step.spec->after.end(), [&step](int32_t number) {
-        const Step *dependency = step.job->step(step.occurrence, number);
-        return dependency != nullptr && dependency->done();
-    });
-}
-
-// Returns whether the steps that this one depends on are expected to finish within `lead`.
-bool Dispatcher::Impl::isDueSoon(const Step &step, Instant now, Duration lead) const
-{
-    for (const int32_t number : step.spec->after) {
-        const Step *dependency = step.job->step(step.occurrence, number);
-        if (dependency == nullptr || dependency->waiting > 0)
-            return false;
-        for (const Task &task : dependency->tasks) {
-            if (task.state != TaskState::Active || !task.attempt)
-                continue;
-            const auto ran = static_cast<double>((now - task.attempt->orderedAt).count());
-            const double done = std::clamp(task.attempt->percent / 100.0, 0.0, 1.0);
-            const double left = done > MinProgressForEstimate
-                                    ? ran * (1 - done) / done
-                                    : static_cast<double>(dependency->spec->estimatedMs) - ran;
-            if (left > static_cast<double>(lead.count()))
-                return false;
-        }
-    }
-    return true;
-}
-
-bool Dispatcher::Impl::mayStartNow(const Step &step) const
-{
-    return step.waiting > 0 && !step.job->isTerminal() && !step.gangBroken
-           && (m_unreconciled.empty() || !step.job->mayBeRunning)
-           && (!step.spec->gang || step.active == 0);
-}
-
-// Returns whether an earlier scheduler placed the task on a worker that has not reported since, so
-// that a run of it may still exist there.
-bool Dispatcher::Impl::mayBeRunningUnreported(const Task &task) const
-{
-    return !task.previousWorker.empty() && m_unreconciled.contains(task.previousWorker);
-}
-
-// Returns whether the step is a gang that has waited long enough to go before the other work of its
-// priority.
-bool Dispatcher::Impl::hasPrecedence(const Step &step, Instant now)
-{
-    return step.spec->gang && step.waitingSince && now - *step.waitingSince >= GangPatience;
-}
-
-// Returns the place of the step among those of its priority: gangs with precedence come first, in
-// the order in which they began to wait, so that what is held for one does not go to another.
-Instant Dispatcher::Impl::precedenceOf(const Step &step, Instant now)
-{
-    return hasPrecedence(step, now) ? *step.waitingSince : Instant::max();
-}
-
-// Returns the steps that may start tasks, most urgent first. With `includeDueSoon`, also those that
-// become ready within `lead`.
-std::vector<Step *> Dispatcher::Impl::stepsByUrgency(Instant now, int64_t unixMs,
-                                                     bool includeDueSoon, Duration lead)
-{
-    using Key = std::tuple<int32_t, Instant, UrgencyClass, int64_t, int64_t, uint64_t>;
-    std::vector<std::pair<Key, Step *>> keyed;
-    for (const auto &[id, job] : m_jobs) {
-        const WorkRoute *route = job->isTerminal() ? nullptr : routeOf(*job);
-        if (route == nullptr)
-            continue;
-        for (const auto &step : job->steps) {
-            if (!mayStartNow(*step)
-                || (!isReady(*step, unixMs) && !(includeDueSoon && isDueSoon(*step, now, lead))))
-                continue;
-            const int64_t slack = slackMs(*step, *route, unixMs);
-            const UrgencyClass urgency = urgencyClass(*step, *route, slack, unixMs);
-            const auto team = m_catalog->teams.find(job->spec->team);
-            const double weight = team == m_catalog->teams.end() ? 1 : team->second.weight;
-            const int64_t share = dominantShareMillionths(*job->teamUse, m_total);
-            const auto weightedShare = static_cast<int64_t>(static_cast<double>(share) / weight);
-            keyed.push_back({{route->priority, precedenceOf(*step, now), urgency, weightedShare,
-                              slack, job->sequence},
-                             step.get()});
-        }
-    }
-    std::sort(keyed.begin(), keyed.end(),
-              [](const auto &a, const auto &b) { return a.first < b.first; });
-    std::vector<Step *> out;
-    out.reserve(keyed.size());
-    for (const auto &[key, step] : keyed)
-        out.push_back(step);
-    return out;
-}
-
 bool Dispatcher::Impl::hasRoom(const Worker &worker, const Step &step) const
 {
     return (worker.used + worker.held + step.taskResources).fitsIn(worker.entry.capacity);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -352,6 +352,11 @@
     call->start(*m_impl, timeout);
 }
 
+void HttpClient::closeIdleConnections(const std::string &address)
+{
+    m_impl->closeIdleSince(address, std::chrono::steady_clock::now());
+}
+
 size_t HttpClient::idleConnections() const
 {
     size_t count = 0;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -60,6 +60,10 @@
     void request(const std::string &address, const std::string &method, const std::string &target,
                  std::string body, Duration timeout, Done done,
                  const std::map<std::string, std::string> &headers = {});
+    // Closes the idle connections to `address`, so that the requests from now on use connections
+    // that are opened from now on, or that serve a request in flight and then prove to work. For
+    // callers that suspect a silent connection before a request times out.
+    void closeIdleConnections(const std::string &address);
     // Returns the number of open connections in the pool, in use by no request.
     size_t idleConnections() const;
 
--- a/src/net/http_client_pool_test.cc
+++ b/src/net/http_client_pool_test.cc
@@ -104,5 +104,18 @@
     EXPECT_EQ(m_server.accepted(), 3U);
 }
 
+// Guards against a repeated request that meets another connection of the same silent failure.
+TEST_F(HttpClientPoolTest, ARequestAfterClosingIdleConnectionsUsesANewOne)
+{
+    openIdleConnections(2);
+    m_server.silenceOpenConnections();
+    const auto silent = send();
+    m_client.closeIdleConnections(m_server.address());
+    const Outcome repeated = call();
+    EXPECT_TRUE(repeated.ok());
+    EXPECT_LT(repeated.time(), Prompt);
+    EXPECT_FALSE(silent->response) << "a request in flight keeps its connection";
+}
+
 } // namespace
 } // namespace cardamompaddle
