Let a worker whose runs are all recorded hold back only its own tasks after a takeover

Callers saw ready work that stood for up to 4.5 s after a takeover although there was room many times over (job_may_run): while the log is slow, starts go out before they are recorded, and the next scheduler let all tasks of all older jobs wait until the last worker had reported or lost its leases. One worker that was leaving or silent was enough.

The record of a worker in use now tells, for the tenure that wrote it, that nothing is started there and that the progress of jobs names all runs there. It is written while starts are not recorded: for workers that have been silent for 0.6 s with the record that suspends their leases, and for draining and unlisted ones once. Before such a worker gets starts again, a record without it is stored, by the mechanism of suspended leases. After a takeover these workers hold back only the tasks placed on them; the others still hold back all tasks of older jobs until they have reported.

The log lines workers_awaited and task_overdue name the workers that are waited for and what is left of their leases.

--- a/src/control/instance_takeover_test.cc
+++ b/src/control/instance_takeover_test.cc
@@ -225,6 +225,30 @@
     EXPECT_TRUE(reached(scheduler(), "job", work::JobState::Completed));
 }
 
+// Guards against tasks of older jobs that wait for the leases of a worker which cannot run them: it
+// had been leaving when the scheduler was lost, at a time at which starts were not recorded.
+TEST_F(InstanceTakeoverTest, AWorkerThatWasLeavingHoldsBackNoTasksOfOthers)
+{
+    m_maxLease = Duration(10'000);
+    for (const char *name : {"a", "b", "c"})
+        addNode(name).log->appendTime = Duration(150);
+    ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+    ASSERT_TRUE(
+        runUntil([this] { return !scheduler().instance->jobTable().tenure().startsRecorded; },
+                 Duration(6'000)));
+    ASSERT_EQ(submit(scheduler(), "running", 8), SubmitOutcome::Accepted);
+    ASSERT_TRUE(runUntil([this] { return m_workers.runningCount() == 8; })) << "both are full";
+    ASSERT_EQ(submit(scheduler(), "waiting", 2), SubmitOutcome::Accepted);
+    m_model.put(RegistryTopic, "w1", "draining");
+    runFor(Duration(1'000));
+    m_workers.workers["w1"].unresponsive = true;
+    scheduler().instance.reset();
+    m_model.put(RegistryTopic, "w3", "ready");
+    EXPECT_TRUE(
+        runUntil([this] { return m_workers.workers["w3"].running.size() == 2; }, Duration(3'000)));
+    EXPECT_FALSE(m_workers.ranTwice);
+}
+
 // Guards against a wait that hardly gets shorter because each successor has just started: it knows
 // how much of the wait was left when that was stored, but not how long ago that was.
 TEST_F(InstanceTakeoverTest, AnInstanceThatRestartsWaitsOnlyForTheRest)
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -161,9 +161,12 @@
 
 void Scheduler::start()
 {
+    const int64_t formerEpoch = m_options.tenure.epoch - 1;
     for (const auto &[id, used] : m_context.jobTable.usedWorkers()) {
         m_unreconciled.insert(id);
         m_storedUsedWorkers.insert(id);
+        if (m_options.tenure.startsRecorded || used.runsRecordedEpoch == formerEpoch)
+            m_recordedWorkers.insert(id);
     }
     std::vector<const JobEntry *> open;
     for (const auto &[id, entry] : m_context.jobTable.entries()) {
@@ -173,9 +176,10 @@
     }
     std::sort(open.begin(), open.end(),
               [](const JobEntry *a, const JobEntry *b) { return a->offset < b->offset; });
-    // If the former scheduler recorded its starts, only the tasks that it placed on unreconciled
-    // workers have to wait. Otherwise any task of an open job may be running.
-    const bool mayBeRunning = !m_unreconciled.empty() && !m_options.tenure.startsRecorded;
+    // Of the starts that the former scheduler recorded, only the tasks that it placed on
+    // unreconciled workers have to wait. On the other workers any task of an open job may be
+    // running.
+    const bool mayBeRunning = m_recordedWorkers.size() < m_unreconciled.size();
     for (const JobEntry *entry : open) {
         // The last record of a job that has ended names the workers of all runs that it had left.
         const bool ended = entry->progress && entry->progress->state >= work::JobState::Completed;
@@ -183,10 +187,13 @@
         if (entry->cancelled)
             m_dispatcher.cancelJob(entry->submission->id);
     }
+    m_dispatcher.setRecordedWorkers(m_recordedWorkers);
     m_dispatcher.setUnreconciledWorkers(m_unreconciled);
-    logInfo("scheduling_began", "epoch=" + std::to_string(m_options.tenure.epoch)
-                                    + " open_jobs=" + std::to_string(open.size())
-                                    + " used_workers=" + std::to_string(m_unreconciled.size()));
+    logInfo("scheduling_began",
+            "epoch=" + std::to_string(m_options.tenure.epoch)
+                + " open_jobs=" + std::to_string(open.size())
+                + " used_workers=" + std::to_string(m_unreconciled.size()) + " unrecorded_workers="
+                + std::to_string(m_unreconciled.size() - m_recordedWorkers.size()));
     // Probes the instances while the registry is read.
     updateWorkerGateway();
     m_registry->start();
@@ -234,6 +241,8 @@
 {
     if (record.removed) {
         m_dispatcher.removeWorker(record.key);
+        if (m_storedUsedWorkers.contains(record.key))
+            m_retiredWorkers.insert(record.key);
         // Runs of an earlier scheduler may be on the worker. The dispatcher has to know the worker
         // to process its next report.
         if (m_unreconciled.contains(record.key))
@@ -251,9 +260,15 @@
     }
     m_dispatcher.setWorker(*entry);
     m_links->setEntry(*entry, true);
+    if (entry->draining)
+        m_retiredWorkers.insert(entry->id);
+    else
+        m_retiredWorkers.erase(entry->id);
+    const bool reopens = !entry->draining && m_closedWorkers.contains(entry->id);
     // The link may have outlived an earlier entry and report no change.
     updateReachable(entry->id);
-    if (!m_storedUsedWorkers.contains(entry->id) && m_usedWorkersToStore.insert(entry->id).second)
+    if ((reopens || !m_storedUsedWorkers.contains(entry->id))
+        && m_usedWorkersToStore.insert(entry->id).second)
         scheduleFlush(Duration::zero());
     schedulePass();
 }
@@ -265,6 +280,7 @@
         if (!ids.contains(id) || !m_links->contains(id)) {
             m_dispatcher.adoptWorker(id);
             m_dispatcher.removeWorker(id);
+            m_retiredWorkers.insert(id);
             WorkerEntry entry;
             entry.id = id;
             entry.address = used.address;
@@ -295,7 +311,8 @@
 void Scheduler::updateReachable(const WorkerId &id)
 {
     m_dispatcher.setReachable(id, m_reachable.contains(id) && m_storedUsedWorkers.contains(id)
-                                      && !m_suspendedLeases.contains(id));
+                                      && !m_suspendedLeases.contains(id)
+                                      && !m_closedWorkers.contains(id));
 }
 
 void Scheduler::updateReconciliation()
@@ -318,6 +335,30 @@
     schedulePass();
 }
 
+// Tells which workers of the former scheduler have not reported yet, and by when they do or have
+// lost their leases.
+void Scheduler::logAwaitedWorkers(Instant now) const
+{
+    if (m_allReconciled || m_unreconciled.empty())
+        return;
+    constexpr size_t MaxNamed = 8;
+    std::string names;
+    Duration longest{0};
+    size_t named = 0;
+    for (const WorkerId &id : m_unreconciled) {
+        if (!m_links->contains(id))
+            continue;
+        const Duration left = m_links->leaseExpiry(id) - now;
+        longest = std::max(longest, left);
+        if (named++ < MaxNamed)
+            names += (names.empty() ? "" : ",") + id + "/" + std::to_string(left.count());
+    }
+    logInfo("workers_awaited", "epoch=" + std::to_string(m_options.tenure.epoch)
+                                   + " count=" + std::to_string(m_unreconciled.size())
+                                   + " longest_lease_ms=" + std::to_string(longest.count())
+                                   + " workers_and_lease_ms=" + names);
+}
+
 void Scheduler::schedulePass()
 {
     if (m_passArmed || m_onReleased)
@@ -422,6 +463,7 @@
                                   + " append_ms=" + std::to_string(m_averageAppendTime.count())
                                   + " workers=" + std::to_string(m_links->size()) + " links="
                                   + std::to_string(m_workers.linkCount()) + " " + m_load.take());
+    logAwaitedWorkers(now);
     m_dispatcher.reportOverdueTasks(now, m_context.unixClock());
 }
 
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -122,9 +122,14 @@
     void onRegistryLoaded(const std::set<std::string> &ids);
     void onReport(const WorkerId &id, const RunReport &report);
     void updateReachable(const WorkerId &id);
-    KeyedRecord usedWorkerRecord(const WorkerId &id, Duration leasesExpireWithin) const;
+    // The record of a worker in use; see work::UsedWorker for the values.
+    KeyedRecord usedWorkerRecord(const WorkerId &id, Duration leasesExpireWithin,
+                                 int64_t runsRecordedEpoch) const;
     void suspendLeases(std::vector<KeyedRecord> &records);
+    void closeWorkers(std::vector<KeyedRecord> &records);
+    bool runsAreRecorded(const WorkerId &id) const;
     void updateReconciliation();
+    void logAwaitedWorkers(Instant now) const;
     void schedulePass();
     void runPass();
     void armEventTimer();
@@ -160,6 +165,9 @@
     // Workers of an earlier scheduler whose runs are not reconciled yet.
     std::set<WorkerId> m_unreconciled;
     bool m_allReconciled = false; // the registry is loaded and m_unreconciled has become empty
+    // Workers on which earlier schedulers have started nothing that the progress of jobs does not
+    // tell.
+    std::set<WorkerId> m_recordedWorkers;
     // Workers with a stored UsedWorker record. Only these get starts, so that a later scheduler
     // knows every worker on which tasks may run.
     std::set<WorkerId> m_storedUsedWorkers;
@@ -169,6 +177,11 @@
     std::map<WorkerId, Instant> m_suspendedLeases;
     // When the promise was last put into an append of this tenure.
     std::map<WorkerId, Instant> m_suspensionsStoredAt;
+    // Workers that are draining or not listed.
+    std::set<WorkerId> m_retiredWorkers;
+    // Retired workers whose record says that all their runs are recorded. They get no starts until
+    // a record without that is stored.
+    std::set<WorkerId> m_closedWorkers;
     std::set<WorkerId> m_usedWorkersToRemove;
     std::set<WorkerId> m_reachable;
     // Position up to which each worker's finished runs are stored. Workers may discard these.
--- a/src/control/scheduler_records.cc
+++ b/src/control/scheduler_records.cc
@@ -142,20 +142,25 @@
         records.push_back({work_key::usedWorker(id), "", true, 0});
         m_storedUsedWorkers.erase(id);
         m_suspendedLeases.erase(id);
+        m_closedWorkers.erase(id);
+        m_retiredWorkers.erase(id);
     }
     m_usedWorkersToRemove.clear();
     m_batchUsedWorkers = std::exchange(m_usedWorkersToStore, {});
     for (const WorkerId &id : m_batchUsedWorkers)
-        records.push_back(usedWorkerRecord(id, Duration::zero()));
+        records.push_back(usedWorkerRecord(id, Duration::zero(), 0));
     suspendLeases(records);
+    closeWorkers(records);
 }
 
-KeyedRecord Scheduler::usedWorkerRecord(const WorkerId &id, Duration leasesExpireWithin) const
+KeyedRecord Scheduler::usedWorkerRecord(const WorkerId &id, Duration leasesExpireWithin,
+                                        int64_t runsRecordedEpoch) const
 {
     work::UsedWorker used;
     used.id = id;
     used.address = m_links->address(id);
     used.leasesExpireWithinMs = leasesExpireWithin.count();
+    used.runsRecordedEpoch = runsRecordedEpoch;
     return {work_key::usedWorker(id), encodeRecord(used), false, 0};
 }
 
@@ -179,12 +184,37 @@
         if (!renewed)
             m_suspendedLeases[id] = now + left;
         m_suspensionsStoredAt[id] = now;
-        records.push_back(usedWorkerRecord(id, left));
+        // Nothing is started there either, and the records before this one tell of all starts.
+        records.push_back(
+            usedWorkerRecord(id, left, runsAreRecorded(id) ? m_options.tenure.epoch : 0));
         if (!renewed)
             m_batchUrgent.insert(records.back().key);
     }
 }
 
+// Returns whether earlier schedulers and this one, up to the records that are being put together,
+// have recorded all runs that may exist on the worker.
+bool Scheduler::runsAreRecorded(const WorkerId &id) const
+{
+    return !m_unreconciled.contains(id) || m_recordedWorkers.contains(id);
+}
+
+// Records of workers that get no starts any more that their runs are recorded, so that a later
+// scheduler does not take any task for running there. Needed only while starts are not recorded.
+void Scheduler::closeWorkers(std::vector<KeyedRecord> &records)
+{
+    if (m_options.tenure.startsRecorded)
+        return;
+    for (const WorkerId &id : m_retiredWorkers) {
+        if (!m_storedUsedWorkers.contains(id) || m_batchUsedWorkers.contains(id)
+            || m_suspendedLeases.contains(id) || !runsAreRecorded(id)
+            || !m_closedWorkers.insert(id).second)
+            continue;
+        records.push_back(usedWorkerRecord(id, Duration::zero(), m_options.tenure.epoch));
+        updateReachable(id);
+    }
+}
+
 void Scheduler::onStored(const std::vector<KeyedRecord> &records)
 {
     m_lastStoredAt = m_context.clock.now();
@@ -199,6 +229,7 @@
     for (const WorkerId &id : m_batchUsedWorkers) {
         m_storedUsedWorkers.insert(id);
         m_suspendedLeases.erase(id);
+        m_closedWorkers.erase(id);
         updateReachable(id);
     }
     if (!m_batchUsedWorkers.empty())
--- a/src/control/start_promise_simulation.h
+++ b/src/control/start_promise_simulation.h
@@ -48,6 +48,8 @@
     static constexpr int ReportGroups = 5; // one group of the workers reports in each tick
     static constexpr Duration LeaseTime{3'000};
     static constexpr Duration GangStartTimeout{1'500};
+    static constexpr Duration SilenceDetection{500};
+    static constexpr Duration LeaseMargin{200};
 
     struct StepState
     {
@@ -92,6 +94,10 @@
     void run()
     {
         drawFaults();
+        runWithoutFaults();
+    }
+    void runWithoutFaults()
+    {
         m_time.after(Duration::zero(), [this] { tick(); });
         m_time.runUntil(m_begin + m_scenario.length);
     }
@@ -107,6 +113,86 @@
         schedulePass();
     }
 
+    // Starts a new scheduler that knows what the log tells of the former one.
+    void beginTenure()
+    {
+        m_approvals.reset();
+        ++m_epoch;
+        const std::string self = "i" + std::to_string(m_epoch % m_scenario.instances);
+        m_policy.setSelf(self);
+        m_dispatcher = std::make_unique<Dispatcher>(
+            DispatchOptions{m_epoch, 1}, [this](const DispatchEvent &event) { onEvent(event); });
+        m_approvals = std::make_unique<ApprovalRequester>(m_time, m_policy, m_policy, *m_dispatcher,
+                                                          self, [this] { schedulePass(); });
+        m_dispatcher->setCatalog(m_catalog);
+        const bool mayBeRunning = !recordsBeforeStarts() && m_epoch > 1;
+        for (const std::string &id : m_order) {
+            const JobState &job = m_jobs.at(id);
+            std::vector<const work::Progress *> parts;
+            for (const auto &[part, progress] : job.progress)
+                parts.push_back(&progress);
+            if (!job.ended)
+                m_dispatcher->addJob(job.spec, parts, mayBeRunning);
+        }
+        m_unreconciled.clear();
+        m_recordedByFormer = std::exchange(m_recordedWorkers, {});
+        m_closedWorkers.clear();
+        for (const auto &[id, worker] : m_workers) {
+            if (m_epoch > 1)
+                m_unreconciled.insert(id);
+        }
+        m_dispatcher->setRecordedWorkers(m_recordedByFormer);
+        m_dispatcher->setUnreconciledWorkers(m_unreconciled);
+        m_reachable.clear();
+        for (const auto &[id, worker] : m_workers)
+            joinWorker(id, Duration(m_epoch > 1 ? m_draw.between(50, 800) : 0));
+        schedulePass();
+    }
+    // The worker gives no answers, and its runs go on until their leases lapse. The scheduler knows
+    // that they have, and then has answers again.
+    void silenceWorker(const WorkerId &id, Duration leaseTime)
+    {
+        disturb(leaseTime + LeaseMargin);
+        m_silentWorkers.insert(id);
+        m_time.after(SilenceDetection, [this, id] {
+            if (!m_workers.contains(id))
+                return;
+            m_dispatcher->setReachable(id, false);
+            m_reachable.erase(id);
+        });
+        m_time.after(leaseTime, [this, id] {
+            if (m_workers.contains(id))
+                loseRuns(id);
+        });
+        m_time.after(leaseTime + LeaseMargin, [this, id] {
+            if (!m_workers.contains(id))
+                return;
+            m_dispatcher->workerLost(id);
+            m_unreconciled.erase(id);
+            m_dispatcher->setUnreconciledWorkers(m_unreconciled);
+            m_silentWorkers.erase(id);
+            m_dispatcher->setWorker(m_workers.at(id).entry);
+            joinWorker(id, Duration::zero());
+        });
+    }
+    WorkerId drawWorker()
+    {
+        auto it = m_workers.begin();
+        std::advance(it, m_draw.between(0, static_cast<int64_t>(m_workers.size()) - 1));
+        return it->first;
+    }
+    void drainWorker() { drainWorker(drawWorker()); }
+    void drainWorker(const WorkerId &id)
+    {
+        if (m_silentWorkers.contains(id) || m_workers.at(id).entry.draining)
+            return;
+        m_workers.at(id).entry.draining = true;
+        m_dispatcher->setWorker(m_workers.at(id).entry);
+        schedulePass();
+        createWorker();
+    }
+    bool recordsBeforeStarts() const { return m_scenario.unrecordedAppendTime == Duration::zero(); }
+
     Draw m_draw;
     Scenario m_scenario;
     VirtualTime m_time;
@@ -129,6 +215,13 @@
     int m_ticks = 0;
     bool m_passArmed = false;
     Instant m_disturbedUntil = m_begin - Duration(3'600'000); // end of the last fault
+    std::set<WorkerId> m_reachable; // as the scheduler knows
+    // Workers that get no starts: whose runs the log names all, by this tenure and the former one,
+    // and those of which this tenure has sent a record of it.
+    std::set<WorkerId> m_recordedWorkers;
+    std::set<WorkerId> m_recordedByFormer;
+    std::set<WorkerId> m_closedWorkers;
+    std::vector<std::string> m_violations; // of what must never happen
 
 private:
     void tick()
@@ -161,41 +254,17 @@
     {
         m_dispatcher->setWorker(m_workers.at(id).entry);
         m_time.after(wait, [this, id, epoch = m_epoch] {
-            if (epoch != m_epoch || !m_workers.contains(id))
+            if (epoch != m_epoch || !m_workers.contains(id) || m_silentWorkers.contains(id))
                 return;
             report(id);
             m_dispatcher->setReachable(id, true);
+            m_reachable.insert(id);
+            if (!m_workers.at(id).entry.draining) {
+                m_closedWorkers.erase(id);
+                m_recordedWorkers.erase(id);
+            }
         });
     }
-    void beginTenure()
-    {
-        m_approvals.reset();
-        ++m_epoch;
-        const std::string self = "i" + std::to_string(m_epoch % m_scenario.instances);
-        m_policy.setSelf(self);
-        m_dispatcher = std::make_unique<Dispatcher>(
-            DispatchOptions{m_epoch, 1}, [this](const DispatchEvent &event) { onEvent(event); });
-        m_approvals = std::make_unique<ApprovalRequester>(m_time, m_policy, m_policy, *m_dispatcher,
-                                                          self, [this] { schedulePass(); });
-        m_dispatcher->setCatalog(m_catalog);
-        for (const std::string &id : m_order) {
-            const JobState &job = m_jobs.at(id);
-            std::vector<const work::Progress *> parts;
-            for (const auto &[part, progress] : job.progress)
-                parts.push_back(&progress);
-            if (!job.ended)
-                m_dispatcher->addJob(job.spec, parts, false);
-        }
-        m_unreconciled.clear();
-        for (const auto &[id, worker] : m_workers) {
-            if (m_epoch > 1)
-                m_unreconciled.insert(id);
-        }
-        m_dispatcher->setUnreconciledWorkers(m_unreconciled);
-        for (const auto &[id, worker] : m_workers)
-            joinWorker(id, Duration(m_epoch > 1 ? m_draw.between(50, 800) : 0));
-        schedulePass();
-    }
     void report(const WorkerId &id)
     {
         const auto it = m_workers.find(id);
@@ -244,22 +313,6 @@
         }
         disturb(length);
     }
-    WorkerId drawWorker()
-    {
-        auto it = m_workers.begin();
-        std::advance(it, m_draw.between(0, static_cast<int64_t>(m_workers.size()) - 1));
-        return it->first;
-    }
-    void drainWorker()
-    {
-        const WorkerId id = drawWorker();
-        if (m_silentWorkers.contains(id) || m_workers.at(id).entry.draining)
-            return;
-        m_workers.at(id).entry.draining = true;
-        m_dispatcher->setWorker(m_workers.at(id).entry);
-        schedulePass();
-        createWorker();
-    }
     // The worker stops answering, and its runs end without a trace.
     void killWorker()
     {
@@ -268,6 +321,7 @@
         m_silentWorkers.insert(id);
         loseRuns(id);
         m_dispatcher->setReachable(id, false);
+        m_reachable.erase(id);
         m_time.after(LeaseTime, [this, id] {
             m_dispatcher->removeWorker(id);
             m_dispatcher->workerLost(id);
@@ -317,12 +371,39 @@
         for (const StopOrder &order : orders.stops)
             m_time.after(LinkDelay, [this, order, epoch = m_epoch] { sendStop(order, epoch); });
         m_approvals->sendRequests(m_members, unixMs());
-        for (const work::Progress &progress : m_dispatcher->takeProgress(0)) {
+        const std::vector<work::Progress> progress = m_dispatcher->takeProgress(0);
+        if (recordsBeforeStarts())
+            return store(progress, {});
+        const std::set<WorkerId> closed = closeWorkers();
+        m_time.after(m_scenario.unrecordedAppendTime, [this, progress, closed, epoch = m_epoch] {
+            if (epoch == m_epoch)
+                store(progress, closed);
+        });
+    }
+    // Returns the workers that get no starts any more and whose runs the progress up to now names.
+    std::set<WorkerId> closeWorkers()
+    {
+        std::set<WorkerId> out;
+        for (const auto &[id, worker] : m_workers) {
+            const bool recorded = !m_unreconciled.contains(id) || m_recordedByFormer.contains(id);
+            if (recorded && (worker.entry.draining || !m_reachable.contains(id))
+                && m_closedWorkers.insert(id).second)
+                out.insert(id);
+        }
+        return out;
+    }
+    void store(const std::vector<work::Progress> &records, const std::set<WorkerId> &closed)
+    {
+        for (const work::Progress &progress : records) {
             JobState &job = m_jobs.at(progress.id);
             job.progress[progress.part] = progress;
             if (progress.part == 0 && progress.state >= work::JobState::Completed)
                 job.ended = true;
         }
+        for (const WorkerId &id : closed) {
+            if (m_closedWorkers.contains(id))
+                m_recordedWorkers.insert(id);
+        }
     }
     void sendStart(const StartOrder &order, int64_t epoch)
     {
@@ -378,6 +459,7 @@
                                                    runTime});
         if (outcome != StartOutcome::Started)
             return outcome;
+        checkStart(order);
         addUse(order.job->team, spec, 1);
         ++stateOf(order.task).running;
         if (!spec.gang) {
@@ -405,6 +487,22 @@
         }
         return outcome;
     }
+    void checkStart(const StartOrder &order)
+    {
+        const std::string task = order.task.toString() + " on " + order.worker;
+        for (const auto &[id, worker] : m_workers) {
+            for (const WorkerModel::Task &running : worker.tasks) {
+                if (running.task == order.task && running.run != order.run)
+                    m_violations.push_back(task + " runs on " + id);
+            }
+        }
+        if (stateOf(order.task).succeeded.contains(order.task.index))
+            m_violations.push_back(task + " has succeeded");
+        const work::StepSpec &spec = order.job->steps[static_cast<size_t>(order.task.step.step)];
+        const int64_t limit = m_catalog->teams.at(order.job->team).limit.cpuMilli;
+        if (m_teamCpu[order.job->team] + spec.cpuMilli > limit)
+            m_violations.push_back(task + " exceeds the limit of " + order.job->team);
+    }
     void endGang(const std::string &key, int64_t run, RunOutcome outcome)
     {
         GangRun &gang = m_gangs.at(key);
--- a/src/control/start_promise_testing.h
+++ b/src/control/start_promise_testing.h
@@ -87,6 +87,8 @@
     int64_t minGangCpu = 0; // cores of a member
     int64_t maxGangCpu = 0;
     double load = 0; // of the pool
+    // How long the log takes for an append. Other than 0: starts go out before they are recorded.
+    Duration unrecordedAppendTime{0};
     Duration length{18'000};
 };
 
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -47,6 +47,7 @@
 void Dispatcher::setUnreconciledWorkers(std::set<WorkerId> workers)
 {
     m_impl->m_unreconciled = std::move(workers);
+    m_impl->updateUnrecorded();
     // Terminal jobs were kept while runs of theirs could be on one of the workers.
     for (const auto &[id, job] : m_impl->m_jobs) {
         if (job->isTerminal() && job->active == 0 && !m_impl->mayHaveUnreportedRuns(*job))
@@ -54,6 +55,12 @@
     }
 }
 
+void Dispatcher::setRecordedWorkers(std::set<WorkerId> workers)
+{
+    m_impl->m_recordedWorkers = std::move(workers);
+    m_impl->updateUnrecorded();
+}
+
 bool Dispatcher::isStartCurrent(const StartOrder &order, Instant now) const
 {
     const dispatch::Attempt *attempt = m_impl->findAttempt(order.worker, order.task, order.run);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -73,7 +73,8 @@
 
     // Adds a job; does nothing if the job is already known. `progress` holds the parts that earlier
     // schedulers stored. `mayBeRunning` means that an earlier scheduler may have started tasks of
-    // the job without recording it; the job's tasks then start only once no worker is unreconciled.
+    // the job without recording it; the job's tasks then start only once no worker is unreconciled
+    // but those of setRecordedWorkers().
     // A terminal job whose progress does not tell when it ended is returned by takeProgress().
     void addJob(std::shared_ptr<const work::Submission> job,
                 const std::vector<const work::Progress *> &progress, bool mayBeRunning);
@@ -87,6 +88,9 @@
     // Sets the workers of an earlier scheduler that may have runs which no report has shown yet. A
     // task that was placed on one of them does not start until the worker leaves the set.
     void setUnreconciledWorkers(std::set<WorkerId> workers);
+    // Sets the workers on which earlier schedulers have started nothing that the progress of jobs
+    // does not tell. While they are unreconciled, they hold back only the tasks placed on them.
+    void setRecordedWorkers(std::set<WorkerId> workers);
 
     // Adds or updates a worker from its registry entry. It gets starts once it has reported and is
     // reachable.
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -90,8 +90,11 @@
 
 std::vector<Step *> Dispatcher::Impl::stepsForApproval(Instant now, int64_t unixMs)
 {
-    std::vector<Step *> out = stepsByUrgency(now, unixMs, true, MaxApprovalLead);
-    std::erase_if(out, [this](const Step *step) { return !routeOf(*step->job)->approval; });
+    const auto needsApproval = [this, now, unixMs](const Step &step) {
+        return routeOf(*step.job)->approval && mayStartNow(step)
+               && (isReady(step, unixMs) || isDueSoon(step, now, MaxApprovalLead));
+    };
+    std::vector<Step *> out = stepsByUrgency(now, unixMs, needsApproval);
     std::stable_sort(out.begin(), out.end(), [](const Step *a, const Step *b) {
         return approvalTurn(*a) < approvalTurn(*b);
     });
--- a/src/dispatch/dispatcher_order.cc
+++ b/src/dispatch/dispatcher_order.cc
@@ -50,13 +50,18 @@
     return true;
 }
 
-bool Dispatcher::Impl::mayStartNow(const Step &step) const
+// Returns whether the step has tasks to start, once it is ready and nothing holds them back.
+bool Dispatcher::Impl::hasTasksToStart(const Step &step)
 {
     return step.waiting > 0 && !step.job->isTerminal() && !step.gangBroken
-           && (m_unreconciled.empty() || !step.job->mayBeRunning)
            && (!step.spec->gang || step.active == 0);
 }
 
+bool Dispatcher::Impl::mayStartNow(const Step &step) const
+{
+    return hasTasksToStart(step) && !mayHaveUnrecordedRuns(*step.job);
+}
+
 // Returns whether an earlier scheduler placed the task on a worker that has not reported since, so
 // that a run of it may still exist there.
 bool Dispatcher::Impl::mayBeRunningUnreported(const Task &task) const
@@ -78,10 +83,10 @@
     return hasPrecedence(step, now) ? *step.waitingSince : Instant::max();
 }
 
-// Returns the steps that may start tasks, most urgent first. With `includeDueSoon`, also those that
-// become ready within `lead`.
-std::vector<Step *> Dispatcher::Impl::stepsByUrgency(Instant now, int64_t unixMs,
-                                                     bool includeDueSoon, Duration lead)
+// Returns the accepted steps of open jobs whose route exists, most urgent first.
+std::vector<Step *>
+Dispatcher::Impl::stepsByUrgency(Instant now, int64_t unixMs,
+                                 const std::function<bool(const Step &)> &accepts)
 {
     using Key = std::tuple<int32_t, Instant, UrgencyClass, int64_t, int64_t, uint64_t>;
     std::vector<std::pair<Key, Step *>> keyed;
@@ -90,8 +95,7 @@
         if (route == nullptr)
             continue;
         for (const auto &step : job->steps) {
-            if (!mayStartNow(*step)
-                || (!isReady(*step, unixMs) && !(includeDueSoon && isDueSoon(*step, now, lead))))
+            if (!accepts(*step))
                 continue;
             const int64_t slack = slackMs(*step, *route, unixMs);
             const UrgencyClass urgency = urgencyClass(*step, *route, slack, unixMs);
--- a/src/dispatch/dispatcher_overdue.cc
+++ b/src/dispatch/dispatcher_overdue.cc
@@ -46,6 +46,21 @@
     }
 };
 
+// Tells which workers have to report, been replaced or lose their leases first: their number and
+// the IDs of some.
+std::string awaitedWorkers(const std::set<WorkerId> &workers)
+{
+    constexpr size_t MaxNamed = 4;
+    std::string out = count("unreconciled_workers", static_cast<int64_t>(workers.size())) + " awaited=";
+    size_t named = 0;
+    for (const WorkerId &id : workers) {
+        if (named == MaxNamed)
+            break;
+        out += (named++ == 0 ? "" : ",") + id;
+    }
+    return out;
+}
+
 void addPlaces(Places &places, const Worker &worker, const Step &step)
 {
     const auto tasks = static_cast<int64_t>(step.tasks.size());
@@ -187,8 +202,8 @@
 std::string Dispatcher::Impl::describeBlock(const Step &step, const Task &task, Instant now) const
 {
     std::string out;
-    if (step.job->mayBeRunning)
-        out += count("unreconciled_workers", static_cast<int64_t>(m_unreconciled.size()));
+    if (mayHaveUnrecordedRuns(*step.job))
+        out += awaitedWorkers(m_unrecorded);
     if (step.active > 0 || step.gangBroken)
         out += count("active", step.active) + count("stopping", step.stopping);
     if (mayBeRunningUnreported(task))
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -337,7 +337,10 @@
     resetHolds();
     updateUnreportedUse(unixMs);
     updateDemand(now, unixMs);
-    for (Step *step : stepsByUrgency(now, unixMs, false, Duration::zero())) {
+    const auto mayStart = [this, unixMs](const Step &step) {
+        return mayStartNow(step) && isReady(step, unixMs);
+    };
+    for (Step *step : stepsByUrgency(now, unixMs, mayStart)) {
         const WorkRoute &route = *routeOf(*step->job);
         step->waitingSince = step->waitingSince.value_or(now);
         step->spec->gang ? placeGang(*step, route, now, unixMs, out)
--- a/src/dispatch/dispatcher_takeover.cc
+++ b/src/dispatch/dispatcher_takeover.cc
@@ -1,16 +1,30 @@
-// Runs that belong to no attempt of this scheduler but still count against the limits of teams:
-// those of an earlier scheduler that no report has shown yet, and orphaned ones until they have
-// finished.
+// Runs that belong to no attempt of this scheduler: those of an earlier scheduler that no report
+// has shown yet, and orphaned ones until they have finished. They count against the limits of
+// teams, and tasks that may have such a run do not start.
 
 #include "dispatch/internal/impl.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cardamompaddle {
 
 using namespace dispatch;
 
+void Dispatcher::Impl::updateUnrecorded()
+{
+    m_unrecorded.clear();
+    std::set_difference(m_unreconciled.begin(), m_unreconciled.end(), m_recordedWorkers.begin(),
+                        m_recordedWorkers.end(), std::inserter(m_unrecorded, m_unrecorded.begin()));
+}
+
+// Returns whether any waiting task of the job may run on a worker that has not reported.
+bool Dispatcher::Impl::mayHaveUnrecordedRuns(const Job &job) const
+{
+    return job.mayBeRunning && !m_unrecorded.empty();
+}
+
 // Computes what each team may have running on unreconciled workers. A task counts until it is
 // adopted from a report or its worker is reconciled.
 void Dispatcher::Impl::updateUnreportedUse(int64_t unixMs)
@@ -18,19 +32,23 @@
     m_unreportedUse.clear();
     if (m_unreconciled.empty())
         return;
+    std::map<std::string, Resources> unrecorded; // by team
     for (const auto &[id, job] : m_jobs) {
         Resources &use = m_unreportedUse[job->spec->team];
+        const bool mayHaveUnrecorded = mayHaveUnrecordedRuns(*job);
         for (const auto &step : job->steps) {
-            if (job->mayBeRunning && isReady(*step, unixMs)) {
-                use += step->taskResources * step->waiting;
-                continue;
-            }
+            int32_t placed = 0;
             for (const Task &task : step->tasks) {
                 if (task.state == TaskState::Waiting && mayBeRunningUnreported(task))
-                    use += step->taskResources;
+                    ++placed;
             }
+            use += step->taskResources * placed;
+            if (mayHaveUnrecorded && isReady(*step, unixMs))
+                unrecorded[job->spec->team] += step->taskResources * (step->waiting - placed);
         }
     }
+    for (const auto &[team, use] : unrecorded)
+        m_unreportedUse[team] += use;
 }
 
 // Returns whether a run of the job may exist on an unreconciled worker.
@@ -38,7 +56,7 @@
 {
     if (m_unreconciled.empty())
         return false;
-    return job.mayBeRunning
+    return mayHaveUnrecordedRuns(job)
            || std::any_of(job.steps.begin(), job.steps.end(), [this](const auto &step) {
                   return std::any_of(
                       step->tasks.begin(), step->tasks.end(),
--- a/src/dispatch/dispatcher_takeover_test.cc
+++ b/src/dispatch/dispatcher_takeover_test.cc
@@ -63,6 +63,37 @@
     EXPECT_EQ(startAll().size(), 1U) << "the second step of the older job can't be running yet";
 }
 
+// Guards against one silent worker that holds back every task of all older jobs, although the log
+// tells what may run there.
+TEST_F(DispatcherTest, AWorkerWhoseRunsAreRecordedHoldsBackOnlyItsOwnTasks)
+{
+    join(entry("w"));
+    m_dispatcher.setRecordedWorkers({"silent"});
+    m_dispatcher.setUnreconciledWorkers({"silent"});
+    const work::Progress progress = placedOn("old", "silent");
+    add("old", {step(5)}, &progress, true);
+    const auto starts = startAll();
+    ASSERT_EQ(starts.size(), 3U);
+    for (const StartOrder &order : starts)
+        EXPECT_GE(order.task.index, 2) << "tasks 0 and 1 may run on the silent worker";
+    m_dispatcher.setUnreconciledWorkers({});
+    EXPECT_EQ(startAll().size(), 2U);
+}
+
+// Guards against a task that runs twice because a worker with recorded runs is taken for the only
+// one that has not reported.
+TEST_F(DispatcherTest, AWorkerWhoseRunsAreNotRecordedHoldsBackAllTasksOfOlderJobs)
+{
+    join(entry("w"));
+    m_dispatcher.setRecordedWorkers({"recorded"});
+    m_dispatcher.setUnreconciledWorkers({"recorded", "silent"});
+    add("old", {step(5)}, nullptr, true);
+    add("new", {step(2)});
+    EXPECT_EQ(startAll().size(), 2U) << "only those of the new job";
+    m_dispatcher.setUnreconciledWorkers({"recorded"});
+    EXPECT_EQ(startAll().size(), 5U);
+}
+
 // Guards against exceeding the limit while the runs of a job that was cancelled during a takeover
 // are being stopped: they belong to no attempt of the new scheduler.
 TEST_F(DispatcherTest, RunsOfACancelledJobCountUntilTheyHaveFinished)
--- a/src/dispatch/dispatcher_waits.cc
+++ b/src/dispatch/dispatcher_waits.cc
@@ -61,7 +61,7 @@
 {
     if (routeOf(*step.job) == nullptr)
         return StepWait::NoRoute;
-    if (step.job->mayBeRunning && !m_unreconciled.empty())
+    if (mayHaveUnrecordedRuns(*step.job))
         return StepWait::JobMayRun;
     if (step.gangBroken || (step.spec->gang && step.active > 0))
         return StepWait::GangEnds;
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -4,6 +4,7 @@
 
 #include "dispatch/internal/state.h"
 
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -121,12 +122,13 @@
     const WorkRoute *routeOf(const Job &job) const;
     bool isReady(const Step &step, int64_t unixMs) const;
     bool isDueSoon(const Step &step, Instant now, Duration lead) const;
+    static bool hasTasksToStart(const Step &step);
     bool mayStartNow(const Step &step) const;
     bool mayBeRunningUnreported(const Task &task) const;
     static bool hasPrecedence(const Step &step, Instant now);
     static Instant precedenceOf(const Step &step, Instant now);
-    std::vector<Step *> stepsByUrgency(Instant now, int64_t unixMs, bool includeDueSoon,
-                                       Duration lead);
+    std::vector<Step *> stepsByUrgency(Instant now, int64_t unixMs,
+                                       const std::function<bool(const Step &)> &accepts);
     // Returns whether work of the route may start on the worker by its registry entry.
     bool acceptsStarts(const Worker &worker, const WorkRoute &route) const;
     bool isEligible(const Worker &worker, const Step &step, const WorkRoute &route,
@@ -173,6 +175,8 @@
     static double crashPenalty(const Worker &worker, const Task &task);
 
     // dispatcher_takeover.cc
+    void updateUnrecorded();
+    bool mayHaveUnrecordedRuns(const Job &job) const;
     void updateUnreportedUse(int64_t unixMs);
     bool mayHaveUnreportedRuns(const Job &job) const;
     void countOrphanedRun(Worker &worker, const TaskRef &ref);
@@ -221,6 +225,9 @@
     std::map<WorkerId, dispatch::LostWorker> m_lostWorkers;
     dispatch::JobSet m_dirty; // changed since takeProgress()
     std::set<WorkerId> m_unreconciled; // may have runs that no report has shown yet
+    std::set<WorkerId> m_recordedWorkers; // see setRecordedWorkers()
+    // Unreconciled workers on which tasks may run whose progress does not tell.
+    std::set<WorkerId> m_unrecorded;
     std::map<std::string, Resources> m_teamUse; // resources in use, by team
     // What runs of an earlier scheduler that no report has shown may use, by team; updated by
     // decide().
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -2390,6 +2390,10 @@
 void UsedWorker::__set_leasesExpireWithinMs(const int64_t val) {
   this->leasesExpireWithinMs = val;
 }
+
+void UsedWorker::__set_runsRecordedEpoch(const int64_t val) {
+  this->runsRecordedEpoch = val;
+}
 std::ostream& operator<<(std::ostream& out, const UsedWorker& obj)
 {
   obj.printTo(out);
@@ -2442,6 +2446,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->runsRecordedEpoch);
+          this->__isset.runsRecordedEpoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2471,6 +2483,10 @@
   xfer += oprot->writeI64(this->leasesExpireWithinMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("runsRecordedEpoch", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->runsRecordedEpoch);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2481,6 +2497,7 @@
   swap(a.id, b.id);
   swap(a.address, b.address);
   swap(a.leasesExpireWithinMs, b.leasesExpireWithinMs);
+  swap(a.runsRecordedEpoch, b.runsRecordedEpoch);
   swap(a.__isset, b.__isset);
 }
 
@@ -2488,18 +2505,21 @@
   id = other109.id;
   address = other109.address;
   leasesExpireWithinMs = other109.leasesExpireWithinMs;
+  runsRecordedEpoch = other109.runsRecordedEpoch;
   __isset = other109.__isset;
 }
 UsedWorker::UsedWorker(UsedWorker&& other110) noexcept {
   id = std::move(other110.id);
   address = std::move(other110.address);
   leasesExpireWithinMs = other110.leasesExpireWithinMs;
+  runsRecordedEpoch = other110.runsRecordedEpoch;
   __isset = other110.__isset;
 }
 UsedWorker& UsedWorker::operator=(const UsedWorker& other111) {
   id = other111.id;
   address = other111.address;
   leasesExpireWithinMs = other111.leasesExpireWithinMs;
+  runsRecordedEpoch = other111.runsRecordedEpoch;
   __isset = other111.__isset;
   return *this;
 }
@@ -2507,6 +2527,7 @@
   id = std::move(other112.id);
   address = std::move(other112.address);
   leasesExpireWithinMs = other112.leasesExpireWithinMs;
+  runsRecordedEpoch = other112.runsRecordedEpoch;
   __isset = other112.__isset;
   return *this;
 }
@@ -2516,6 +2537,7 @@
   out << "id=" << to_string(id);
   out << ", " << "address=" << to_string(address);
   out << ", " << "leasesExpireWithinMs=" << to_string(leasesExpireWithinMs);
+  out << ", " << "runsRecordedEpoch=" << to_string(runsRecordedEpoch);
   out << ")";
 }
 
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -871,10 +871,11 @@
 std::ostream& operator<<(std::ostream& out, const ApprovalAnswer& obj);
 
 typedef struct _UsedWorker__isset {
-  _UsedWorker__isset() : id(false), address(false), leasesExpireWithinMs(false) {}
+  _UsedWorker__isset() : id(false), address(false), leasesExpireWithinMs(false), runsRecordedEpoch(false) {}
   bool id :1;
   bool address :1;
   bool leasesExpireWithinMs :1;
+  bool runsRecordedEpoch :1;
 } _UsedWorker__isset;
 
 class UsedWorker : public virtual ::apache::thrift::TBase {
@@ -887,13 +888,15 @@
   UsedWorker() noexcept
              : id(),
                address(),
-               leasesExpireWithinMs(0) {
+               leasesExpireWithinMs(0),
+               runsRecordedEpoch(0) {
   }
 
   virtual ~UsedWorker() noexcept;
   std::string id;
   std::string address;
   int64_t leasesExpireWithinMs;
+  int64_t runsRecordedEpoch;
 
   _UsedWorker__isset __isset;
 
@@ -903,6 +906,8 @@
 
   void __set_leasesExpireWithinMs(const int64_t val);
 
+  void __set_runsRecordedEpoch(const int64_t val);
+
   bool operator == (const UsedWorker & rhs) const
   {
     if (!(id == rhs.id))
@@ -911,6 +916,8 @@
       return false;
     if (!(leasesExpireWithinMs == rhs.leasesExpireWithinMs))
       return false;
+    if (!(runsRecordedEpoch == rhs.runsRecordedEpoch))
+      return false;
     return true;
   }
   bool operator != (const UsedWorker &rhs) const {
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -103,6 +103,10 @@
   // Not 0: while this is the worker's newest record, nobody extends its lease, and all leases on it
   // expire within this time after the record was stored. 0: its lease may be extended at any time.
   3: i64 leasesExpireWithinMs;
+  // Not 0: while this is the worker's newest record, nothing is started there, and the progress of
+  // jobs names all runs that holders of this epoch or an earlier one may have started there, whatever
+  // Tenure.startsRecorded says. 0: runs may exist there that no record names.
+  4: i64 runsRecordedEpoch;
 }
 
 // Records of one topic of the log, as stored. `topicEnd` is the offset at which the topic ended
