Count no more unrecorded runs than fit on the workers that have not reported

Callers saw new work of an account wait for its limit after a takeover, although the account used nothing: all waiting tasks of its older jobs counted as use while one worker could run any of them.

No more can run than fits on the workers that may have unrecorded runs, so that room bounds the count; a worker of unknown capacity leaves it unbounded. NoMoreUnrecordedRunsCountThanFitOnTheirWorkers failed without it.

--- a/src/dispatch/dispatcher_takeover.cc
+++ b/src/dispatch/dispatcher_takeover.cc
@@ -12,6 +12,16 @@
 
 using namespace dispatch;
 
+namespace {
+
+Resources smaller(const Resources &a, const Resources &b)
+{
+    return {std::min(a.cpuMilli, b.cpuMilli), std::min(a.memoryMb, b.memoryMb),
+            std::min(a.accelerators, b.accelerators), 0, 0};
+}
+
+} // namespace
+
 void Dispatcher::Impl::updateUnrecorded()
 {
     m_unrecorded.clear();
@@ -25,8 +35,22 @@
     return job.mayBeRunning && !m_unrecorded.empty();
 }
 
+// Returns an upper bound of what unrecorded runs use; none if a worker's capacity is unknown.
+std::optional<Resources> Dispatcher::Impl::unrecordedRoom() const
+{
+    Resources out;
+    for (const WorkerId &id : m_unrecorded) {
+        const auto it = m_workers.find(id);
+        if (it == m_workers.end() || it->second->entry.capacity == Resources{})
+            return std::nullopt;
+        out += it->second->entry.capacity;
+    }
+    return out;
+}
+
 // Computes what each team may have running on unreconciled workers. A task counts until it is
-// adopted from a report or its worker is reconciled.
+// adopted from a report or its worker is reconciled. Of unrecorded runs, no more can exist than fit
+// on the workers on which they may be.
 void Dispatcher::Impl::updateUnreportedUse(int64_t unixMs)
 {
     m_unreportedUse.clear();
@@ -47,8 +71,9 @@
                 unrecorded[job->spec->team] += step->taskResources * (step->waiting - placed);
         }
     }
+    const std::optional<Resources> room = unrecordedRoom();
     for (const auto &[team, use] : unrecorded)
-        m_unreportedUse[team] += use;
+        m_unreportedUse[team] += room ? smaller(use, *room) : use;
 }
 
 // Returns whether a run of the job may exist on an unreconciled worker.
--- a/src/dispatch/dispatcher_takeover_test.cc
+++ b/src/dispatch/dispatcher_takeover_test.cc
@@ -94,6 +94,34 @@
     EXPECT_EQ(startAll().size(), 5U);
 }
 
+// Guards against new work that waits for the limit of its team, because all waiting tasks of its
+// older jobs are counted as if they could run on one silent worker together.
+TEST_F(DispatcherTest, NoMoreUnrecordedRunsCountThanFitOnTheirWorkers)
+{
+    m_limit = {10'000, 0, 0, 0, 0};
+    setCatalog();
+    join(entry("w"));
+    m_dispatcher.setWorker(entry("silent", 4'000));
+    m_dispatcher.setUnreconciledWorkers({"silent"});
+    add("old", {step(50)}, nullptr, true);
+    add("new", {step(9)});
+    EXPECT_EQ(startAll().size(), 6U) << "four of the ten permitted may be running";
+}
+
+// Guards against a limit that is exceeded because the capacity of a worker that has left is taken
+// for 0.
+TEST_F(DispatcherTest, UnrecordedRunsOnAWorkerOfUnknownCapacityAllCount)
+{
+    m_limit = {10'000, 0, 0, 0, 0};
+    setCatalog();
+    join(entry("w"));
+    m_dispatcher.adoptWorker("gone");
+    m_dispatcher.setUnreconciledWorkers({"gone"});
+    add("old", {step(9)}, nullptr, true);
+    add("new", {step(9)});
+    EXPECT_EQ(startAll().size(), 1U);
+}
+
 // Guards against exceeding the limit while the runs of a job that was cancelled during a takeover
 // are being stopped: they belong to no attempt of the new scheduler.
 TEST_F(DispatcherTest, RunsOfACancelledJobCountUntilTheyHaveFinished)
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -177,6 +177,7 @@
     // dispatcher_takeover.cc
     void updateUnrecorded();
     bool mayHaveUnrecordedRuns(const Job &job) const;
+    std::optional<Resources> unrecordedRoom() const;
     void updateUnreportedUse(int64_t unixMs);
     bool mayHaveUnreportedRuns(const Job &job) const;
     void countOrphanedRun(Worker &worker, const TaskRef &ref);
