Request approvals for steps that a takeover holds back

They were requested only once the last worker had reported or lost its leases, so the steps waited for a call after that, all at once. StepsThatATakeoverHoldsBackGetTheirApprovals guards against it.

--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -90,8 +90,9 @@
 
 std::vector<Step *> Dispatcher::Impl::stepsForApproval(Instant now, int64_t unixMs)
 {
+    // Also for steps that a takeover holds back, so that they start as soon as that ends.
     const auto needsApproval = [this, now, unixMs](const Step &step) {
-        return routeOf(*step.job)->approval && mayStartNow(step)
+        return routeOf(*step.job)->approval && hasTasksToStart(step)
                && (isReady(step, unixMs) || isDueSoon(step, now, MaxApprovalLead));
     };
     std::vector<Step *> out = stepsByUrgency(now, unixMs, needsApproval);
--- a/src/dispatch/dispatcher_approvals_test.cc
+++ b/src/dispatch/dispatcher_approvals_test.cc
@@ -189,6 +189,19 @@
     EXPECT_EQ(sendAll().size(), 1U);
 }
 
+// Guards against approvals that are requested only once the last worker of a takeover has reported,
+// so that the steps it holds back wait for them after that.
+TEST_F(ApprovalsTest, StepsThatATakeoverHoldsBackGetTheirApprovals)
+{
+    joinWorkers(10);
+    m_dispatcher.setUnreconciledWorkers({"silent"});
+    add("old", {step(2)}, nullptr, true);
+    const auto pending = next();
+    ASSERT_TRUE(pending);
+    EXPECT_EQ(pending->step.job, "old");
+    EXPECT_TRUE(decide().starts.empty());
+}
+
 // Guards against a gang that learns which workers are approved only once they have room, when
 // other work takes it first.
 TEST_F(ApprovalsTest, AWaitingGangAsksAboutWorkersWithoutRoom)
