Tell with the release of a tenure that all runs are recorded

While the log is slow, starts go out unrecorded. At a planned hand-over the last append holds the placements of all runs and nothing is started after it, yet the successor let all older jobs wait for every worker. The released tenure now says that starts are recorded, if all workers are reconciled. APlannedHandOverTellsThatAllRunsAreRecorded failed without it.

--- a/src/control/instance_takeover_test.cc
+++ b/src/control/instance_takeover_test.cc
@@ -249,6 +249,34 @@
     EXPECT_FALSE(m_workers.ranTwice);
 }
 
+// Guards against tasks that wait for a silent worker after a planned hand-over, although the last
+// records of the holder name all runs.
+TEST_F(InstanceTakeoverTest, APlannedHandOverTellsThatAllRunsAreRecorded)
+{
+    for (const char *name : {"a", "b"})
+        addNode(name).log->appendTime = Duration(150);
+    ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+    const auto unrecorded = [this] {
+        return !scheduler().instance->jobTable().tenure().startsRecorded;
+    };
+    ASSERT_TRUE(runUntil(unrecorded, Duration(6'000)));
+    const int64_t epoch = scheduler().instance->jobTable().tenure().epoch;
+    Node &successor = follower();
+    scheduler().instance->stop([] {});
+    ASSERT_TRUE(runUntil([&successor] { return successor.instance->isScheduler(); }));
+    std::optional<work::Tenure> released;
+    for (const KeyedRecord &record : m_model.topics[WorkTopic].records) {
+        if (record.key != work_key::Tenure)
+            continue;
+        const auto tenure = decodeRecord<work::Tenure>(record.value);
+        if (tenure && tenure->epoch == epoch)
+            released = *tenure;
+    }
+    ASSERT_TRUE(released);
+    EXPECT_TRUE(released->released);
+    EXPECT_TRUE(released->startsRecorded);
+}
+
 // Guards against a wait that hardly gets shorter because each successor has just started: it knows
 // how much of the wait was left when that was stored, but not how long ago that was.
 TEST_F(InstanceTakeoverTest, AnInstanceThatRestartsWaitsOnlyForTheRest)
--- a/src/control/scheduler_records.cc
+++ b/src/control/scheduler_records.cc
@@ -111,6 +111,8 @@
     if (records.empty() || m_onReleased || std::exchange(m_tenureDirty, false)) {
         work::Tenure tenure = m_options.tenure;
         tenure.released = m_onReleased != nullptr;
+        // Nothing is started after a release, and the records before this one tell of all starts.
+        tenure.startsRecorded = tenure.startsRecorded || (tenure.released && m_allReconciled);
         tenure.heldMs = m_tenureClock.heldMs();
         records.push_back({work_key::Tenure, encodeRecord(tenure), false, 0});
         m_batchUrgent.insert(work_key::Tenure);
