Give each ready step its first call to the policy service within a bounded time

Callers saw steps of a few tasks that waited for 12 to 28 s on an almost empty fleet, without a single call to the policy service. When all entry instances are busy with calls, steps that can still be in time went before late ones and first calls before further ones, without end: a step that a takeover or a queue had made late waited for as long as new ones came.

A ready step that has waited for 1 s for a call now goes before others that have not, the longest wait first, with at most every second call, so that urgent steps do not wait behind a queue of old ones either. And a call names only as many workers as pay: the number with the least expected time until enough places are approved (approval_call_size). A step that one approved worker serves asked about 30 and so took the service for up to twice the time. A call that left candidates out may be followed at once.

Seen to fail without the order: AStepThatIsLateGetsACallAmongUrgentOnesWithoutEnd (no call among 12) and OverdueStepsGetAtMostEverySecondCall.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -44,6 +44,7 @@
     StepRef step;
     std::vector<WorkerId> workers; // candidates to name in the call
     double expectedPlaces = 0; // tasks that fit on the workers which are likely to be approved
+    bool namesAll = false; // no candidate was left out
     Duration expectedCallTime{0};
     Duration validity{0}; // of an approval
 };
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -1,8 +1,10 @@
 // Approvals of the policy service: selects the step to request them for and the workers to name.
 
+#include "dispatch/approval_call_size.h"
 #include "dispatch/internal/impl.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <tuple>
 #include <utility>
@@ -31,8 +33,14 @@
 constexpr double MinApprovedShare = 0.05;
 // An answer about this many workers has half of the weight in the smoothed share.
 constexpr double ApprovedShareHalfWeight = 30;
-// The tasks of a gang start together or not at all, so more places than it needs are requested.
+// More places than a step needs are requested, since other steps may take them meanwhile. The tasks
+// of a gang start together or not at all.
 constexpr double GangPlacesMargin = 1.25;
+constexpr int64_t PlacesMargin = 2;
+// A ready step that has waited for so long for a call goes before others that have not. Such steps
+// get every second call, so that they do not wait without end while urgent ones keep coming, nor
+// these behind a queue of old ones.
+constexpr Duration MaxCallWait{1'000};
 
 int64_t fittingTasks(const Worker &worker, const Step &step)
 {
@@ -74,6 +82,26 @@
     return step.waitReason == WaitReason::TeamLimit ? ApprovalTurn::Limited : ApprovalTurn::Further;
 }
 
+// Puts the steps that have waited too long, longest wait first, and the others by turns.
+// `startsWith` tells which of the two the first place belongs to.
+std::vector<Step *> takeTurns(const std::vector<Step *> &overdue, const std::vector<Step *> &others,
+                              bool startsWithOverdue)
+{
+    std::vector<Step *> out;
+    out.reserve(overdue.size() + others.size());
+    auto first = startsWithOverdue ? overdue.begin() : others.begin();
+    auto firstEnd = startsWithOverdue ? overdue.end() : others.end();
+    auto second = startsWithOverdue ? others.begin() : overdue.begin();
+    auto secondEnd = startsWithOverdue ? others.end() : overdue.end();
+    while (first != firstEnd || second != secondEnd) {
+        if (first != firstEnd)
+            out.push_back(*first++);
+        if (second != secondEnd)
+            out.push_back(*second++);
+    }
+    return out;
+}
+
 Duration expectedCallTime(const ApprovalPolicy &policy, size_t workers)
 {
     return policy.decisionTime
@@ -95,11 +123,37 @@
         return routeOf(*step.job)->approval && hasTasksToStart(step)
                && (isReady(step, unixMs) || isDueSoon(step, now, MaxApprovalLead));
     };
-    std::vector<Step *> out = stepsByUrgency(now, unixMs, needsApproval);
-    std::stable_sort(out.begin(), out.end(), [](const Step *a, const Step *b) {
+    std::vector<Step *> others = stepsByUrgency(now, unixMs, needsApproval);
+    std::vector<std::pair<Instant, Step *>> waits; // since when it has waited for a call
+    std::erase_if(others, [&](Step *step) {
+        const auto since = waitsForCallSince(*step, now, unixMs);
+        if (!since || now - *since < MaxCallWait)
+            return false;
+        waits.emplace_back(*since, step);
+        return true;
+    });
+    std::stable_sort(waits.begin(), waits.end(),
+                     [](const auto &a, const auto &b) { return a.first < b.first; });
+    std::stable_sort(others.begin(), others.end(), [](const Step *a, const Step *b) {
         return approvalTurn(*a) < approvalTurn(*b);
     });
-    return out;
+    std::vector<Step *> overdue;
+    overdue.reserve(waits.size());
+    for (const auto &[since, step] : waits)
+        overdue.push_back(step);
+    m_overdueCallIsNext = !m_overdueCallIsNext;
+    return takeTurns(overdue, others, m_overdueCallIsNext);
+}
+
+// Returns since when a ready step without a call in progress has waited for one; none if it could
+// not start even with approvals.
+std::optional<Instant> Dispatcher::Impl::waitsForCallSince(const Step &step, Instant now,
+                                                           int64_t unixMs) const
+{
+    if (!step.approvalCalls.empty() || approvalTurn(step) == ApprovalTurn::Limited
+        || !isReady(step, unixMs))
+        return std::nullopt;
+    return std::max(waitStart(step, now), step.approvalAnsweredAt);
 }
 
 const ApprovalPolicy &Dispatcher::Impl::approvalPolicyOf(const Step &step) const
@@ -176,12 +230,17 @@
     };
     if ((enough && placeable()) || (candidates.expired.empty() && candidates.unknown.empty()))
         return std::nullopt;
-    return callFor(step, std::move(candidates));
+    const int64_t wanted =
+        step.spec->gang ? static_cast<int64_t>(std::ceil(needed)) : PlacesMargin * step.waiting;
+    const auto requested = static_cast<int64_t>(placesRequested(step));
+    const int64_t missing = wanted - candidates.approvedPlaces - requested;
+    return callFor(step, std::move(candidates), std::max<int64_t>(1, missing));
 }
 
-// Returns a call that names the candidates: those whose approval has expired first, then those
-// with the most room.
-PendingApproval Dispatcher::Impl::callFor(const Step &step, ApprovalCandidates candidates)
+// Returns a call that names as many of the candidates as pays for `missing` places: those whose
+// approval has expired first, then those with the most room.
+PendingApproval Dispatcher::Impl::callFor(const Step &step, ApprovalCandidates candidates,
+                                          int64_t missing)
 {
     const ApprovalPolicy &policy = approvalPolicyOf(step);
     const size_t maxWorkers =
@@ -190,7 +249,8 @@
     out.call = ++m_lastApprovalCall;
     out.step = {step.job->spec->id, step.occurrence, step.number};
     out.validity = policy.validity;
-    const auto name = [&](ApprovalCandidates::List &list, double share) {
+    std::vector<ApprovalChance> chances;
+    const auto consider = [&](ApprovalCandidates::List &list, double probability) {
         std::sort(list.begin(), list.end(), [](const auto &a, const auto &b) {
             return std::tie(b.first, a.second) < std::tie(a.first, b.second);
         });
@@ -198,11 +258,15 @@
             if (out.workers.size() >= maxWorkers)
                 return;
             out.workers.push_back(id);
-            out.expectedPlaces += static_cast<double>(fitting) * share;
+            chances.push_back({fitting, probability});
         }
     };
-    name(candidates.expired, 1);
-    name(candidates.unknown, approvedShareOf(step.job->spec->route));
+    consider(candidates.expired, 1);
+    consider(candidates.unknown, approvedShareOf(step.job->spec->route));
+    out.workers.resize(bestCallSize(chances, missing, policy));
+    for (size_t i = 0; i < out.workers.size(); ++i)
+        out.expectedPlaces += static_cast<double>(chances[i].places) * chances[i].probability;
+    out.namesAll = out.workers.size() == candidates.expired.size() + candidates.unknown.size();
     out.expectedCallTime = expectedCallTime(policy, out.workers.size());
     return out;
 }
@@ -246,9 +310,8 @@
     step->approvalCalls.erase(pending.call);
     if (answer == nullptr)
         return;
-    // A full call left out candidates, of which a gang may need more at once.
-    const bool full = pending.workers.size() >= MaxWorkersPerSlowCall;
-    step->nextApprovalCallAt = full && step->spec->gang ? now : now + ApprovalCallInterval;
+    step->approvalAnsweredAt = now;
+    step->nextApprovalCallAt = pending.namesAll ? now + ApprovalCallInterval : now;
     // The policy service answers for one incarnation of a worker.
     const auto restartedSince = [this, at](const WorkerId &id) {
         const auto it = m_workers.find(id);
--- a/src/dispatch/dispatcher_approvals_test.cc
+++ b/src/dispatch/dispatcher_approvals_test.cc
@@ -130,6 +130,73 @@
     EXPECT_EQ(second->step.job, "narrow");
 }
 
+// Guards against a step that gets no call at all while the callers are full and steps that can
+// still be in time keep coming.
+TEST_F(ApprovalsTest, AStepThatIsLateGetsACallAmongUrgentOnesWithoutEnd)
+{
+    joinWorkers(20);
+    m_jobRoute = "batch"; // less urgent
+    add("late", {step(1)});
+    m_jobRoute = "r";
+    constexpr Duration CallTime{250}; // one caller, always busy
+    int calls = 0;
+    for (; calls < 12; ++calls) {
+        const std::string prefix = "urgent" + std::to_string(calls);
+        add(prefix + "a", {step(1)});
+        add(prefix + "b", {step(1)});
+        startAll();
+        const auto pending = next();
+        ASSERT_TRUE(pending);
+        m_dispatcher.approvalRequested(*pending);
+        const Instant sentAt = m_now;
+        m_now += CallTime;
+        answer(*pending, sentAt, 1);
+        if (pending->step.job == "late")
+            break;
+    }
+    EXPECT_LT(calls, 8) << "of one caller in two seconds";
+}
+
+// Guards against urgent steps that wait behind a queue of old ones.
+TEST_F(ApprovalsTest, OverdueStepsGetAtMostEverySecondCall)
+{
+    joinWorkers(20);
+    m_jobRoute = "batch";
+    for (int i = 0; i < 20; ++i)
+        add("old" + std::to_string(i), {step(1)});
+    startAll();
+    m_now += Duration(5'000);
+    m_jobRoute = "r";
+    for (int i = 0; i < 20; ++i)
+        add("urgent" + std::to_string(i), {step(1)});
+    int urgent = 0;
+    for (int i = 0; i < 20; ++i) {
+        const auto pending = next();
+        ASSERT_TRUE(pending);
+        m_dispatcher.approvalRequested(*pending);
+        urgent += pending->step.job.starts_with("urgent") ? 1 : 0;
+    }
+    EXPECT_EQ(urgent, 10);
+}
+
+// Guards against a step that waits before it asks about further workers, because the first call
+// named only as many as it needed.
+TEST_F(ApprovalsTest, ASmallCallThatBringsNothingIsFollowedAtOnce)
+{
+    joinWorkers(60);
+    add("job", {step(1)});
+    const auto first = next();
+    ASSERT_TRUE(first);
+    EXPECT_LT(first->workers.size(), 30U) << "one approved worker is enough";
+    m_dispatcher.approvalRequested(*first);
+    const std::vector<work::Approval> none;
+    m_dispatcher.approvalAnswered(*first, &none, m_now, m_now);
+    const auto second = next();
+    ASSERT_TRUE(second);
+    for (const WorkerId &id : second->workers)
+        EXPECT_EQ(std::ranges::count(first->workers, id), 0);
+}
+
 // Guards against a step that waits for the timeout of a call on a connection that has gone silent.
 TEST_F(ApprovalsTest, TheWorkersOfALateCallAreNamedInAnotherOne)
 {
--- a/src/dispatch/dispatcher_overdue.cc
+++ b/src/dispatch/dispatcher_overdue.cc
@@ -51,7 +51,8 @@
 std::string awaitedWorkers(const std::set<WorkerId> &workers)
 {
     constexpr size_t MaxNamed = 4;
-    std::string out = count("unreconciled_workers", static_cast<int64_t>(workers.size())) + " awaited=";
+    std::string out =
+        count("unreconciled_workers", static_cast<int64_t>(workers.size())) + " awaited=";
     size_t named = 0;
     for (const WorkerId &id : workers) {
         if (named == MaxNamed)
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -186,7 +186,9 @@
     // dispatcher_approvals.cc
     bool isApprovalDue(const Step &step, Instant now, int64_t unixMs) const;
     dispatch::ApprovalCandidates approvalCandidates(const Step &step, Instant now) const;
-    PendingApproval callFor(const Step &step, dispatch::ApprovalCandidates candidates);
+    PendingApproval callFor(const Step &step, dispatch::ApprovalCandidates candidates,
+                            int64_t missing);
+    std::optional<Instant> waitsForCallSince(const Step &step, Instant now, int64_t unixMs) const;
     bool hasPlacement(Step &step, Instant now);
     double approvedShareOf(const std::string &route) const;
     void updateApprovedShare(const std::string &route, size_t requested, size_t approved);
@@ -239,6 +241,7 @@
     // Share of workers that the policy service approves, by route; smoothed.
     std::map<std::string, double> m_approvedShare;
     uint64_t m_lastApprovalCall = 0; // see PendingApproval::call
+    bool m_overdueCallIsNext = false; // of the calls for overdue steps and others, by turns
     std::map<TeamPriority, Resources> m_priorityUse; // updated by decide()
     // Resources of runs that are being stopped, by team, less what waiting steps of the present
     // decision have claimed.
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -176,6 +176,7 @@
     std::set<WorkerId> deniedWorkers;
     std::map<uint64_t, ApprovalCall> approvalCalls; // by number; those that are not late
     Instant nextApprovalCallAt; // earliest time of the next approval call
+    Instant approvalAnsweredAt = Instant::min(); // when the last call was answered
     int32_t answeredApprovalCalls = 0;
     int32_t failedApprovalCalls = 0;
 
