Move the soak and the emulator into testing/

The adapter's folder `platform/` held two test-only modules. They are now `testing/emulator` and `testing/soak`; `cardamompaddle-soak` lies in `build/testing/soak`. The formatter's and the linter's lists of sources and the linter's header filter name the new folder. The tests of `platform/` go on using both. No source changes but for the paths.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,7 +6,7 @@
 cache="${XDG_CACHE_HOME:-$HOME/.cache}/cardamompaddle-lint"
 mkdir -p "$cache"
 if [ "$#" -gt 0 ]; then files=("$@"); else
-    mapfile -t files < <(git ls-files --cached --others --exclude-standard -- 'src/*.cc' 'platform/*.cc' | grep -v '/gen/')
+    mapfile -t files < <(git ls-files --cached --others --exclude-standard -- 'src/*.cc' 'platform/*.cc' 'testing/*.cc' | grep -v '/gen/')
 fi
 # One line for each compiled source: its path and the paths of the project's files that it includes.
 includes=$(mktemp)
@@ -14,13 +14,13 @@
 ninja -C build -t deps | awk -v root="$PWD/" '
     /^[^ ]/ { if (line != "") print line; line = ""; next }
     { path = $1; if (index(path, root) == 1) path = substr(path, length(root) + 1); sub(/^\.\.\//, "", path) }
-    path ~ /^(src|platform)\// { line = line (line == "" ? "" : " ") path }
+    path ~ /^(src|platform|testing)\// { line = line (line == "" ? "" : " ") path }
     END { if (line != "") print line }' >"$includes"
 check() {
     local file=$1 key included
     included=$(grep -m 1 "^$file\( \|$\)" "$includes" || true)
     # Of a source that is not compiled, all headers may matter.
-    [ -n "$included" ] || included="$file $(git ls-files -- 'src/*.h' 'platform/*.h')"
+    [ -n "$included" ] || included="$file $(git ls-files -- 'src/*.h' 'platform/*.h' 'testing/*.h')"
     key="$cache/$(cat .clang-tidy $included | sha256sum | cut -c1-40)"
     [ -e "$key" ] && return 0
     if clang-tidy -p build --quiet "$file" 2>/dev/null >"$key.out.$$"; then
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -32,7 +32,7 @@
 programs=$(mktemp -d)
 trap 'rm -rf "$programs"' EXIT
 cp "${entry:-$build/platform/cardamompaddle-entry}" "$programs/cardamompaddle-entry"
-cp "$build/platform/soak/cardamompaddle-soak" "$programs/"
+cp "$build/testing/soak/cardamompaddle-soak" "$programs/"
 
 # Plays one seed. Prints "ok" or "broken", and the last line of the summary.
 play() {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -15,7 +15,8 @@
 done
 scripts/install.sh
 
-sources() { git ls-files --cached --others --exclude-standard -- 'src/*.cc' 'src/*.h' 'platform/*.cc' 'platform/*.h' | grep -v '/gen/'; }
+sources() { git ls-files --cached --others --exclude-standard -- 'src/*.cc' 'src/*.h' 'platform/*.cc' 'platform/*.h' \
+    'testing/*.cc' 'testing/*.h' | grep -v '/gen/'; }
 
 echo '== build'
 cmake -S . -B build -G Ninja >/dev/null
