--- a/testing/soak/fault_driver.cc
+++ b/testing/soak/fault_driver.cc
@@ -2,9 +2,6 @@
 
 #include "net/steady_clock.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -65,12 +62,6 @@
     return all;
 }
 
-asio::awaitable<void> FaultDriver::pause(Duration wait)
-{
-    asio::steady_timer timer(m_io, wait);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 Duration FaultDriver::between(int64_t fromMs, int64_t toMs)
 {
     return Duration(std::uniform_int_distribution<int64_t>(fromMs, toMs)(m_random));
--- a/testing/soak/fault_driver.h
+++ b/testing/soak/fault_driver.h
@@ -8,6 +8,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -76,11 +78,18 @@
     boost::asio::awaitable<void> changeConfiguration();
     boost::asio::awaitable<void> withdrawKey();
 
-    boost::asio::awaitable<void> pause(Duration wait);
+    boost::asio::awaitable<void> pause(Duration wait)
+    {
+        boost::asio::steady_timer timer(m_io, wait);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
     // A random duration between the two.
     Duration between(int64_t fromMs, int64_t toMs);
     size_t randomInstance();
+    // This share of all workers' orders is carried out late.
+    void setOrderDelay(double share, Duration delay);
     std::vector<std::string> drainSome();
+    void removeWorkers(const std::vector<std::string> &ids);
     // Workers that have announced it exit; others take their place.
     boost::asio::awaitable<void> replaceWorkers(std::vector<std::string> leaving);
     boost::asio::awaitable<void> disturbLog(std::function<void(emulator::LogFaults &, bool)> set,
--- a/testing/soak/worker_faults.cc
+++ b/testing/soak/worker_faults.cc
@@ -3,9 +3,6 @@
 
 #include "net/steady_clock.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <utility>
 
 namespace cardamompaddle::soak {
@@ -37,14 +34,19 @@
     return out;
 }
 
-asio::awaitable<void> FaultDriver::replaceWorkers(std::vector<std::string> leaving)
+void FaultDriver::removeWorkers(const std::vector<std::string> &ids)
 {
-    co_await pause(between(DrainMs, 3 * DrainMs));
     // What still runs there is lost.
     m_disturbances.begin(WorkersPart, now());
-    for (const std::string &id : leaving)
+    for (const std::string &id : ids)
         m_platform.removeWorker(id);
     m_disturbances.end(WorkersPart, now());
+}
+
+asio::awaitable<void> FaultDriver::replaceWorkers(std::vector<std::string> leaving)
+{
+    co_await pause(between(DrainMs, 3 * DrainMs));
+    removeWorkers(leaving);
     co_await pause(between(500, 4'000));
     for (const std::string &id : leaving)
         m_platform.restartWorker(id, true);
@@ -99,17 +101,20 @@
     m_disturbances.end(WorkersPart, now());
 }
 
+void FaultDriver::setOrderDelay(double share, Duration delay)
+{
+    for (const std::string &id : m_platform.workerIds())
+        m_platform.delayOrders(id, share, delay);
+}
+
 asio::awaitable<void> FaultDriver::delayOrders()
 {
     constexpr double DelayedShare = 0.3;
-    const std::vector<std::string> all = m_platform.workerIds();
     const Duration delay = between(2'000, 8'000);
     m_disturbances.begin(WorkersPart, now());
-    for (const std::string &id : all)
-        m_platform.delayOrders(id, DelayedShare, delay);
+    setOrderDelay(DelayedShare, delay);
     co_await pause(between(500, 4'000));
-    for (const std::string &id : m_platform.workerIds())
-        m_platform.delayOrders(id, 0, delay);
+    setOrderDelay(0, delay);
     // Those that are on their way are still carried out.
     co_await pause(delay);
     m_disturbances.end(WorkersPart, now());
