--- a/platform/soak/fault_driver.h
+++ b/testing/soak/fault_driver.h
@@ -8,6 +8,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -29,6 +31,8 @@
     boost::asio::awaitable<void> run(Instant until);
     // Number of faults played, by name.
     const std::map<std::string, int> &played() const { return m_played; }
+    // The fault in progress, or the latest one; empty before the first.
+    const std::string &current() const { return m_current; }
 
 private:
     using Fault = boost::asio::awaitable<void> (FaultDriver::*)();
@@ -64,16 +68,30 @@
     boost::asio::awaitable<void> slowLog();
     boost::asio::awaitable<void> lossyLog();
     boost::asio::awaitable<void> forgetHistory();
+    // The open connections of most instances to the log go silent for good, beside a takeover,
+    // leaving workers and a new configuration.
+    boost::asio::awaitable<void> silenceLogLinks();
+    boost::asio::awaitable<void> leaveWorkers();
     boost::asio::awaitable<void> crashWorkers();
     boost::asio::awaitable<void> cutOffWorkers();
     boost::asio::awaitable<void> delayOrders();
     boost::asio::awaitable<void> changeConfiguration();
     boost::asio::awaitable<void> withdrawKey();
 
-    boost::asio::awaitable<void> pause(Duration wait);
+    boost::asio::awaitable<void> pause(Duration wait)
+    {
+        boost::asio::steady_timer timer(m_io, wait);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
     // A random duration between the two.
     Duration between(int64_t fromMs, int64_t toMs);
     size_t randomInstance();
+    // This share of all workers' orders is carried out late.
+    void setOrderDelay(double share, Duration delay);
+    std::vector<std::string> drainSome();
+    void removeWorkers(const std::vector<std::string> &ids);
+    // Workers that have announced it exit; others take their place.
+    boost::asio::awaitable<void> replaceWorkers(std::vector<std::string> leaving);
     boost::asio::awaitable<void> disturbLog(std::function<void(emulator::LogFaults &, bool)> set,
                                             Duration length);
 
@@ -84,6 +102,7 @@
     std::function<void(bool withdrawKey)> m_changeConfiguration;
     std::mt19937_64 m_random;
     std::map<std::string, int> m_played;
+    std::string m_current;
 };
 
 } // namespace cardamompaddle::soak
