Send late calls to the log again on new connections

A holder's append on a connection that has gone silent for good waited for its timeout of 0.9 s, while other instances claim the tenure after 0.5 s.

ResendingLog stands between all users of the log and its client. Appends are repeated only if they are idempotent: those of a writer, and jobs and cancels, which AppendQueue repeats already. Members' records and removed keys are sent once, since a copy that is carried out late could undo a newer record. An append is reported as not stored only if none of its copies may be stored; a refusal by epoch ends it at once, so fencing is as strict as before. Reads that the log holds are sent again once another call has shown that a connection is silent.

AReplacedHolderIsStillRefused passes in both cases: it guards the fence.

--- a/src/control/fenced_writer.h
+++ b/src/control/fenced_writer.h
@@ -49,6 +49,8 @@
     // When the last try was sent. From there to its answer is how long the log takes; failed tries
     // before it tell that the log was away, not that it is slow.
     Instant sentAt() const { return m_sentAt; }
+    // Requires busy(). When the first try of the append in progress was sent.
+    Instant firstSentAt() const { return m_firstSentAt; }
     // When the first try of the last append that the log has stored was sent. The log may have
     // stored it at any time since.
     Instant storedSentAt() const { return m_storedSentAt; }
--- a/src/control/gateways.h
+++ b/src/control/gateways.h
@@ -67,13 +67,17 @@
         int64_t sequence = 0;
     };
     std::optional<Writer> writer;
+    // Without a writer: storing the records a second time, some seconds later, has no effect.
+    bool repeatable = false;
 };
 
 enum class AppendOutcome {
     Stored,
     NotStored, // may be retried
     ConditionFailed, // not stored: the topic's end differs from `expectedEnd`
-    Fenced, // not stored: a higher epoch was seen, or the sequence number is not the next
+    // Not stored: a higher epoch was seen, or the sequence number is not the next. An earlier copy
+    // of the append may have been stored before that.
+    Fenced,
     Rejected, // not stored and never will be: the log does not take such records
     Unknown, // no answer: may have been stored
 };
@@ -109,6 +113,12 @@
     // Reads the newest record of each key greater than `after`. Errors: as for read().
     virtual void readNewest(const std::string &topic, const std::string &after, Duration timeout,
                             NewestDone done) = 0;
+    // Makes the calls from now on use connections that are opened from now on, or that prove to
+    // work. For callers that suspect a silent connection before a call times out.
+    virtual void useNewConnections() = 0;
+    // Returns how many copies of appends to the topic have no answer yet, for logs of events; 0 if
+    // the client does not count them.
+    virtual int unansweredAppends(const std::string &) const { return 0; }
 };
 
 // Fencing data sent with every call to a worker.
--- a/src/control/instance_tenure.cc
+++ b/src/control/instance_tenure.cc
@@ -198,7 +198,9 @@
 
 void Instance::onTenureLost(const std::string &reason)
 {
-    logWarn("tenure_lost", "reason=\"" + reason + "\"");
+    logWarn("tenure_lost", "epoch=" + std::to_string(m_jobTable.tenure().epoch) + " "
+                               + (m_scheduler ? m_scheduler->appendStatus() + " " : "")
+                               + "reason=\"" + reason + "\"");
     onReleased();
 }
 
--- a/src/control/instance_tenure_test.cc
+++ b/src/control/instance_tenure_test.cc
@@ -37,6 +37,70 @@
     }
 };
 
+// Connections to the log that go silent without being closed while new ones work.
+class SilentConnectionsTest : public InstanceTenureTest
+{
+protected:
+    // Starts three instances and waits until one of them schedules and all are ready.
+    void startInstances()
+    {
+        for (const char *name : {"a", "b", "c"})
+            addNode(name);
+        ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+        ASSERT_TRUE(areReady({"a", "b", "c"}));
+        runFor(Duration(600));
+    }
+    int64_t epoch() { return scheduler().instance->jobTable().tenure().epoch; }
+    // A job that is handed in to the holder now starts in time, and the tenure stays where it is.
+    void expectStartInTheSameTenure()
+    {
+        const int64_t before = epoch();
+        startSubmission(scheduler(), "job");
+        EXPECT_TRUE(runUntil([this] { return m_workers.starts == 1; }, Duration(1'000)));
+        runFor(Duration(1'500));
+        ASSERT_EQ(schedulers(), 1);
+        EXPECT_EQ(epoch(), before);
+        EXPECT_EQ(claims(), 1);
+    }
+};
+
+// Guards against a tenure that is lost because the holder waits for its silent connection while
+// others claim.
+TEST_F(SilentConnectionsTest, TheHolderKeepsItsTenure)
+{
+    startInstances();
+    scheduler().log->silencePresentConnections();
+    expectStartInTheSameTenure();
+}
+
+// Guards against claims by followers whose reads get no answer, and against a holder that is the
+// only one to recover.
+TEST_F(SilentConnectionsTest, TheTenureSurvivesThoseOfAllInstances)
+{
+    startInstances();
+    for (auto &[name, node] : m_nodes)
+        node.log->silencePresentConnections();
+    expectStartInTheSameTenure();
+    EXPECT_TRUE(areReady({"a", "b", "c"}));
+}
+
+// Guards against a holder that was replaced while its connections were silent and that gets its
+// record stored by a copy.
+TEST_F(SilentConnectionsTest, AReplacedHolderIsStillRefused)
+{
+    startInstances();
+    const std::string former = schedulerName();
+    const int64_t before = epoch();
+    m_nodes[former].log->unresponsive = true;
+    m_policy.receivers.erase(former + ":1");
+    ASSERT_TRUE(runUntil([&] { return schedulers() == 2; }));
+    m_nodes[former].log->unresponsive = false;
+    m_nodes[former].log->silencePresentConnections();
+    ASSERT_TRUE(runUntil([&] { return schedulers() == 1; }));
+    EXPECT_NE(schedulerName(), former);
+    EXPECT_EQ(epoch(), before + 1);
+}
+
 // Guards against a first tenure on a machine too small for it.
 TEST_F(InstanceTenureTest, TheFirstTenureGoesToALargeInstance)
 {
--- a/src/control/instance_testing.h
+++ b/src/control/instance_testing.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "control/instance.h"
+#include "control/resending_log.h"
 #include "control/testing_platform.h"
 
 #include <gtest/gtest.h>
@@ -68,6 +69,7 @@
     struct Node
     {
         testing::TestLog *log = nullptr;
+        ResendingLog *resendingLog = nullptr; // in front of `log`
         std::unique_ptr<Instance> instance;
     };
 
@@ -82,6 +84,8 @@
         Node &node = m_nodes[name];
         m_logs.push_back(std::make_unique<testing::TestLog>(m_io, m_model));
         node.log = m_logs.back().get();
+        m_resendingLogs.push_back(std::make_unique<ResendingLog>(m_io, m_clock, *node.log));
+        node.resendingLog = m_resendingLogs.back().get();
         InstanceOptions options;
         options.name = name;
         options.peerAddress = name + ":1";
@@ -90,12 +94,19 @@
         options.terminalRetention = m_terminalRetention;
         node.instance = std::make_unique<Instance>(
             [this, &node, name](const JobTable &jobTable) {
-                SchedulerContext context{
-                    m_io,       m_clock,       [this, name] { return unixMs(name); },
-                    *node.log,  m_workers,     m_policy,
-                    m_policy,   jobTable,      WorkTopic,
-                    JobsTopic,  RegistryTopic, decodeWorker,
-                    m_logLimits};
+                SchedulerContext context{m_io,
+                                         m_clock,
+                                         [this, name] { return unixMs(name); },
+                                         *node.resendingLog,
+                                         m_workers,
+                                         m_policy,
+                                         m_policy,
+                                         jobTable,
+                                         WorkTopic,
+                                         JobsTopic,
+                                         RegistryTopic,
+                                         decodeWorker,
+                                         m_logLimits};
                 return InstanceContext{std::move(context), OperatorTopic, decodeOperators};
             },
             options);
@@ -238,6 +249,7 @@
     testing::TestPolicy m_policy{m_io};
     // Declared before the instances, because calls may be in flight when those are destroyed.
     std::vector<std::unique_ptr<testing::TestLog>> m_logs;
+    std::vector<std::unique_ptr<ResendingLog>> m_resendingLogs;
     std::map<std::string, Node> m_nodes;
 };
 
--- a/src/control/job_submitter.cc
+++ b/src/control/job_submitter.cc
@@ -128,6 +128,8 @@
 {
     AppendRequest request;
     request.topic = m_topic;
+    // AppendQueue repeats appends too: the records of a job and of a cancel are idempotent.
+    request.repeatable = true;
     for (const AppendQueue::RecordNumber number : append.records)
         request.records.push_back(m_entries.at(number).record);
     m_log.append(
--- a/src/control/log_follower_test.cc
+++ b/src/control/log_follower_test.cc
@@ -64,6 +64,7 @@
         call.fail = [done](const Error &error) { done(error); };
         calls.push_back(std::move(call));
     }
+    void useNewConnections() override { }
 
     void put(const std::string &key, const std::string &value)
     {
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -98,6 +98,8 @@
     // that is longer.
     Duration appendTime() const;
     Instant lastStoredAt() const { return m_lastStoredAt; }
+    // Describes what the scheduler waits for at the log, as fields of an event.
+    std::string appendStatus() const;
     // Ready steps that wait; see Dispatcher::waitingSteps().
     WaitingStepsByReason waitingSteps() const;
     // How long instances have held the tenure; see TenureClock.
--- a/src/control/scheduler_records.cc
+++ b/src/control/scheduler_records.cc
@@ -266,6 +266,15 @@
                                         : std::max(m_averageAppendTime, inFlight);
 }
 
+std::string Scheduler::appendStatus() const
+{
+    const Instant now = m_context.clock.now();
+    const Duration inFlight = m_writer.busy() ? now - m_writer.firstSentAt() : Duration::zero();
+    return "append_in_flight_ms=" + std::to_string(inFlight.count()) + " unanswered_copies="
+           + std::to_string(m_context.log.unansweredAppends(m_context.workTopic))
+           + " last_stored_ms_ago=" + std::to_string((now - m_lastStoredAt).count());
+}
+
 // Without waiting for the answer: until it comes, all instances go on loading the log.
 void Scheduler::reportSlowAppend(Instant now)
 {
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -69,8 +69,9 @@
             if (epoch < highest)
                 return {AppendOutcome::Fenced, "epoch"};
             auto &last = topic.lastAppends[name];
-            // A repeated append is answered as stored again, whoever sends it.
-            if (epoch == last.first && sequence == last.second && epoch == highest)
+            // A repeated append is answered as stored again, whoever sends it. KeyedLog reports
+            // earlier sequence numbers in the same way.
+            if (epoch == last.first && sequence <= last.second && epoch == highest)
                 return {AppendOutcome::Stored, "repeated", -1};
             if (epoch == last.first && sequence != last.second + 1)
                 return {AppendOutcome::Fenced, "sequence"};
@@ -105,12 +106,17 @@
     }
 };
 
-// One instance's connection to the log.
+// One instance's connections to the log.
 class TestLog : public KeyedLog
 {
 public:
     TestLog(boost::asio::io_context &io, LogModel &model) : m_io(io), m_model(model) { }
 
+    // From now on the present connections deliver nothing, in no direction. Calls on them get no
+    // answer; calls after useNewConnections() or after a call has timed out do.
+    void silencePresentConnections() { m_silentUpTo = m_connections; }
+    void useNewConnections() override { ++m_connections; }
+
     void append(AppendRequest request, Duration timeout, AppendDone done) override
     {
         ++appendCalls;
@@ -125,31 +131,18 @@
         }
         if (refuses || request.topic == refusedTopic)
             return later(Duration(1), [done] { done({AppendOutcome::NotStored, "refused"}); });
-        later(appendTime, [this, request, done] { done(m_model.append(request)); });
+        later(appendTime, [this, request, timeout, done, connection = m_connections] {
+            if (isSilent(connection))
+                return timeOut(timeout, [done] { done({AppendOutcome::Unknown, "no answer"}); });
+            done(m_model.append(request));
+        });
     }
     void read(const std::string &topic, int64_t from, Duration wait, Duration timeout,
               ReadDone done) override
     {
-        if (unresponsive || refuses || topic == unreadableTopic)
-            return later(unresponsive ? timeout : Duration(1), [done] {
-                done(Error{ErrorCode::Unavailable, "no log"});
-            });
-        if (topic == silentTopic && wait > Duration::zero())
-            return later(timeout, [done] { done(Error{ErrorCode::OutcomeUnknown, "no answer"}); });
-        const auto &records = m_model.topics[topic].records;
-        if (from < m_model.topics[topic].firstRetained)
-            return later(Duration(1), [done] { done(Error{ErrorCode::NotFound, "expired"}); });
-        if (static_cast<int64_t>(records.size()) <= from && wait > Duration::zero())
-            return later(Duration(3), [=, this] {
-                read(topic, from, std::max(Duration::zero(), wait - Duration(3)), timeout, done);
-            });
-        LogSlice slice;
-        slice.end = static_cast<int64_t>(records.size());
-        for (int64_t i = from; i < slice.end; ++i)
-            slice.records.push_back(records[static_cast<size_t>(i)]);
-        later(readTime, [slice, done] { done(slice); });
+        readOn(m_connections, topic, from, wait, timeout, std::move(done));
     }
-    void readNewest(const std::string &topic, const std::string &after, Duration,
+    void readNewest(const std::string &topic, const std::string &after, Duration timeout,
                     NewestDone done) override
     {
         if (unresponsive || refuses)
@@ -169,7 +162,7 @@
                 break;
             page.records.push_back(record);
         }
-        later(Duration(1), [page, done] { done(page); });
+        deliver(m_connections, Duration(1), timeout, std::move(done), std::move(page));
     }
 
     Duration appendTime{1};
@@ -188,6 +181,52 @@
     int claimCalls = 0; // appends that claim the tenure
 
 private:
+    bool isSilent(int connection) const { return connection <= m_silentUpTo; }
+    void timeOut(Duration timeout, std::function<void()> action)
+    {
+        later(timeout, [this, action = std::move(action)] {
+            useNewConnections();
+            action();
+        });
+    }
+    template <typename Answer>
+    void deliver(int connection, Duration after, Duration timeout,
+                 std::function<void(Result<Answer>)> done, Answer answer)
+    {
+        later(after,
+              [this, connection, timeout, done = std::move(done), answer = std::move(answer)] {
+                  if (!isSilent(connection))
+                      return done(answer);
+                  timeOut(timeout, [done] { done(Error{ErrorCode::OutcomeUnknown, "no answer"}); });
+              });
+    }
+    void readOn(int connection, const std::string &topic, int64_t from, Duration wait,
+                Duration timeout, ReadDone done)
+    {
+        if (isSilent(connection))
+            return timeOut(timeout, [done] {
+                done(Error{ErrorCode::OutcomeUnknown, "no answer"});
+            });
+        if (unresponsive || refuses || topic == unreadableTopic)
+            return later(unresponsive ? timeout : Duration(1), [done] {
+                done(Error{ErrorCode::Unavailable, "no log"});
+            });
+        if (topic == silentTopic && wait > Duration::zero())
+            return later(timeout, [done] { done(Error{ErrorCode::OutcomeUnknown, "no answer"}); });
+        const auto &records = m_model.topics[topic].records;
+        if (from < m_model.topics[topic].firstRetained)
+            return later(Duration(1), [done] { done(Error{ErrorCode::NotFound, "expired"}); });
+        if (static_cast<int64_t>(records.size()) <= from && wait > Duration::zero())
+            return later(Duration(3), [=, this] {
+                readOn(connection, topic, from, std::max(Duration::zero(), wait - Duration(3)),
+                       std::max(Duration::zero(), timeout - Duration(3)), done);
+            });
+        LogSlice slice;
+        slice.end = static_cast<int64_t>(records.size());
+        for (int64_t i = from; i < slice.end; ++i)
+            slice.records.push_back(records[static_cast<size_t>(i)]);
+        deliver(connection, readTime, timeout, std::move(done), std::move(slice));
+    }
     void later(Duration wait, std::function<void()> action)
     {
         auto timer = std::make_shared<boost::asio::steady_timer>(m_io, wait);
@@ -196,6 +235,8 @@
 
     boost::asio::io_context &m_io;
     LogModel &m_model;
+    int m_connections = 1; // number of the connections that calls use
+    int m_silentUpTo = 0; // connections up to this number are silent
 };
 
 // Workers shared by all instances. A run finishes only on a stop order or finishAllRuns().
