Count the turns of overdue steps by the calls that are made

Callers could still see a late step without a call while the entry instances were busy with calls. The steps that have waited too long for a call and the others were merged into one list by turns, so a step that needs no call (it is denied everywhere, or holds valid approvals and waits for room) used up the turn of those behind it. And each search took a turn, also one that led to no call because the idle instance makes only short calls.

The search now keeps two lists and passes the turn on when it returns a call.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -132,14 +132,42 @@
 
 struct Dispatcher::ApprovalSearch::State
 {
+    using Steps = std::vector<dispatch::Step *>;
+
     Impl &impl;
     Instant now;
     int64_t unixMs = 0;
-    // Most urgent first; null once settled or moved to `nextRound`.
-    std::vector<dispatch::Step *> steps;
-    std::vector<dispatch::Step *> nextRound; // have been given a call in this round
+    // In the order in which they get calls; null once settled or moved to `nextRound`.
+    dispatch::ApprovalOrder steps;
+    Steps nextRound; // have been given a call in this round
+
+    std::optional<PendingApproval> nextOf(Steps &candidates, Duration maxDecisionTime,
+                                          bool &skipped);
 };
 
+// Returns a call for the first of the steps that needs one. Sets `skipped` if the calls of a step
+// take longer than `maxDecisionTime`.
+std::optional<PendingApproval> Dispatcher::ApprovalSearch::State::nextOf(Steps &candidates,
+                                                                         Duration maxDecisionTime,
+                                                                         bool &skipped)
+{
+    for (dispatch::Step *&step : candidates) {
+        if (step == nullptr)
+            continue;
+        if (impl.approvalPolicyOf(*step).decisionTime > maxDecisionTime) {
+            skipped = true;
+            continue;
+        }
+        auto pending = impl.pendingApproval(*step, now, unixMs);
+        dispatch::Step *const examined = std::exchange(step, nullptr);
+        if (!pending)
+            continue;
+        nextRound.push_back(examined);
+        return pending;
+    }
+    return std::nullopt;
+}
+
 Dispatcher::ApprovalSearch::ApprovalSearch(std::unique_ptr<State> state) : m_state(std::move(state))
 { }
 
@@ -148,25 +176,19 @@
 std::optional<PendingApproval> Dispatcher::ApprovalSearch::next(Duration maxDecisionTime)
 {
     State &state = *m_state;
+    bool &overdueIsNext = state.impl.m_overdueCallIsNext;
     for (;;) {
         bool skipped = false; // a step whose calls take too long for this caller
-        for (dispatch::Step *&step : state.steps) {
-            if (step == nullptr)
-                continue;
-            if (state.impl.approvalPolicyOf(*step).decisionTime > maxDecisionTime) {
-                skipped = true;
-                continue;
+        for (const bool overdue : {overdueIsNext, !overdueIsNext}) {
+            auto &candidates = overdue ? state.steps.overdue : state.steps.others;
+            if (auto pending = state.nextOf(candidates, maxDecisionTime, skipped)) {
+                overdueIsNext = !overdue;
+                return pending;
             }
-            auto pending = state.impl.pendingApproval(*step, state.now, state.unixMs);
-            dispatch::Step *const examined = std::exchange(step, nullptr);
-            if (!pending)
-                continue;
-            state.nextRound.push_back(examined);
-            return pending;
         }
         if (skipped || state.nextRound.empty())
             return std::nullopt;
-        state.steps = std::exchange(state.nextRound, {});
+        state.steps.others = std::exchange(state.nextRound, {});
     }
 }
 
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -82,26 +82,6 @@
     return step.waitReason == WaitReason::TeamLimit ? ApprovalTurn::Limited : ApprovalTurn::Further;
 }
 
-// Puts the steps that have waited too long, longest wait first, and the others by turns.
-// `startsWith` tells which of the two the first place belongs to.
-std::vector<Step *> takeTurns(const std::vector<Step *> &overdue, const std::vector<Step *> &others,
-                              bool startsWithOverdue)
-{
-    std::vector<Step *> out;
-    out.reserve(overdue.size() + others.size());
-    auto first = startsWithOverdue ? overdue.begin() : others.begin();
-    auto firstEnd = startsWithOverdue ? overdue.end() : others.end();
-    auto second = startsWithOverdue ? others.begin() : overdue.begin();
-    auto secondEnd = startsWithOverdue ? others.end() : overdue.end();
-    while (first != firstEnd || second != secondEnd) {
-        if (first != firstEnd)
-            out.push_back(*first++);
-        if (second != secondEnd)
-            out.push_back(*second++);
-    }
-    return out;
-}
-
 Duration expectedCallTime(const ApprovalPolicy &policy, size_t workers)
 {
     return policy.decisionTime
@@ -116,16 +96,17 @@
     return it == m_jobs.end() ? nullptr : it->second->step(ref.occurrence, ref.step);
 }
 
-std::vector<Step *> Dispatcher::Impl::stepsForApproval(Instant now, int64_t unixMs)
+ApprovalOrder Dispatcher::Impl::stepsForApproval(Instant now, int64_t unixMs)
 {
     // Also for steps that a takeover holds back, so that they start as soon as that ends.
     const auto needsApproval = [this, now, unixMs](const Step &step) {
         return routeOf(*step.job)->approval && hasTasksToStart(step)
                && (isReady(step, unixMs) || isDueSoon(step, now, MaxApprovalLead));
     };
-    std::vector<Step *> others = stepsByUrgency(now, unixMs, needsApproval);
+    ApprovalOrder out;
+    out.others = stepsByUrgency(now, unixMs, needsApproval);
     std::vector<std::pair<Instant, Step *>> waits; // since when it has waited for a call
-    std::erase_if(others, [&](Step *step) {
+    std::erase_if(out.others, [&](Step *step) {
         const auto since = waitsForCallSince(*step, now, unixMs);
         if (!since || now - *since < MaxCallWait)
             return false;
@@ -134,15 +115,13 @@
     });
     std::stable_sort(waits.begin(), waits.end(),
                      [](const auto &a, const auto &b) { return a.first < b.first; });
-    std::stable_sort(others.begin(), others.end(), [](const Step *a, const Step *b) {
+    std::stable_sort(out.others.begin(), out.others.end(), [](const Step *a, const Step *b) {
         return approvalTurn(*a) < approvalTurn(*b);
     });
-    std::vector<Step *> overdue;
-    overdue.reserve(waits.size());
+    out.overdue.reserve(waits.size());
     for (const auto &[since, step] : waits)
-        overdue.push_back(step);
-    m_overdueCallIsNext = !m_overdueCallIsNext;
-    return takeTurns(overdue, others, m_overdueCallIsNext);
+        out.overdue.push_back(step);
+    return out;
 }
 
 // Returns since when a ready step without a call in progress has waited for one; none if it could
--- a/src/dispatch/dispatcher_approvals_test.cc
+++ b/src/dispatch/dispatcher_approvals_test.cc
@@ -179,6 +179,61 @@
     EXPECT_EQ(urgent, 10);
 }
 
+// Guards against a late step that gets no call because a step which no worker may run has waited
+// for longer and takes its turn each time without using it.
+TEST_F(ApprovalsTest, AStepThatNeedsNoCallDoesNotTakeTheTurnOfAnother)
+{
+    joinWorkers(20);
+    add("denied", {step(1)});
+    for (auto call = next(); call; call = next()) {
+        m_dispatcher.approvalRequested(*call);
+        const std::vector<work::Approval> none;
+        m_dispatcher.approvalAnswered(*call, &none, m_now, m_now);
+        m_now += Duration(300);
+    }
+    m_jobRoute = "batch"; // less urgent
+    add("late", {step(1)});
+    decide();
+    m_now += Duration(1'500);
+    m_jobRoute = "r";
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 4; ++i) {
+        add("urgent" + std::to_string(2 * i), {step(1)});
+        add("urgent" + std::to_string(2 * i + 1), {step(1)});
+        decide();
+        const auto pending = next(); // of one caller
+        ASSERT_TRUE(pending);
+        m_dispatcher.approvalRequested(*pending);
+        jobs.push_back(pending->step.job);
+        m_now += Duration(100);
+    }
+    EXPECT_EQ(std::ranges::count(jobs, "late"), 1) << "of four calls";
+}
+
+// Guards against turns that are lost in searches which lead to no call.
+TEST_F(ApprovalsTest, ASearchWithoutACallTakesNoTurn)
+{
+    joinWorkers(20);
+    m_jobRoute = "batch";
+    for (int i = 0; i < 4; ++i)
+        add("old" + std::to_string(i), {step(1)});
+    decide();
+    m_now += Duration(1'500);
+    m_jobRoute = "r";
+    for (int i = 0; i < 4; ++i)
+        add("urgent" + std::to_string(i), {step(1)});
+    int old = 0;
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_FALSE(m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration(10)))
+            << "of a caller that makes only short calls";
+        const auto pending = next();
+        ASSERT_TRUE(pending);
+        m_dispatcher.approvalRequested(*pending);
+        old += pending->step.job.starts_with("old") ? 1 : 0;
+    }
+    EXPECT_EQ(old, 2);
+}
+
 // Guards against a step that waits before it asks about further workers, because the first call
 // named only as many as it needed.
 TEST_F(ApprovalsTest, ASmallCallThatBringsNothingIsFollowedAtOnce)
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -39,7 +39,7 @@
     std::optional<Instant> nextEvent(Instant now, int64_t unixMs) const;
 
     // dispatcher_approvals.cc
-    std::vector<dispatch::Step *> stepsForApproval(Instant now, int64_t unixMs);
+    dispatch::ApprovalOrder stepsForApproval(Instant now, int64_t unixMs);
     // The policy of the step's route, which must have one.
     const ApprovalPolicy &approvalPolicyOf(const dispatch::Step &step) const;
     // Returns the next call for the step; none if it needs no further one at present.
@@ -241,7 +241,7 @@
     // Share of workers that the policy service approves, by route; smoothed.
     std::map<std::string, double> m_approvedShare;
     uint64_t m_lastApprovalCall = 0; // see PendingApproval::call
-    bool m_overdueCallIsNext = false; // of the calls for overdue steps and others, by turns
+    bool m_overdueCallIsNext = true; // of the calls for overdue steps and others, by turns
     std::map<TeamPriority, Resources> m_priorityUse; // updated by decide()
     // Resources of runs that are being stopped, by team, less what waiting steps of the present
     // decision have claimed.
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -133,6 +133,13 @@
     double expectedPlaces = 0; // see PendingApproval
 };
 
+// Steps that may need approvals, in the order in which they get calls.
+struct ApprovalOrder
+{
+    std::vector<Step *> overdue; // ready steps that have waited too long for a call
+    std::vector<Step *> others;
+};
+
 // Workers without a valid approval that may run a step and are named in no call in progress, with
 // the number of tasks that fit there.
 struct ApprovalCandidates
