Name all candidates in a call for a gang

Calls named only as many workers as pay for the places that are missing on average. That fits a step that starts with what one call brings. A gang needs all places at once, other work takes some of them meanwhile, and each further small call holds up all of its tasks.

A call for a gang names all candidates again, up to the limit of a call; other steps still name as many as pay.

--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -242,7 +242,9 @@
     };
     consider(candidates.expired, 1);
     consider(candidates.unknown, approvedShareOf(step.job->spec->route));
-    out.workers.resize(bestCallSize(chances, missing, policy));
+    // The tasks of a gang start together, so each further call would hold up all of them.
+    if (!step.spec->gang)
+        out.workers.resize(bestCallSize(chances, missing, policy));
     for (size_t i = 0; i < out.workers.size(); ++i)
         out.expectedPlaces += static_cast<double>(chances[i].places) * chances[i].probability;
     out.namesAll = out.workers.size() == candidates.expired.size() + candidates.unknown.size();
--- a/src/dispatch/dispatcher_approvals_test.cc
+++ b/src/dispatch/dispatcher_approvals_test.cc
@@ -78,6 +78,16 @@
     EXPECT_EQ(decide().starts.size(), 60U);
 }
 
+// Guards against a gang that asks about few workers in one call after the other.
+TEST_F(ApprovalsTest, TheCallOfAGangNamesAllWorkersThatMayBeNamed)
+{
+    joinWorkers(60);
+    add("job", {gang(4)});
+    const auto pending = next();
+    ASSERT_TRUE(pending);
+    EXPECT_EQ(pending->workers.size(), 30U);
+}
+
 TEST_F(ApprovalsTest, CallsInProgressNameDifferentWorkers)
 {
     joinWorkers(100);
