Repeat late policy calls over new connections and through several callers

Callers saw a step with room start after 3.4 to 3.8 s when the connections to the policy service had gone silent for good (bound 3 s). Each instance found out about its own dead connection by a late call of its own, and a late call was repeated through one further instance at a time, 0.8 s each.

- A late call anywhere makes each caller use new connections, to the policy service and between the scheduler and the calling instance, until that caller has been answered again (ApprovalRequest.newConnection, field 4).
- A call that repeats a late one is sent through two callers at once, the next repetition through four, as long as one caller in four stays idle.
The step's call fails only with the last of its copies.
- Workers that are known to be denied no longer count again in the smoothed share of approvals when a late answer or a copy names them a second time.

Seen to fail without the change (the constant set in a scratch copy): AfterALateCallAllCallersUseNewConnectionsUntilTheyAreAnswered with newConnection always false; ALateCallIsRepeatedThroughMoreMembersEachTime, CopiesOfALateCallLeaveCallersIdle and ACallFailsWithItsLastCopy without copies. With it, all 13 ApprovalRequesterTest pass.

--- a/src/control/approval_requester.cc
+++ b/src/control/approval_requester.cc
@@ -23,6 +23,11 @@
 // One caller in this many makes only short calls, so that short calls do not queue behind long
 // ones. Applies only while a route has short calls.
 constexpr size_t CallersPerShortCaller = 3;
+// A call that repeats a late one is sent through two callers at once, and through twice as many for
+// each further late call, as the next ones may be cut off as well. Of the callers, one in
+// CallersPerReservedByCopies stays idle, for steps without a call.
+constexpr int MaxCopyDoublings = 2;
+constexpr size_t CallersPerReservedByCopies = 4;
 
 } // namespace
 
@@ -49,37 +54,72 @@
 {
     const Instant now = m_clock.now();
     reportLateCalls(now);
-    std::vector<const work::Member *> available;
-    bool allBusy = true;
+    IdleCallers idle = idleCallers(members, now);
+    if (!idle.empty()) {
+        Dispatcher::ApprovalSearch search = m_dispatcher.searchPendingApprovals(now, unixMs);
+        const std::vector<PendingApproval> repeated = sendPending(idle, search);
+        sendCopies(idle, repeated, members.size() / CallersPerReservedByCopies);
+    }
+}
+
+ApprovalRequester::IdleCallers
+ApprovalRequester::idleCallers(const std::map<std::string, work::Member> &members, Instant now)
+{
+    std::vector<const work::Member *> available; // busy or idle
     for (const auto &[name, member] : members) {
         const Caller &caller = m_callers[name];
-        if (caller.backoffUntil > now || caller.turnFreeAt > now)
-            continue;
-        available.push_back(&member);
-        allBusy = allBusy && caller.call;
+        if (caller.backoffUntil <= now && caller.turnFreeAt <= now)
+            available.push_back(&member);
     }
-    if (allBusy)
-        return;
     const bool hasShortCalls = m_dispatcher.hasApprovalsWithin(MaxShortCall);
-    Dispatcher::ApprovalSearch search = m_dispatcher.searchPendingApprovals(now, unixMs);
-    bool noShortCall = false; // nothing is left for callers of short calls only
+    IdleCallers out;
     for (size_t i = 0; i < available.size(); ++i) {
-        const work::Member &member = *available[i];
-        if (m_callers[member.name].call)
+        if (m_callers[available[i]->name].call)
             continue;
         const bool shortOnly =
             hasShortCalls && available.size() > 1 && i % CallersPerShortCaller == 0;
-        if (shortOnly && noShortCall)
-            continue;
-        const auto pending = search.next(shortOnly ? MaxShortCall : Duration::max());
-        if (!pending && !shortOnly)
-            return;
+        out.push_back({available[i], shortOnly ? MaxShortCall : Duration::max()});
+    }
+    return out;
+}
+
+std::vector<PendingApproval> ApprovalRequester::sendPending(IdleCallers &idle,
+                                                            Dispatcher::ApprovalSearch &search)
+{
+    std::vector<PendingApproval> repeated;
+    IdleCallers unused;
+    for (const IdleCaller &caller : idle) {
+        // Nothing is left for callers that make the same calls as the last unused one, or fewer.
+        const bool nothingLeft =
+            !unused.empty() && unused.back().maxDecisionTime >= caller.maxDecisionTime;
+        const auto pending = nothingLeft ? std::nullopt : search.next(caller.maxDecisionTime);
         if (!pending) {
-            noShortCall = true;
+            unused.push_back(caller);
             continue;
         }
         m_dispatcher.approvalRequested(*pending);
-        send(member.name, member.address, *pending);
+        send(caller.member->name, caller.member->address, *pending);
+        if (pending->lateCalls > 0)
+            repeated.push_back(*pending);
+    }
+    idle = std::move(unused);
+    return repeated;
+}
+
+void ApprovalRequester::sendCopies(IdleCallers &idle, const std::vector<PendingApproval> &repeated,
+                                   size_t minIdle)
+{
+    for (const PendingApproval &pending : repeated) {
+        const int copies = (1 << std::min(pending.lateCalls, MaxCopyDoublings)) - 1;
+        for (int i = 0; i < copies && idle.size() > minIdle; ++i) {
+            const auto it = std::find_if(idle.begin(), idle.end(), [&](const IdleCaller &caller) {
+                return pending.decisionTime <= caller.maxDecisionTime;
+            });
+            if (it == idle.end())
+                break;
+            send(it->member->name, it->member->address, pending);
+            idle.erase(it);
+        }
     }
 }
 
@@ -92,6 +132,7 @@
         if (took < caller.call->pending.expectedCallTime + LateMargin)
             continue;
         caller.call->late = true;
+        m_lateAt = now;
         m_dispatcher.approvalLate(caller.call->pending);
         logInfo("approval_late",
                 "job=" + caller.call->pending.step.job
@@ -104,9 +145,13 @@
 void ApprovalRequester::send(const std::string &name, const std::string &address,
                              const PendingApproval &pending)
 {
-    m_callers[name].call = {pending, m_clock.now()};
+    Caller &caller = m_callers[name];
+    caller.call = {pending, m_clock.now()};
+    const bool newConnection = m_lateAt > caller.answeredAt;
     const Duration timeout = pending.expectedCallTime + CallTimeoutMargin;
     if (name == m_self) {
+        if (newConnection)
+            m_policy.closeIdleConnections();
         m_policy.approve(pending.step.toString(), pending.workers, timeout,
                          [this, alive = m_alive, name](const Answer &answer) {
                              if (*alive)
@@ -118,6 +163,7 @@
     request.step = pending.step.toString();
     request.workers = pending.workers;
     request.timeoutMs = timeout.count();
+    request.newConnection = newConnection;
     m_peers.approve(address, request, timeout + PeerTimeoutMargin,
                     [this, alive = m_alive, name](Result<work::ApprovalAnswer> answer) {
                         if (!*alive)
@@ -143,8 +189,9 @@
         const ApprovalOutcome answered = late ? ApprovalOutcome::Late : ApprovalOutcome::Answered;
         m_observer({name, answer ? answered : ApprovalOutcome::Failed, now - call.sentAt});
     }
-    m_dispatcher.approvalAnswered(call.pending, answer ? &answer.value() : nullptr, call.sentAt,
-                                  now);
+    if (answer || !hasCopyInProgress(call.pending.call))
+        m_dispatcher.approvalAnswered(call.pending, answer ? &answer.value() : nullptr, call.sentAt,
+                                      now);
     m_answered();
 }
 
@@ -173,10 +220,18 @@
             caller.backoffUntil = Instant::min();
     }
     m_callers[name].failures = 0;
+    m_callers[name].answeredAt = now;
     m_answeredAt = now;
     m_answeredCaller = name;
 }
 
+bool ApprovalRequester::hasCopyInProgress(uint64_t call) const
+{
+    return std::any_of(m_callers.begin(), m_callers.end(), [call](const auto &it) {
+        return it.second.call && it.second.call->pending.call == call;
+    });
+}
+
 bool ApprovalRequester::isOwnFailure(const std::string &name, const Call &call) const
 {
     if (m_answeredCaller.empty() || m_answeredCaller == name)
--- a/src/control/approval_requester.h
+++ b/src/control/approval_requester.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cardamompaddle {
 
@@ -50,8 +51,8 @@
     ApprovalRequester &operator=(const ApprovalRequester &) = delete;
 
     // Sends calls through idle members, at most one at a time through each, as long as approvals
-    // are pending. Repeats calls whose answer is late through other members. Call it several times
-    // a second.
+    // are pending. Repeats calls whose answer is late through other members, through several at
+    // once if they are idle, and over new connections. Call it several times a second.
     void sendRequests(const std::map<std::string, work::Member> &members, int64_t unixMs);
 
 private:
@@ -73,15 +74,32 @@
         Instant turnFreeAt = Instant::min();
         Instant backoffUntil = Instant::min();
         Instant failedAt = Instant::min();
+        Instant answeredAt = Instant::min(); // last answer: its connection worked then
         int failures = 0; // consecutive ones that are the caller's own
     };
 
+    // A member through which a call may be made now.
+    struct IdleCaller
+    {
+        const work::Member *member = nullptr;
+        Duration maxDecisionTime{0}; // of the calls that it makes
+    };
+    using IdleCallers = std::vector<IdleCaller>;
+
     void reportLateCalls(Instant now);
+    IdleCallers idleCallers(const std::map<std::string, work::Member> &members, Instant now);
+    // Sends the calls that steps wait for. Removes the callers that it uses, and returns the calls
+    // that repeat late ones.
+    std::vector<PendingApproval> sendPending(IdleCallers &idle, Dispatcher::ApprovalSearch &search);
+    // Sends copies of the repeated calls as long as more than `minIdle` callers are idle.
+    void sendCopies(IdleCallers &idle, const std::vector<PendingApproval> &repeated,
+                    size_t minIdle);
     void send(const std::string &name, const std::string &address, const PendingApproval &pending);
     void onAnswer(const std::string &name, const Answer &answer);
     void handleFailure(const std::string &name, const Call &call, const std::string &reason,
                        Instant now);
     void handleSuccess(const std::string &name, Instant now);
+    bool hasCopyInProgress(uint64_t call) const;
     // Whether the failure is the caller's own, as the policy service has answered another one.
     bool isOwnFailure(const std::string &name, const Call &call) const;
 
@@ -95,6 +113,9 @@
     std::map<std::string, Caller> m_callers;
     Instant m_answeredAt = Instant::min(); // when a call last succeeded
     std::string m_answeredCaller; // the caller of that call
+    // When a call was last found late. Connections that have not worked since are suspected: what
+    // silenced one of them probably silenced others.
+    Instant m_lateAt = Instant::min();
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/control/approval_requester_test.cc
+++ b/src/control/approval_requester_test.cc
@@ -26,10 +26,11 @@
     {
         own.push_back({step, std::move(done)});
     }
+    void closeIdleConnections() override { ++closedOwn; }
     void approve(const std::string &address, const work::ApprovalRequest &request, Duration,
                  PeerGateway::Done done) override
     {
-        peers.push_back({address, request.step, std::move(done)});
+        peers.push_back({address, request.step, request.newConnection, std::move(done)});
     }
     void recordsStored(const std::string &, const work::StoredRecords &,
                        std::function<void(Result<void>)>) override
@@ -47,8 +48,10 @@
     {
         std::string address;
         std::string step;
+        bool newConnection = false;
         PeerGateway::Done done;
     };
+    int closedOwn = 0; // times that the idle connections of this instance were closed
     std::vector<std::pair<std::string, PolicyGateway::Done>> own; // step, callback
     std::vector<PeerCall> peers;
 };
@@ -68,6 +71,13 @@
             m_members[name] = member;
         }
     }
+    void addMembers(const std::vector<std::string> &names)
+    {
+        for (const std::string &name : names) {
+            m_members[name].name = name;
+            m_members[name].address = name + ":1";
+        }
+    }
     void sendRequests() { m_approvals.sendRequests(m_members, UnixNow); }
     void addJobs(int count)
     {
@@ -95,6 +105,16 @@
         done(Error{ErrorCode::OutcomeUnknown, "no answer"});
     }
 
+    // Answers the last call to a peer.
+    void answerPeer()
+    {
+        const auto done = std::move(m_calls.peers.back().done);
+        m_calls.peers.pop_back();
+        work::ApprovalAnswer answer;
+        answer.ok = true;
+        done(answer);
+    }
+
     ManualClock m_clock;
     PendingCalls m_calls;
     std::map<std::string, work::Member> m_members;
@@ -229,6 +249,91 @@
     EXPECT_EQ(m_calls.peers[0].step, m_calls.own[0].first);
 }
 
+// Guards against callers that find out one after the other, each by a late call, that their
+// connections to the policy service have gone silent.
+TEST_F(ApprovalRequesterTest, AfterALateCallAllCallersUseNewConnectionsUntilTheyAreAnswered)
+{
+    m_members.erase("b");
+    add("j1", {step(1)});
+    sendRequests();
+    ASSERT_EQ(m_calls.own.size(), 1U);
+    addMembers({"b"});
+    m_clock.time += Duration(230);
+    sendRequests();
+    ASSERT_EQ(m_calls.peers.size(), 1U);
+    EXPECT_TRUE(m_calls.peers[0].newConnection);
+    EXPECT_EQ(m_calls.closedOwn, 0) << "no call of its own since";
+    m_clock.time += Duration(20);
+    answerPeer();
+    add("j2", {step(1)});
+    sendRequests();
+    ASSERT_EQ(m_calls.peers.size(), 1U);
+    EXPECT_FALSE(m_calls.peers[0].newConnection) << "the connections of b work";
+    failOwn();
+    m_clock.time += Duration(2'000);
+    answerPeer();
+    add("j3", {step(1)});
+    sendRequests();
+    EXPECT_EQ(m_calls.own.size(), 1U);
+    EXPECT_EQ(m_calls.closedOwn, 1);
+}
+
+// Guards against a step that meets one cut-off member after the other.
+TEST_F(ApprovalRequesterTest, ALateCallIsRepeatedThroughMoreMembersEachTime)
+{
+    m_members.erase("b");
+    add("j", {step(1)});
+    sendRequests();
+    addMembers({"b", "c", "d", "e", "f", "g", "h", "i", "j", "k"});
+    m_clock.time += Duration(230);
+    sendRequests();
+    EXPECT_EQ(m_calls.peers.size(), 2U);
+    sendRequests();
+    EXPECT_EQ(m_calls.peers.size(), 2U) << "those are not late yet";
+    m_clock.time += Duration(230);
+    sendRequests();
+    EXPECT_EQ(m_calls.peers.size(), 6U);
+}
+
+// Guards against copies of late calls that take the callers of steps without a call.
+TEST_F(ApprovalRequesterTest, CopiesOfALateCallLeaveCallersIdle)
+{
+    m_members.erase("b");
+    add("j", {step(1)});
+    sendRequests();
+    addMembers({"b", "c", "d"});
+    for (int i = 0; i < 2; ++i) {
+        m_clock.time += Duration(230);
+        sendRequests();
+    }
+    EXPECT_EQ(m_calls.peers.size(), 3U) << "the second repetition has no copies";
+    addMembers({"e", "f"});
+    addJobs(1);
+    m_clock.time += Duration(230);
+    sendRequests();
+    EXPECT_EQ(m_calls.peers.size(), 5U);
+    EXPECT_THAT((std::vector<std::string>{m_calls.peers[3].step, m_calls.peers[4].step}),
+                ::testing::UnorderedElementsAre("j.0.0", "j0.0.0"));
+}
+
+// Guards against a step that is asked about again although a copy of the failed call is on its way.
+TEST_F(ApprovalRequesterTest, ACallFailsWithItsLastCopy)
+{
+    m_members.erase("b");
+    add("j", {step(1)});
+    sendRequests();
+    addMembers({"b", "c", "d", "e", "f", "g", "h"});
+    m_clock.time += Duration(230);
+    sendRequests();
+    ASSERT_EQ(m_calls.peers.size(), 2U);
+    failPeer();
+    sendRequests();
+    EXPECT_EQ(m_calls.peers.size(), 1U);
+    failPeer();
+    sendRequests();
+    EXPECT_EQ(m_calls.peers.size(), 2U);
+}
+
 // Guards against calls that fail or are late through one member and cannot be told from the others.
 TEST_F(ApprovalRequesterTest, TheObserverLearnsCallerOutcomeAndTime)
 {
--- a/src/control/gateways.h
+++ b/src/control/gateways.h
@@ -158,6 +158,9 @@
     virtual ~PolicyGateway() = default;
     virtual void approve(const std::string &step, const std::vector<WorkerId> &workers,
                          Duration timeout, Done done) = 0;
+    // Makes the calls from now on over connections that are opened from now on, or that have served
+    // a call since. For callers that suspect a silent connection before a call times out.
+    virtual void closeIdleConnections() = 0;
 };
 
 // Calls to another entry instance.
@@ -167,6 +170,7 @@
     using Done = std::function<void(Result<work::ApprovalAnswer>)>;
 
     virtual ~PeerGateway() = default;
+    // If ApprovalRequest::newConnection is set, the call to the peer also takes a new connection.
     virtual void approve(const std::string &address, const work::ApprovalRequest &request,
                          Duration timeout, Done done) = 0;
     // Publishes stored records to a peer ahead of its next read of the log. Best effort: the peer
--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -350,6 +350,8 @@
 void Instance::approve(const work::ApprovalRequest &request,
                        std::function<void(work::ApprovalAnswer)> done)
 {
+    if (request.newConnection)
+        m_context.scheduler.policy.closeIdleConnections();
     m_context.scheduler.policy.approve(
         request.step, request.workers, Duration(request.timeoutMs),
         [done = std::move(done)](Result<std::vector<work::Approval>> result) {
--- a/src/control/peer_http.cc
+++ b/src/control/peer_http.cc
@@ -82,6 +82,8 @@
 void PeerHttpClient::approve(const std::string &address, const work::ApprovalRequest &request,
                              Duration timeout, Done done)
 {
+    if (request.newConnection)
+        m_http.closeIdleConnections(address);
     post(address, ApprovePath, encodeRecord(request), timeout,
          decodedFor<work::ApprovalAnswer>(std::move(done)));
 }
--- a/src/control/start_promise_testing.h
+++ b/src/control/start_promise_testing.h
@@ -209,6 +209,7 @@
     {
         call(m_self, step, workers, timeout, timeout, done);
     }
+    void closeIdleConnections() override { }
     // The address of a peer is its name.
     void approve(const std::string &address, const work::ApprovalRequest &request, Duration timeout,
                  PeerGateway::Done done) override
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -374,6 +374,7 @@
     {
         boost::asio::post(m_io, [workers, done] { done(approvalsFor(workers)); });
     }
+    void closeIdleConnections() override { }
     void approve(const std::string &, const work::ApprovalRequest &request, Duration,
                  PeerGateway::Done done) override
     {
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -222,8 +222,9 @@
 
 void Dispatcher::approvalLate(const PendingApproval &pending)
 {
-    if (dispatch::Step *step = m_impl->findStep(pending.step))
-        step->approvalCalls.erase(pending.call);
+    dispatch::Step *step = m_impl->findStep(pending.step);
+    if (step != nullptr && step->approvalCalls.erase(pending.call) > 0)
+        ++step->lateApprovalCalls;
 }
 
 void Dispatcher::approvalAnswered(const PendingApproval &pending,
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -45,6 +45,8 @@
     std::vector<WorkerId> workers; // candidates to name in the call
     double expectedPlaces = 0; // tasks that fit on the workers which are likely to be approved
     bool namesAll = false; // no candidate was left out
+    int32_t lateCalls = 0; // for the step since the last answer
+    Duration decisionTime{0}; // ApprovalPolicy::decisionTime
     Duration expectedCallTime{0};
     Duration validity{0}; // of an approval
 };
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -228,6 +228,8 @@
     out.call = ++m_lastApprovalCall;
     out.step = {step.job->spec->id, step.occurrence, step.number};
     out.validity = policy.validity;
+    out.lateCalls = step.lateApprovalCalls;
+    out.decisionTime = policy.decisionTime;
     std::vector<ApprovalChance> chances;
     const auto consider = [&](ApprovalCandidates::List &list, double probability) {
         std::sort(list.begin(), list.end(), [](const auto &a, const auto &b) {
@@ -291,6 +293,7 @@
     step->approvalCalls.erase(pending.call);
     if (answer == nullptr)
         return;
+    step->lateApprovalCalls = 0;
     step->approvalAnsweredAt = now;
     step->nextApprovalCallAt = pending.namesAll ? now + ApprovalCallInterval : now;
     // The policy service answers for one incarnation of a worker.
@@ -302,8 +305,10 @@
     std::set<WorkerId> approved;
     size_t firstRequested = 0; // workers whose approval was unknown
     size_t firstApproved = 0;
-    for (const WorkerId &worker : pending.workers)
-        firstRequested += step->approvals.contains(worker) ? 0 : 1;
+    for (const WorkerId &worker : pending.workers) {
+        const bool known = step->approvals.contains(worker) || step->deniedWorkers.contains(worker);
+        firstRequested += known ? 0 : 1;
+    }
     for (const work::Approval &approval : *answer) {
         if (restartedSince(approval.worker))
             continue;
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -186,6 +186,7 @@
     Instant approvalAnsweredAt = Instant::min(); // when the last call was answered
     int32_t answeredApprovalCalls = 0;
     int32_t failedApprovalCalls = 0;
+    int32_t lateApprovalCalls = 0; // since the last answer
 
     bool done() const { return succeeded == static_cast<int32_t>(tasks.size()); }
 };
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -1937,6 +1937,10 @@
 void ApprovalRequest::__set_timeoutMs(const int64_t val) {
   this->timeoutMs = val;
 }
+
+void ApprovalRequest::__set_newConnection(const bool val) {
+  this->newConnection = val;
+}
 std::ostream& operator<<(std::ostream& out, const ApprovalRequest& obj)
 {
   obj.printTo(out);
@@ -2001,6 +2005,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->newConnection);
+          this->__isset.newConnection = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2038,6 +2050,10 @@
   xfer += oprot->writeI64(this->timeoutMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("newConnection", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->newConnection);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2048,6 +2064,7 @@
   swap(a.step, b.step);
   swap(a.workers, b.workers);
   swap(a.timeoutMs, b.timeoutMs);
+  swap(a.newConnection, b.newConnection);
   swap(a.__isset, b.__isset);
 }
 
@@ -2055,18 +2072,21 @@
   step = other91.step;
   workers = other91.workers;
   timeoutMs = other91.timeoutMs;
+  newConnection = other91.newConnection;
   __isset = other91.__isset;
 }
 ApprovalRequest::ApprovalRequest(ApprovalRequest&& other92) noexcept {
   step = std::move(other92.step);
   workers = std::move(other92.workers);
   timeoutMs = other92.timeoutMs;
+  newConnection = other92.newConnection;
   __isset = other92.__isset;
 }
 ApprovalRequest& ApprovalRequest::operator=(const ApprovalRequest& other93) {
   step = other93.step;
   workers = other93.workers;
   timeoutMs = other93.timeoutMs;
+  newConnection = other93.newConnection;
   __isset = other93.__isset;
   return *this;
 }
@@ -2074,6 +2094,7 @@
   step = std::move(other94.step);
   workers = std::move(other94.workers);
   timeoutMs = other94.timeoutMs;
+  newConnection = other94.newConnection;
   __isset = other94.__isset;
   return *this;
 }
@@ -2083,6 +2104,7 @@
   out << "step=" << to_string(step);
   out << ", " << "workers=" << to_string(workers);
   out << ", " << "timeoutMs=" << to_string(timeoutMs);
+  out << ", " << "newConnection=" << to_string(newConnection);
   out << ")";
 }
 
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -703,10 +703,11 @@
 std::ostream& operator<<(std::ostream& out, const Member& obj);
 
 typedef struct _ApprovalRequest__isset {
-  _ApprovalRequest__isset() : step(false), workers(false), timeoutMs(false) {}
+  _ApprovalRequest__isset() : step(false), workers(false), timeoutMs(false), newConnection(false) {}
   bool step :1;
   bool workers :1;
   bool timeoutMs :1;
+  bool newConnection :1;
 } _ApprovalRequest__isset;
 
 class ApprovalRequest : public virtual ::apache::thrift::TBase {
@@ -718,13 +719,15 @@
   ApprovalRequest& operator=(ApprovalRequest&&) noexcept;
   ApprovalRequest() noexcept
                   : step(),
-                    timeoutMs(0) {
+                    timeoutMs(0),
+                    newConnection(0) {
   }
 
   virtual ~ApprovalRequest() noexcept;
   std::string step;
   std::vector<std::string>  workers;
   int64_t timeoutMs;
+  bool newConnection;
 
   _ApprovalRequest__isset __isset;
 
@@ -734,6 +737,8 @@
 
   void __set_timeoutMs(const int64_t val);
 
+  void __set_newConnection(const bool val);
+
   bool operator == (const ApprovalRequest & rhs) const
   {
     if (!(step == rhs.step))
@@ -742,6 +747,8 @@
       return false;
     if (!(timeoutMs == rhs.timeoutMs))
       return false;
+    if (!(newConnection == rhs.newConnection))
+      return false;
     return true;
   }
   bool operator != (const ApprovalRequest &rhs) const {
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -92,7 +92,13 @@
 struct Member { 1: string name; 2: string address; 3: i64 cpuMilli; 4: string availabilityZone; }
 
 // Asks an entry instance to call the policy service on the scheduler's behalf.
-struct ApprovalRequest { 1: string step; 2: list<string> workers; 3: i64 timeoutMs; }
+// `newConnection` is set while connections that were opened before may be silent.
+struct ApprovalRequest {
+  1: string step;
+  2: list<string> workers;
+  3: i64 timeoutMs;
+  4: bool newConnection;
+}
 struct Approval { 1: string worker; 2: string ticket; }
 struct ApprovalAnswer { 1: bool ok; 2: list<Approval> approved; 3: string error; }
 
