Renew approvals ahead for steps that wait for limit or room

Callers saw steps that held approvals, waited for the limit of their team or for room, and then waited for another call of 0.3 to 0.6 s because the approvals had expired meanwhile; others of the team took the place. The approvals of a gang were renewed only once all of its room was free (6.7 s in one trace, with no call for 4 s).

Such steps now have approvals renewed by the expected time of a call before they end (dispatcher_renewals.cc): only workers that are approved, as few as the step needs, gangs that hold places first. Renewals come after all calls that steps wait for and leave half of the callers idle, rounded up. They do not count as a call of the step, so they hold up no other one. Routes whose approvals last for less than that lead are not renewed ahead.

Seen to fail before: AGangWhoseRoomComesBackAfterTheValidityStartsInTheSameDecision (0 of 4 started) and AStepThatWaitsForTheLimitKeepsFewApprovals, both without renewals in a scratch copy; the latter also if a renewal counts as a call of the step; RenewalsLeaveHalfOfTheCallersIdle without the reserve.

--- a/src/control/approval_requester.cc
+++ b/src/control/approval_requester.cc
@@ -28,6 +28,8 @@
 // CallersPerReservedByCopies stays idle, for steps without a call.
 constexpr int MaxCopyDoublings = 2;
 constexpr size_t CallersPerReservedByCopies = 4;
+// Renewals leave one caller in this many idle, rounded up.
+constexpr size_t CallersPerReservedByRenewals = 2;
 
 } // namespace
 
@@ -59,6 +61,9 @@
         Dispatcher::ApprovalSearch search = m_dispatcher.searchPendingApprovals(now, unixMs);
         const std::vector<PendingApproval> repeated = sendPending(idle, search);
         sendCopies(idle, repeated, members.size() / CallersPerReservedByCopies);
+        const size_t reserved =
+            (members.size() + CallersPerReservedByRenewals - 1) / CallersPerReservedByRenewals;
+        sendRenewals(idle, search, reserved);
     }
 }
 
@@ -123,6 +128,20 @@
     }
 }
 
+void ApprovalRequester::sendRenewals(IdleCallers &idle, Dispatcher::ApprovalSearch &search,
+                                     size_t minIdle)
+{
+    for (size_t i = idle.size(); i-- > 0 && idle.size() > minIdle;) {
+        const IdleCaller caller = idle[i];
+        const auto pending = search.nextRenewal(caller.maxDecisionTime);
+        if (!pending)
+            continue;
+        m_dispatcher.approvalRequested(*pending);
+        send(caller.member->name, caller.member->address, *pending);
+        idle.erase(idle.begin() + static_cast<ptrdiff_t>(i));
+    }
+}
+
 void ApprovalRequester::reportLateCalls(Instant now)
 {
     for (auto &[name, caller] : m_callers) {
--- a/src/control/approval_requester.h
+++ b/src/control/approval_requester.h
@@ -52,7 +52,8 @@
 
     // Sends calls through idle members, at most one at a time through each, as long as approvals
     // are pending. Repeats calls whose answer is late through other members, through several at
-    // once if they are idle, and over new connections. Call it several times a second.
+    // once if they are idle, and over new connections. Renews approvals through members that are
+    // idle after that. Call it several times a second.
     void sendRequests(const std::map<std::string, work::Member> &members, int64_t unixMs);
 
 private:
@@ -91,6 +92,8 @@
     // Sends the calls that steps wait for. Removes the callers that it uses, and returns the calls
     // that repeat late ones.
     std::vector<PendingApproval> sendPending(IdleCallers &idle, Dispatcher::ApprovalSearch &search);
+    // Renews approvals as long as more than `minIdle` callers are idle.
+    void sendRenewals(IdleCallers &idle, Dispatcher::ApprovalSearch &search, size_t minIdle);
     // Sends copies of the repeated calls as long as more than `minIdle` callers are idle.
     void sendCopies(IdleCallers &idle, const std::vector<PendingApproval> &repeated,
                     size_t minIdle);
--- a/src/control/approval_requester_test.cc
+++ b/src/control/approval_requester_test.cc
@@ -105,6 +105,22 @@
         done(Error{ErrorCode::OutcomeUnknown, "no answer"});
     }
 
+    // Answers all calls that the worker is approved.
+    void approveAll()
+    {
+        work::Approval approval;
+        approval.worker = "w";
+        const auto own = std::exchange(m_calls.own, {});
+        for (const auto &[step, done] : own)
+            done(std::vector<work::Approval>{approval});
+        const auto peers = std::exchange(m_calls.peers, {});
+        for (const PendingCalls::PeerCall &call : peers) {
+            work::ApprovalAnswer answer;
+            answer.ok = true;
+            answer.approved = {approval};
+            call.done(answer);
+        }
+    }
     // Answers the last call to a peer.
     void answerPeer()
     {
@@ -334,6 +350,33 @@
     EXPECT_EQ(m_calls.peers.size(), 2U);
 }
 
+// Guards against renewals that take the callers of steps without a call.
+TEST_F(ApprovalRequesterTest, RenewalsLeaveHalfOfTheCallersIdle)
+{
+    m_limit.cpuMilli = 1'000; // of one task
+    setCatalog();
+    addMembers({"c", "d"});
+    addJobs(6);
+    for (int i = 0; i < 4; ++i) {
+        m_now = m_clock.time;
+        decide();
+        sendRequests();
+        approveAll();
+        m_clock.time += Duration(30);
+    }
+    decide();
+    sendRequests();
+    ASSERT_TRUE(m_calls.own.empty() && m_calls.peers.empty()) << "all approvals are there";
+    m_clock.time += Duration(1'580); // just before the first ones expire
+    m_now = m_clock.time;
+    decide();
+    sendRequests();
+    EXPECT_EQ(m_calls.own.size() + m_calls.peers.size(), 2U);
+    add("new", {step(1)});
+    sendRequests();
+    EXPECT_EQ(m_calls.own.size() + m_calls.peers.size(), 3U);
+}
+
 // Guards against calls that fail or are late through one member and cannot be told from the others.
 TEST_F(ApprovalRequesterTest, TheObserverLearnsCallerOutcomeAndTime)
 {
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -140,6 +140,7 @@
     // In the order in which they get calls; null once settled or moved to `nextRound`.
     dispatch::ApprovalOrder steps;
     Steps nextRound; // have been given a call in this round
+    std::optional<Steps> renewals; // that are left to look at; set by the first use
 
     std::optional<PendingApproval> nextOf(Steps &candidates, Duration maxDecisionTime,
                                           bool &skipped);
@@ -192,11 +193,26 @@
     }
 }
 
+std::optional<PendingApproval> Dispatcher::ApprovalSearch::nextRenewal(Duration maxDecisionTime)
+{
+    State &state = *m_state;
+    if (!state.renewals)
+        state.renewals = state.impl.stepsForRenewal(state.now, state.unixMs);
+    for (dispatch::Step *&step : *state.renewals) {
+        if (step == nullptr || state.impl.approvalPolicyOf(*step).decisionTime > maxDecisionTime)
+            continue;
+        if (auto pending = state.impl.pendingRenewal(*step, state.now))
+            return pending;
+        step = nullptr;
+    }
+    return std::nullopt;
+}
+
 Dispatcher::ApprovalSearch Dispatcher::searchPendingApprovals(Instant now, int64_t unixMs)
 {
     auto steps = m_impl->stepsForApproval(now, unixMs);
     return ApprovalSearch(std::make_unique<ApprovalSearch::State>(
-        ApprovalSearch::State{*m_impl, now, unixMs, std::move(steps), {}}));
+        ApprovalSearch::State{*m_impl, now, unixMs, std::move(steps), {}, {}}));
 }
 
 bool Dispatcher::hasApprovalsWithin(Duration maxDecisionTime) const
@@ -217,13 +233,14 @@
 {
     if (dispatch::Step *step = m_impl->findStep(pending.step))
         step->approvalCalls[pending.call] = {{pending.workers.begin(), pending.workers.end()},
-                                             pending.expectedPlaces};
+                                             pending.expectedPlaces,
+                                             pending.renewal};
 }
 
 void Dispatcher::approvalLate(const PendingApproval &pending)
 {
     dispatch::Step *step = m_impl->findStep(pending.step);
-    if (step != nullptr && step->approvalCalls.erase(pending.call) > 0)
+    if (step != nullptr && step->approvalCalls.erase(pending.call) > 0 && !pending.renewal)
         ++step->lateApprovalCalls;
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -45,6 +45,7 @@
     std::vector<WorkerId> workers; // candidates to name in the call
     double expectedPlaces = 0; // tasks that fit on the workers which are likely to be approved
     bool namesAll = false; // no candidate was left out
+    bool renewal = false; // of approvals that the step does not need yet
     int32_t lateCalls = 0; // for the step since the last answer
     Duration decisionTime{0}; // ApprovalPolicy::decisionTime
     Duration expectedCallTime{0};
@@ -138,6 +139,9 @@
         // before any gets a second one. Skips routes whose ApprovalPolicy::decisionTime exceeds
         // `maxDecisionTime`. Call approvalRequested() when the call is sent.
         std::optional<PendingApproval> next(Duration maxDecisionTime);
+        // Returns a call that renews approvals of a step which waits for room or for the limit of
+        // its team. No step waits for the answer. Otherwise as next().
+        std::optional<PendingApproval> nextRenewal(Duration maxDecisionTime);
 
     private:
         friend class Dispatcher;
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -42,17 +42,6 @@
 // these behind a queue of old ones.
 constexpr Duration MaxCallWait{1'000};
 
-int64_t fittingTasks(const Worker &worker, const Step &step)
-{
-    int64_t limit = INT32_MAX;
-    if (step.spec->maxPerWorker > 0) {
-        const auto active = step.perWorker.find(worker.entry.id);
-        const int32_t taken = active == step.perWorker.end() ? 0 : active->second;
-        limit = std::max(0, step.spec->maxPerWorker - taken);
-    }
-    return countFitting(worker.entry.capacity - worker.used, step.taskResources, limit);
-}
-
 int64_t placesOf(const ApprovalCandidates::List &list)
 {
     return std::accumulate(list.begin(), list.end(), int64_t{0},
@@ -82,13 +71,55 @@
     return step.waitReason == WaitReason::TeamLimit ? ApprovalTurn::Limited : ApprovalTurn::Further;
 }
 
-Duration expectedCallTime(const ApprovalPolicy &policy, size_t workers)
+} // namespace
+
+int64_t Dispatcher::Impl::fittingTasks(const Worker &worker, const Step &step)
+{
+    int64_t limit = INT32_MAX;
+    if (step.spec->maxPerWorker > 0) {
+        const auto active = step.perWorker.find(worker.entry.id);
+        const int32_t taken = active == step.perWorker.end() ? 0 : active->second;
+        limit = std::max(0, step.spec->maxPerWorker - taken);
+    }
+    return countFitting(worker.entry.capacity - worker.used, step.taskResources, limit);
+}
+
+// Returns for how many tasks of the step approved workers should have places.
+int64_t Dispatcher::Impl::placesWanted(const Step &step)
+{
+    return step.spec->gang ? static_cast<int64_t>(std::ceil(step.waiting * GangPlacesMargin))
+                           : PlacesMargin * step.waiting;
+}
+
+// Returns whether a call that the step waits for is in progress.
+bool Dispatcher::Impl::hasCall(const Step &step)
+{
+    return std::any_of(step.approvalCalls.begin(), step.approvalCalls.end(),
+                       [](const auto &it) { return !it.second.renewal; });
+}
+
+bool Dispatcher::Impl::isRequested(const Step &step, const WorkerId &id)
+{
+    return std::any_of(step.approvalCalls.begin(), step.approvalCalls.end(),
+                       [&id](const auto &it) { return it.second.workers.contains(id); });
+}
+
+size_t Dispatcher::Impl::maxWorkersPerCall(const ApprovalPolicy &policy)
+{
+    return policy.perWorkerMs >= SlowPerWorkerMs ? MaxWorkersPerSlowCall : MaxWorkersPerCall;
+}
+
+Duration Dispatcher::Impl::expectedCallTime(const ApprovalPolicy &policy, size_t workers)
 {
     return policy.decisionTime
            + Duration(static_cast<int64_t>(policy.perWorkerMs * static_cast<double>(workers)));
 }
 
-} // namespace
+// Returns how long before they are needed approvals are requested.
+Duration Dispatcher::Impl::approvalLead(const ApprovalPolicy &policy)
+{
+    return expectedCallTime(policy, MaxWorkersPerSlowCall) + ApprovalLeadMargin;
+}
 
 Step *Dispatcher::Impl::findStep(const StepRef &ref)
 {
@@ -129,8 +160,7 @@
 std::optional<Instant> Dispatcher::Impl::waitsForCallSince(const Step &step, Instant now,
                                                            int64_t unixMs) const
 {
-    if (!step.approvalCalls.empty() || approvalTurn(step) == ApprovalTurn::Limited
-        || !isReady(step, unixMs))
+    if (hasCall(step) || approvalTurn(step) == ApprovalTurn::Limited || !isReady(step, unixMs))
         return std::nullopt;
     return std::max(waitStart(step, now), step.approvalAnsweredAt);
 }
@@ -142,8 +172,7 @@
 
 bool Dispatcher::Impl::isApprovalDue(const Step &step, Instant now, int64_t unixMs) const
 {
-    const Duration lead =
-        expectedCallTime(approvalPolicyOf(step), MaxWorkersPerSlowCall) + ApprovalLeadMargin;
+    const Duration lead = approvalLead(approvalPolicyOf(step));
     return step.nextApprovalCallAt <= now && (isReady(step, unixMs) || isDueSoon(step, now, lead));
 }
 
@@ -168,10 +197,7 @@
                 break;
             continue;
         }
-        const bool requested =
-            std::any_of(step.approvalCalls.begin(), step.approvalCalls.end(),
-                        [&id = id](const auto &it) { return it.second.workers.contains(id); });
-        if (!requested)
+        if (!isRequested(step, id))
             (approved ? out.expired : out.unknown).emplace_back(fitting, id);
     }
     // As long as the gang cannot start for lack of room, renewed approvals would only expire again.
@@ -196,8 +222,7 @@
 {
     const double needed = step.waiting * (step.spec->gang ? GangPlacesMargin : 1);
     // Only a gang needs several calls at once; other steps start with what one call brings.
-    const bool settled =
-        step.spec->gang ? placesRequested(step) >= needed : !step.approvalCalls.empty();
+    const bool settled = step.spec->gang ? placesRequested(step) >= needed : hasCall(step);
     if (settled || !isApprovalDue(step, now, unixMs))
         return std::nullopt;
     ApprovalCandidates candidates = approvalCandidates(step, now);
@@ -205,31 +230,33 @@
     const bool enough = candidates.approvedPlaces >= step.waiting
                         || approvedPlaces + placesRequested(step) >= needed;
     const auto placeable = [&] {
-        return !step.spec->gang || !step.approvalCalls.empty() || hasPlacement(step, now);
+        return !step.spec->gang || hasCall(step) || hasPlacement(step, now);
     };
     if ((enough && placeable()) || (candidates.expired.empty() && candidates.unknown.empty()))
         return std::nullopt;
-    const int64_t wanted =
-        step.spec->gang ? static_cast<int64_t>(std::ceil(needed)) : PlacesMargin * step.waiting;
-    const auto requested = static_cast<int64_t>(placesRequested(step));
-    const int64_t missing = wanted - candidates.approvedPlaces - requested;
-    return callFor(step, std::move(candidates), std::max<int64_t>(1, missing));
+    return callFor(step, std::move(candidates));
 }
 
-// Returns a call that names as many of the candidates as pays for `missing` places: those whose
-// approval has expired first, then those with the most room.
-PendingApproval Dispatcher::Impl::callFor(const Step &step, ApprovalCandidates candidates,
-                                          int64_t missing)
+// Returns a call for the step that names no worker yet.
+PendingApproval Dispatcher::Impl::newCall(const Step &step)
 {
     const ApprovalPolicy &policy = approvalPolicyOf(step);
-    const size_t maxWorkers =
-        policy.perWorkerMs >= SlowPerWorkerMs ? MaxWorkersPerSlowCall : MaxWorkersPerCall;
     PendingApproval out;
     out.call = ++m_lastApprovalCall;
     out.step = {step.job->spec->id, step.occurrence, step.number};
     out.validity = policy.validity;
     out.lateCalls = step.lateApprovalCalls;
     out.decisionTime = policy.decisionTime;
+    return out;
+}
+
+// Returns a call that names candidates: those whose approval has expired first, then those with the
+// most room.
+PendingApproval Dispatcher::Impl::callFor(const Step &step, ApprovalCandidates candidates)
+{
+    const ApprovalPolicy &policy = approvalPolicyOf(step);
+    const size_t maxWorkers = maxWorkersPerCall(policy);
+    PendingApproval out = newCall(step);
     std::vector<ApprovalChance> chances;
     const auto consider = [&](ApprovalCandidates::List &list, double probability) {
         std::sort(list.begin(), list.end(), [](const auto &a, const auto &b) {
@@ -245,8 +272,10 @@
     consider(candidates.expired, 1);
     consider(candidates.unknown, approvedShareOf(step.job->spec->route));
     // The tasks of a gang start together, so each further call would hold up all of them.
-    if (!step.spec->gang)
-        out.workers.resize(bestCallSize(chances, missing, policy));
+    if (!step.spec->gang) {
+        const int64_t missing = placesWanted(step) - candidates.approvedPlaces;
+        out.workers.resize(bestCallSize(chances, std::max<int64_t>(1, missing), policy));
+    }
     for (size_t i = 0; i < out.workers.size(); ++i)
         out.expectedPlaces += static_cast<double>(chances[i].places) * chances[i].probability;
     out.namesAll = out.workers.size() == candidates.expired.size() + candidates.unknown.size();
@@ -294,8 +323,10 @@
     if (answer == nullptr)
         return;
     step->lateApprovalCalls = 0;
-    step->approvalAnsweredAt = now;
-    step->nextApprovalCallAt = pending.namesAll ? now + ApprovalCallInterval : now;
+    if (!pending.renewal) {
+        step->approvalAnsweredAt = now;
+        step->nextApprovalCallAt = pending.namesAll ? now + ApprovalCallInterval : now;
+    }
     // The policy service answers for one incarnation of a worker.
     const auto restartedSince = [this, at](const WorkerId &id) {
         const auto it = m_workers.find(id);
--- a/src/dispatch/dispatcher_approvals_test.cc
+++ b/src/dispatch/dispatcher_approvals_test.cc
@@ -47,6 +47,27 @@
         }
         return out;
     }
+    std::optional<PendingApproval> nextRenewal()
+    {
+        return m_dispatcher.searchPendingApprovals(m_now, UnixNow).nextRenewal(Duration::max());
+    }
+    // Lets time pass in which all calls are answered at once, and counts the calls.
+    int passTime(Duration time)
+    {
+        int calls = 0;
+        for (const Instant end = m_now + time; m_now < end; m_now += Duration(100)) {
+            decide();
+            for (auto call = next(); call; call = next(), ++calls) {
+                m_dispatcher.approvalRequested(*call);
+                answer(*call, m_now, 1);
+            }
+            for (auto call = nextRenewal(); call; call = nextRenewal(), ++calls) {
+                m_dispatcher.approvalRequested(*call);
+                answer(*call, m_now, 1);
+            }
+        }
+        return calls;
+    }
     // Answers that one in `divisor` of the named workers is approved.
     void answer(const PendingApproval &pending, Instant sentAt, int divisor)
     {
@@ -359,6 +380,50 @@
     EXPECT_NE(ahead->workers, early->workers);
 }
 
+// Guards against a gang that waits for a call once its room is back, because its approvals have
+// expired while it waited.
+TEST_F(ApprovalsTest, AGangWhoseRoomComesBackAfterTheValidityStartsInTheSameDecision)
+{
+    joinWorkers(4);
+    add("other", {step(2, WorkerCpuMilli)});
+    passTime(Duration(100));
+    const auto first = startAll();
+    ASSERT_EQ(first.size(), 2U);
+    add("job", {gang(4)});
+    passTime(3 * Validity);
+    for (const StartOrder &order : first)
+        report(order.worker, {}, {ended(order, RunOutcome::Succeeded)});
+    EXPECT_EQ(decide().starts.size(), 4U);
+}
+
+// Guards against a step that loses its approvals while it waits for the limit of its team, and
+// against renewals about more workers than it needs.
+TEST_F(ApprovalsTest, AStepThatWaitsForTheLimitKeepsFewApprovals)
+{
+    m_limit.cpuMilli = 4'000;
+    setCatalog();
+    joinWorkers(20);
+    add("other", {step(4)});
+    passTime(Duration(100));
+    add("job", {step(1)});
+    const int calls = passTime(Duration(100));
+    EXPECT_GE(calls, 1);
+    const std::vector<StartOrder> none = decide().starts;
+    ASSERT_TRUE(none.empty());
+    m_now += Validity - Duration(1'200);
+    EXPECT_FALSE(nextRenewal()) << "the approvals last";
+    m_now += Duration(800);
+    decide();
+    const auto renewal = nextRenewal();
+    ASSERT_TRUE(renewal);
+    EXPECT_EQ(renewal->step.job, "job");
+    EXPECT_EQ(renewal->workers.size(), 1U);
+    m_dispatcher.approvalRequested(*renewal);
+    EXPECT_FALSE(nextRenewal()) << "one is enough";
+    m_now += Duration(200);
+    EXPECT_TRUE(next()) << "no approval is valid, and a renewal holds up no other call";
+}
+
 // Guards against a worker that a step never names again: it left and came back while the policy
 // service was asked, and the answer is about its former life.
 TEST_F(ApprovalsTest, AnAnswerAboutAWorkerThatWasListedAgainIsIgnored)
--- a/src/dispatch/dispatcher_holds.cc
+++ b/src/dispatch/dispatcher_holds.cc
@@ -140,7 +140,8 @@
         for (const auto &[id, worker] : m_workers)
             consider(*worker);
     }
-    // An expired approval is renewed once all places are free.
+    // Expired approvals are renewed ahead while callers are idle, otherwise once all places are
+    // free.
     for (const auto &[id, approval] : step.approvals) {
         const auto it = m_workers.find(id);
         if (route.approval && it != m_workers.end() && !step.deniedWorkers.contains(id))
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -50,6 +50,10 @@
     void forgetApprovals(const WorkerId &id);
     dispatch::Step *findStep(const StepRef &ref);
 
+    // dispatcher_renewals.cc
+    std::vector<dispatch::Step *> stepsForRenewal(Instant now, int64_t unixMs);
+    std::optional<PendingApproval> pendingRenewal(dispatch::Step &step, Instant now);
+
     // dispatcher_waits.cc
     WaitingStepsByReason waitingSteps(Instant now, int64_t unixMs) const;
 
@@ -186,13 +190,23 @@
     // dispatcher_approvals.cc
     bool isApprovalDue(const Step &step, Instant now, int64_t unixMs) const;
     dispatch::ApprovalCandidates approvalCandidates(const Step &step, Instant now) const;
-    PendingApproval callFor(const Step &step, dispatch::ApprovalCandidates candidates,
-                            int64_t missing);
+    PendingApproval newCall(const Step &step);
+    PendingApproval callFor(const Step &step, dispatch::ApprovalCandidates candidates);
     std::optional<Instant> waitsForCallSince(const Step &step, Instant now, int64_t unixMs) const;
     bool hasPlacement(Step &step, Instant now);
+    static int64_t fittingTasks(const Worker &worker, const Step &step);
+    static int64_t placesWanted(const Step &step);
+    static bool hasCall(const Step &step);
+    static bool isRequested(const Step &step, const WorkerId &id);
+    static size_t maxWorkersPerCall(const ApprovalPolicy &policy);
+    static Duration expectedCallTime(const ApprovalPolicy &policy, size_t workers);
+    static Duration approvalLead(const ApprovalPolicy &policy);
     double approvedShareOf(const std::string &route) const;
     void updateApprovedShare(const std::string &route, size_t requested, size_t approved);
 
+    // dispatcher_renewals.cc
+    int64_t placesAfterWait(const Worker &worker, const Step &step) const;
+
     // dispatcher_waits.cc
     // Returns whether the step is ready and has tasks that wait.
     bool isWaiting(const Step &step, int64_t unixMs) const;
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -131,6 +131,7 @@
 {
     std::set<WorkerId> workers;
     double expectedPlaces = 0; // see PendingApproval
+    bool renewal = false; // see PendingApproval
 };
 
 // Steps that may need approvals, in the order in which they get calls.
@@ -183,6 +184,7 @@
     std::set<WorkerId> deniedWorkers;
     std::map<uint64_t, ApprovalCall> approvalCalls; // by number; those that are not late
     Instant nextApprovalCallAt; // earliest time of the next approval call
+    Instant nextRenewalCheckAt; // earliest time at which approvals are renewed
     Instant approvalAnsweredAt = Instant::min(); // when the last call was answered
     int32_t answeredApprovalCalls = 0;
     int32_t failedApprovalCalls = 0;
