--- a/src/control/start_promise_testing.h
+++ b/src/control/start_promise_testing.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -201,8 +202,16 @@
     int callsFor(const std::string &step) const
     {
         const auto it = m_calls.find(step);
-        return it == m_calls.end() ? 0 : it->second;
+        return it == m_calls.end() ? 0 : it->second.count;
     }
+    // Returns when the first call for the step was sent, if any was.
+    std::optional<Instant> firstCallFor(const std::string &step) const
+    {
+        const auto it = m_calls.find(step);
+        return it == m_calls.end() ? std::nullopt : std::optional(it->second.firstAt);
+    }
+    // Returns how long callers have waited for answers, all callers together.
+    Duration callTime() const { return m_callTime; }
 
     void approve(const std::string &step, const std::vector<WorkerId> &workers, Duration timeout,
                  PolicyGateway::Done done) override
@@ -246,6 +255,11 @@
         Duration delay{0};
         std::vector<Instant> ends; // of calls that wait or are being decided
     };
+    struct CallsOfStep
+    {
+        int count = 0;
+        Instant firstAt;
+    };
     struct Ticket
     {
         WorkerId worker;
@@ -261,7 +275,7 @@
     {
         Caller &caller = m_callers[name];
         const Instant sentAt = m_time.now();
-        ++m_calls[step];
+        ++m_calls.try_emplace(step, CallsOfStep{0, sentAt}).first->second.count;
         const auto fail = [this, done](Duration after, ErrorCode code, const char *why) {
             m_time.after(after, [done, code, why] { done(Error{code, why}); });
         };
@@ -277,6 +291,7 @@
         const Instant end = begin + m_parameters.decisionTime + perWorkers;
         caller.ends.push_back(end);
         const Instant answered = end + LinkDelay;
+        m_callTime += answered - sentAt;
         if (answered - sentAt > serviceTimeout)
             return fail(serviceTimeout + LinkDelay, ErrorCode::OutcomeUnknown, "timed out");
         m_time.after(answered - sentAt, [=, this] {
@@ -311,7 +326,8 @@
     std::string m_self;
     std::map<std::string, Caller> m_callers;
     std::map<std::string, Ticket> m_tickets;
-    std::map<std::string, int> m_calls;
+    std::map<std::string, CallsOfStep> m_calls;
+    Duration m_callTime{0};
 };
 
 // A worker that runs tasks. The members of a gang end together; if one of them ends early, the
