Show how busy the callers of the policy service are

From logs and metrics, operators could not tell a policy service that denies everything from instances that are all busy with calls: a waiting step showed calls_active=0 calls_answered=0 in both cases.

The requester tells the dispatcher how many instances are busy. The task_overdue line of a step that needs approvals shows callers_busy=BUSY/ALL and oldest_without_call_ms, the longest wait of a ready step that has had no call.

Seen to fail without the fields in a scratch copy: OverdueTest.ShowsHowBusyTheCallersOfThePolicyServiceAre.

--- a/src/control/approval_requester.cc
+++ b/src/control/approval_requester.cc
@@ -65,6 +65,7 @@
             (members.size() + CallersPerReservedByRenewals - 1) / CallersPerReservedByRenewals;
         sendRenewals(idle, search, reserved);
     }
+    m_dispatcher.setApprovalCallers({members.size() - idle.size(), members.size()});
 }
 
 ApprovalRequester::IdleCallers
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -119,6 +119,11 @@
     {
         return m_scheduler ? m_scheduler->waitingSteps() : WaitingStepsByReason{};
     }
+    // How busy the callers of the policy service are; all 0 while this instance does not schedule.
+    ApprovalLoad approvalLoad() const
+    {
+        return m_scheduler ? m_scheduler->approvalLoad() : ApprovalLoad{};
+    }
 
 private:
     // Of the topics, while this instance is not the scheduler.
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -443,6 +443,11 @@
     return m_dispatcher.waitingSteps(m_context.clock.now(), m_context.unixClock());
 }
 
+ApprovalLoad Scheduler::approvalLoad() const
+{
+    return m_dispatcher.approvalLoad(m_context.clock.now(), m_context.unixClock());
+}
+
 void Scheduler::updateWorkerGateway()
 {
     // Until the registry is loaded, the workers in use tell about how many there are.
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -100,6 +100,7 @@
     Instant lastStoredAt() const { return m_lastStoredAt; }
     // Ready steps that wait; see Dispatcher::waitingSteps().
     WaitingStepsByReason waitingSteps() const;
+    ApprovalLoad approvalLoad() const;
     // How long instances have held the tenure; see TenureClock.
     int64_t heldMs() const { return m_tenureClock.heldMs(); }
     // Releases the tenure as release() does, and records that the holder was overloaded.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -229,6 +229,16 @@
     return searchPendingApprovals(now, unixMs).next(maxDecisionTime);
 }
 
+void Dispatcher::setApprovalCallers(const ApprovalCallers &callers)
+{
+    m_impl->m_approvalCallers = callers;
+}
+
+ApprovalLoad Dispatcher::approvalLoad(Instant now, int64_t unixMs) const
+{
+    return m_impl->approvalLoad(now, unixMs);
+}
+
 void Dispatcher::approvalRequested(const PendingApproval &pending)
 {
     if (dispatch::Step *step = m_impl->findStep(pending.step))
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 // thread-safe.
 #pragma once
 
+#include "dispatch/approval_load.h"
 #include "dispatch/catalog.h"
 #include "dispatch/step_wait.h"
 #include "dispatch/worker_runs.h"
@@ -155,6 +156,9 @@
     // Returns the first result of such a search.
     std::optional<PendingApproval> nextPendingApproval(Instant now, int64_t unixMs,
                                                        Duration maxDecisionTime);
+    // Sets the callers of the policy service, for approvalLoad() and "task_overdue" events.
+    void setApprovalCallers(const ApprovalCallers &callers);
+    ApprovalLoad approvalLoad(Instant now, int64_t unixMs) const;
     // Records that the call was sent: until approvalAnswered() or approvalLate() is called for it,
     // its workers are named in no other call for the step.
     void approvalRequested(const PendingApproval &pending);
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -165,6 +165,25 @@
     return std::max(waitStart(step, now), step.approvalAnsweredAt);
 }
 
+ApprovalLoad Dispatcher::Impl::approvalLoad(Instant now, int64_t unixMs) const
+{
+    ApprovalLoad out;
+    out.callers = m_approvalCallers;
+    for (const auto &[id, job] : m_jobs) {
+        const WorkRoute *route = routeOf(*job);
+        if (route == nullptr || !route->approval)
+            continue;
+        for (const auto &step : job->steps) {
+            const bool hadCall = step->answeredApprovalCalls + step->failedApprovalCalls > 0
+                                 || step->lateApprovalCalls > 0 || !step->approvalCalls.empty();
+            if (!hadCall && isWaiting(*step, unixMs))
+                out.longestWaitForCall =
+                    std::max(out.longestWaitForCall, now - waitStart(*step, now));
+        }
+    }
+    return out;
+}
+
 const ApprovalPolicy &Dispatcher::Impl::approvalPolicyOf(const Step &step) const
 {
     return *routeOf(*step.job)->approval;
--- a/src/dispatch/dispatcher_overdue.cc
+++ b/src/dispatch/dispatcher_overdue.cc
@@ -62,6 +62,13 @@
     return out;
 }
 
+std::string describeLoad(const ApprovalLoad &load)
+{
+    return count("callers_busy", static_cast<int64_t>(load.callers.busy)) + "/"
+           + std::to_string(load.callers.all)
+           + count("oldest_without_call_ms", load.longestWaitForCall.count());
+}
+
 void addPlaces(Places &places, const Worker &worker, const Step &step)
 {
     const auto tasks = static_cast<int64_t>(step.tasks.size());
@@ -212,7 +219,8 @@
     return out + count("backoff_ms", std::max<int64_t>(0, (task.notBefore - now).count()));
 }
 
-void Dispatcher::Impl::reportOverdueStep(Step &step, Instant now, int64_t unixMs)
+void Dispatcher::Impl::reportOverdueStep(Step &step, const ApprovalLoad &load, Instant now,
+                                         int64_t unixMs)
 {
     const Task *blocking = blockingTask(step, now);
     const Task &task = blocking == nullptr ? firstWaitingTask(step) : *blocking;
@@ -227,7 +235,10 @@
     detail += " reason=" + std::string(stepWaitName(waitOf(step, now)));
     detail += " route=" + step.job->spec->route;
     if (const WorkRoute *route = routeOf(*step.job)) {
-        detail += describePlaces(step, *route, now) + describeBlock(step, task, now);
+        detail += describePlaces(step, *route, now);
+        if (route->approval)
+            detail += describeLoad(load);
+        detail += describeBlock(step, task, now);
         detail += describeTeam(step, *route, unixMs) + describeWorkers(step, *route, now);
     }
     emitEvent("task_overdue", ref.step.job, std::move(detail));
@@ -255,9 +266,10 @@
                       overdue.end(),
                       [](const auto &a, const auto &b) { return a.first < b.first; });
     overdue.resize(lines);
+    const ApprovalLoad load = lines == 0 ? ApprovalLoad{} : approvalLoad(now, unixMs);
     for (const auto &[key, step] : overdue) {
         step->reportedAt = now;
-        reportOverdueStep(*step, now, unixMs);
+        reportOverdueStep(*step, load, now, unixMs);
     }
 }
 
--- a/src/dispatch/dispatcher_overdue_test.cc
+++ b/src/dispatch/dispatcher_overdue_test.cc
@@ -93,6 +93,22 @@
                                   HasSubstr("calls_answered=1"), HasSubstr("calls_failed=0"))));
 }
 
+// Guards against full callers of the policy service that look like a service that denies all.
+TEST_F(OverdueTest, ShowsHowBusyTheCallersOfThePolicyServiceAre)
+{
+    m_route.approval = ApprovalPolicy{Duration(20), 0.1, Duration(2'000)};
+    setCatalog();
+    join(entry("w"));
+    add("j", {step(1)});
+    m_dispatcher.setApprovalCallers({8, 8});
+    EXPECT_THAT(overdueAfter(Duration(3'000)),
+                ElementsAre(HasSubstr("callers_busy=8/8 oldest_without_call_ms=3000")));
+    const auto pending = m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration::max())
+                             .value_or(PendingApproval{});
+    m_dispatcher.approvalRequested(pending);
+    EXPECT_EQ(m_dispatcher.approvalLoad(m_now, UnixNow).longestWaitForCall, Duration::zero());
+}
+
 TEST_F(OverdueTest, AWaitEndsWithAStart)
 {
     join(entry("w"));
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -48,6 +48,7 @@
     void approvalAnswered(const PendingApproval &pending, const std::vector<work::Approval> *answer,
                           Instant at, Instant now);
     void forgetApprovals(const WorkerId &id);
+    ApprovalLoad approvalLoad(Instant now, int64_t unixMs) const;
     dispatch::Step *findStep(const StepRef &ref);
 
     // dispatcher_renewals.cc
@@ -220,7 +221,7 @@
     bool hasPlacementNow(Step &step, const WorkRoute &route, Instant now);
     std::string describeTeam(const Step &step, const WorkRoute &route, int64_t unixMs) const;
     std::string describeBlock(const Step &step, const Task &task, Instant now) const;
-    void reportOverdueStep(Step &step, Instant now, int64_t unixMs);
+    void reportOverdueStep(Step &step, const ApprovalLoad &load, Instant now, int64_t unixMs);
 
     // dispatcher_urgency.cc
     static int64_t objectiveMs(const Job &job, const WorkRoute &route);
@@ -255,6 +256,7 @@
     // Share of workers that the policy service approves, by route; smoothed.
     std::map<std::string, double> m_approvedShare;
     uint64_t m_lastApprovalCall = 0; // see PendingApproval::call
+    ApprovalCallers m_approvalCallers;
     bool m_overdueCallIsNext = true; // of the calls for overdue steps and others, by turns
     std::map<TeamPriority, Resources> m_priorityUse; // updated by decide()
     // Resources of runs that are being stopped, by team, less what waiting steps of the present
