--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -132,14 +132,43 @@
 
 struct Dispatcher::ApprovalSearch::State
 {
+    using Steps = std::vector<dispatch::Step *>;
+
     Impl &impl;
     Instant now;
     int64_t unixMs = 0;
-    // Most urgent first; null once settled or moved to `nextRound`.
-    std::vector<dispatch::Step *> steps;
-    std::vector<dispatch::Step *> nextRound; // have been given a call in this round
+    // In the order in which they get calls; null once settled or moved to `nextRound`.
+    dispatch::ApprovalOrder steps;
+    Steps nextRound; // have been given a call in this round
+    std::optional<Steps> renewals; // that are left to look at; set by the first use
+
+    std::optional<PendingApproval> nextOf(Steps &candidates, Duration maxDecisionTime,
+                                          bool &skipped);
 };
 
+// Returns a call for the first of the steps that needs one. Sets `skipped` if the calls of a step
+// take longer than `maxDecisionTime`.
+std::optional<PendingApproval> Dispatcher::ApprovalSearch::State::nextOf(Steps &candidates,
+                                                                         Duration maxDecisionTime,
+                                                                         bool &skipped)
+{
+    for (dispatch::Step *&step : candidates) {
+        if (step == nullptr)
+            continue;
+        if (impl.approvalPolicyOf(*step).decisionTime > maxDecisionTime) {
+            skipped = true;
+            continue;
+        }
+        auto pending = impl.pendingApproval(*step, now, unixMs);
+        dispatch::Step *const examined = std::exchange(step, nullptr);
+        if (!pending)
+            continue;
+        nextRound.push_back(examined);
+        return pending;
+    }
+    return std::nullopt;
+}
+
 Dispatcher::ApprovalSearch::ApprovalSearch(std::unique_ptr<State> state) : m_state(std::move(state))
 { }
 
@@ -148,33 +177,42 @@
 std::optional<PendingApproval> Dispatcher::ApprovalSearch::next(Duration maxDecisionTime)
 {
     State &state = *m_state;
+    bool &overdueIsNext = state.impl.m_overdueCallIsNext;
     for (;;) {
         bool skipped = false; // a step whose calls take too long for this caller
-        for (dispatch::Step *&step : state.steps) {
-            if (step == nullptr)
-                continue;
-            if (state.impl.approvalPolicyOf(*step).decisionTime > maxDecisionTime) {
-                skipped = true;
-                continue;
+        for (const bool overdue : {overdueIsNext, !overdueIsNext}) {
+            auto &candidates = overdue ? state.steps.overdue : state.steps.others;
+            if (auto pending = state.nextOf(candidates, maxDecisionTime, skipped)) {
+                overdueIsNext = !overdue;
+                return pending;
             }
-            auto pending = state.impl.pendingApproval(*step, state.now, state.unixMs);
-            dispatch::Step *const examined = std::exchange(step, nullptr);
-            if (!pending)
-                continue;
-            state.nextRound.push_back(examined);
-            return pending;
         }
         if (skipped || state.nextRound.empty())
             return std::nullopt;
-        state.steps = std::exchange(state.nextRound, {});
+        state.steps.others = std::exchange(state.nextRound, {});
+    }
+}
+
+std::optional<PendingApproval> Dispatcher::ApprovalSearch::nextRenewal(Duration maxDecisionTime)
+{
+    State &state = *m_state;
+    if (!state.renewals)
+        state.renewals = state.impl.stepsForRenewal(state.now, state.unixMs);
+    for (dispatch::Step *&step : *state.renewals) {
+        if (step == nullptr || state.impl.approvalPolicyOf(*step).decisionTime > maxDecisionTime)
+            continue;
+        if (auto pending = state.impl.pendingRenewal(*step, state.now))
+            return pending;
+        step = nullptr;
     }
+    return std::nullopt;
 }
 
 Dispatcher::ApprovalSearch Dispatcher::searchPendingApprovals(Instant now, int64_t unixMs)
 {
     auto steps = m_impl->stepsForApproval(now, unixMs);
     return ApprovalSearch(std::make_unique<ApprovalSearch::State>(
-        ApprovalSearch::State{*m_impl, now, unixMs, std::move(steps), {}}));
+        ApprovalSearch::State{*m_impl, now, unixMs, std::move(steps), {}, {}}));
 }
 
 bool Dispatcher::hasApprovalsWithin(Duration maxDecisionTime) const
@@ -191,17 +229,29 @@
     return searchPendingApprovals(now, unixMs).next(maxDecisionTime);
 }
 
+void Dispatcher::setApprovalCallers(const ApprovalCallers &callers)
+{
+    m_impl->m_approvalCallers = callers;
+}
+
+ApprovalLoad Dispatcher::approvalLoad(Instant now, int64_t unixMs) const
+{
+    return m_impl->approvalLoad(now, unixMs);
+}
+
 void Dispatcher::approvalRequested(const PendingApproval &pending)
 {
     if (dispatch::Step *step = m_impl->findStep(pending.step))
         step->approvalCalls[pending.call] = {{pending.workers.begin(), pending.workers.end()},
-                                             pending.expectedPlaces};
+                                             pending.expectedPlaces,
+                                             pending.renewal};
 }
 
 void Dispatcher::approvalLate(const PendingApproval &pending)
 {
-    if (dispatch::Step *step = m_impl->findStep(pending.step))
-        step->approvalCalls.erase(pending.call);
+    dispatch::Step *step = m_impl->findStep(pending.step);
+    if (step != nullptr && step->approvalCalls.erase(pending.call) > 0 && !pending.renewal)
+        ++step->lateApprovalCalls;
 }
 
 void Dispatcher::approvalAnswered(const PendingApproval &pending,
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 // thread-safe.
 #pragma once
 
+#include "dispatch/approval_load.h"
 #include "dispatch/catalog.h"
 #include "dispatch/step_wait.h"
 #include "dispatch/worker_runs.h"
@@ -45,6 +46,9 @@
     std::vector<WorkerId> workers; // candidates to name in the call
     double expectedPlaces = 0; // tasks that fit on the workers which are likely to be approved
     bool namesAll = false; // no candidate was left out
+    bool renewal = false; // of approvals that the step does not need yet
+    int32_t lateCalls = 0; // for the step since the last answer
+    Duration decisionTime{0}; // ApprovalPolicy::decisionTime
     Duration expectedCallTime{0};
     Duration validity{0}; // of an approval
 };
@@ -136,6 +140,9 @@
         // before any gets a second one. Skips routes whose ApprovalPolicy::decisionTime exceeds
         // `maxDecisionTime`. Call approvalRequested() when the call is sent.
         std::optional<PendingApproval> next(Duration maxDecisionTime);
+        // Returns a call that renews approvals of a step which waits for room or for the limit of
+        // its team. No step waits for the answer. Otherwise as next().
+        std::optional<PendingApproval> nextRenewal(Duration maxDecisionTime);
 
     private:
         friend class Dispatcher;
@@ -149,6 +156,9 @@
     // Returns the first result of such a search.
     std::optional<PendingApproval> nextPendingApproval(Instant now, int64_t unixMs,
                                                        Duration maxDecisionTime);
+    // Sets the callers of the policy service, for approvalLoad() and "task_overdue" events.
+    void setApprovalCallers(const ApprovalCallers &callers);
+    ApprovalLoad approvalLoad(Instant now, int64_t unixMs) const;
     // Records that the call was sent: until approvalAnswered() or approvalLate() is called for it,
     // its workers are named in no other call for the step.
     void approvalRequested(const PendingApproval &pending);
--- a/src/dispatch/dispatcher_approvals_test.cc
+++ b/src/dispatch/dispatcher_approvals_test.cc
@@ -47,6 +47,27 @@
         }
         return out;
     }
+    std::optional<PendingApproval> nextRenewal()
+    {
+        return m_dispatcher.searchPendingApprovals(m_now, UnixNow).nextRenewal(Duration::max());
+    }
+    // Lets time pass in which all calls are answered at once, and counts the calls.
+    int passTime(Duration time)
+    {
+        int calls = 0;
+        for (const Instant end = m_now + time; m_now < end; m_now += Duration(100)) {
+            decide();
+            for (auto call = next(); call; call = next(), ++calls) {
+                m_dispatcher.approvalRequested(*call);
+                answer(*call, m_now, 1);
+            }
+            for (auto call = nextRenewal(); call; call = nextRenewal(), ++calls) {
+                m_dispatcher.approvalRequested(*call);
+                answer(*call, m_now, 1);
+            }
+        }
+        return calls;
+    }
     // Answers that one in `divisor` of the named workers is approved.
     void answer(const PendingApproval &pending, Instant sentAt, int divisor)
     {
@@ -78,6 +99,16 @@
     EXPECT_EQ(decide().starts.size(), 60U);
 }
 
+// Guards against a gang that asks about few workers in one call after the other.
+TEST_F(ApprovalsTest, TheCallOfAGangNamesAllWorkersThatMayBeNamed)
+{
+    joinWorkers(60);
+    add("job", {gang(4)});
+    const auto pending = next();
+    ASSERT_TRUE(pending);
+    EXPECT_EQ(pending->workers.size(), 30U);
+}
+
 TEST_F(ApprovalsTest, CallsInProgressNameDifferentWorkers)
 {
     joinWorkers(100);
@@ -179,6 +210,61 @@
     EXPECT_EQ(urgent, 10);
 }
 
+// Guards against a late step that gets no call because a step which no worker may run has waited
+// for longer and takes its turn each time without using it.
+TEST_F(ApprovalsTest, AStepThatNeedsNoCallDoesNotTakeTheTurnOfAnother)
+{
+    joinWorkers(20);
+    add("denied", {step(1)});
+    for (auto call = next(); call; call = next()) {
+        m_dispatcher.approvalRequested(*call);
+        const std::vector<work::Approval> none;
+        m_dispatcher.approvalAnswered(*call, &none, m_now, m_now);
+        m_now += Duration(300);
+    }
+    m_jobRoute = "batch"; // less urgent
+    add("late", {step(1)});
+    decide();
+    m_now += Duration(1'500);
+    m_jobRoute = "r";
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 4; ++i) {
+        add("urgent" + std::to_string(2 * i), {step(1)});
+        add("urgent" + std::to_string(2 * i + 1), {step(1)});
+        decide();
+        const auto pending = next(); // of one caller
+        ASSERT_TRUE(pending);
+        m_dispatcher.approvalRequested(*pending);
+        jobs.push_back(pending->step.job);
+        m_now += Duration(100);
+    }
+    EXPECT_EQ(std::ranges::count(jobs, "late"), 1) << "of four calls";
+}
+
+// Guards against turns that are lost in searches which lead to no call.
+TEST_F(ApprovalsTest, ASearchWithoutACallTakesNoTurn)
+{
+    joinWorkers(20);
+    m_jobRoute = "batch";
+    for (int i = 0; i < 4; ++i)
+        add("old" + std::to_string(i), {step(1)});
+    decide();
+    m_now += Duration(1'500);
+    m_jobRoute = "r";
+    for (int i = 0; i < 4; ++i)
+        add("urgent" + std::to_string(i), {step(1)});
+    int old = 0;
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_FALSE(m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration(10)))
+            << "of a caller that makes only short calls";
+        const auto pending = next();
+        ASSERT_TRUE(pending);
+        m_dispatcher.approvalRequested(*pending);
+        old += pending->step.job.starts_with("old") ? 1 : 0;
+    }
+    EXPECT_EQ(old, 2);
+}
+
 // Guards against a step that waits before it asks about further workers, because the first call
 // named only as many as it needed.
 TEST_F(ApprovalsTest, ASmallCallThatBringsNothingIsFollowedAtOnce)
@@ -294,6 +380,50 @@
     EXPECT_NE(ahead->workers, early->workers);
 }
 
+// Guards against a gang that waits for a call once its room is back, because its approvals have
+// expired while it waited.
+TEST_F(ApprovalsTest, AGangWhoseRoomComesBackAfterTheValidityStartsInTheSameDecision)
+{
+    joinWorkers(4);
+    add("other", {step(2, WorkerCpuMilli)});
+    passTime(Duration(100));
+    const auto first = startAll();
+    ASSERT_EQ(first.size(), 2U);
+    add("job", {gang(4)});
+    passTime(3 * Validity);
+    for (const StartOrder &order : first)
+        report(order.worker, {}, {ended(order, RunOutcome::Succeeded)});
+    EXPECT_EQ(decide().starts.size(), 4U);
+}
+
+// Guards against a step that loses its approvals while it waits for the limit of its team, and
+// against renewals about more workers than it needs.
+TEST_F(ApprovalsTest, AStepThatWaitsForTheLimitKeepsFewApprovals)
+{
+    m_limit.cpuMilli = 4'000;
+    setCatalog();
+    joinWorkers(20);
+    add("other", {step(4)});
+    passTime(Duration(100));
+    add("job", {step(1)});
+    const int calls = passTime(Duration(100));
+    EXPECT_GE(calls, 1);
+    const std::vector<StartOrder> none = decide().starts;
+    ASSERT_TRUE(none.empty());
+    m_now += Validity - Duration(1'200);
+    EXPECT_FALSE(nextRenewal()) << "the approvals last";
+    m_now += Duration(800);
+    decide();
+    const auto renewal = nextRenewal();
+    ASSERT_TRUE(renewal);
+    EXPECT_EQ(renewal->step.job, "job");
+    EXPECT_EQ(renewal->workers.size(), 1U);
+    m_dispatcher.approvalRequested(*renewal);
+    EXPECT_FALSE(nextRenewal()) << "one is enough";
+    m_now += Duration(200);
+    EXPECT_TRUE(next()) << "no approval is valid, and a renewal holds up no other call";
+}
+
 // Guards against a worker that a step never names again: it left and came back while the policy
 // service was asked, and the answer is about its former life.
 TEST_F(ApprovalsTest, AnAnswerAboutAWorkerThatWasListedAgainIsIgnored)
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -39,7 +39,7 @@
     std::optional<Instant> nextEvent(Instant now, int64_t unixMs) const;
 
     // dispatcher_approvals.cc
-    std::vector<dispatch::Step *> stepsForApproval(Instant now, int64_t unixMs);
+    dispatch::ApprovalOrder stepsForApproval(Instant now, int64_t unixMs);
     // The policy of the step's route, which must have one.
     const ApprovalPolicy &approvalPolicyOf(const dispatch::Step &step) const;
     // Returns the next call for the step; none if it needs no further one at present.
@@ -48,8 +48,13 @@
     void approvalAnswered(const PendingApproval &pending, const std::vector<work::Approval> *answer,
                           Instant at, Instant now);
     void forgetApprovals(const WorkerId &id);
+    ApprovalLoad approvalLoad(Instant now, int64_t unixMs) const;
     dispatch::Step *findStep(const StepRef &ref);
 
+    // dispatcher_renewals.cc
+    std::vector<dispatch::Step *> stepsForRenewal(Instant now, int64_t unixMs);
+    std::optional<PendingApproval> pendingRenewal(dispatch::Step &step, Instant now);
+
     // dispatcher_waits.cc
     WaitingStepsByReason waitingSteps(Instant now, int64_t unixMs) const;
 
@@ -186,13 +191,23 @@
     // dispatcher_approvals.cc
     bool isApprovalDue(const Step &step, Instant now, int64_t unixMs) const;
     dispatch::ApprovalCandidates approvalCandidates(const Step &step, Instant now) const;
-    PendingApproval callFor(const Step &step, dispatch::ApprovalCandidates candidates,
-                            int64_t missing);
+    PendingApproval newCall(const Step &step);
+    PendingApproval callFor(const Step &step, dispatch::ApprovalCandidates candidates);
     std::optional<Instant> waitsForCallSince(const Step &step, Instant now, int64_t unixMs) const;
     bool hasPlacement(Step &step, Instant now);
+    static int64_t fittingTasks(const Worker &worker, const Step &step);
+    static int64_t placesWanted(const Step &step);
+    static bool hasCall(const Step &step);
+    static bool isRequested(const Step &step, const WorkerId &id);
+    static size_t maxWorkersPerCall(const ApprovalPolicy &policy);
+    static Duration expectedCallTime(const ApprovalPolicy &policy, size_t workers);
+    static Duration approvalLead(const ApprovalPolicy &policy);
     double approvedShareOf(const std::string &route) const;
     void updateApprovedShare(const std::string &route, size_t requested, size_t approved);
 
+    // dispatcher_renewals.cc
+    int64_t placesAfterWait(const Worker &worker, const Step &step) const;
+
     // dispatcher_waits.cc
     // Returns whether the step is ready and has tasks that wait.
     bool isWaiting(const Step &step, int64_t unixMs) const;
@@ -206,7 +221,7 @@
     bool hasPlacementNow(Step &step, const WorkRoute &route, Instant now);
     std::string describeTeam(const Step &step, const WorkRoute &route, int64_t unixMs) const;
     std::string describeBlock(const Step &step, const Task &task, Instant now) const;
-    void reportOverdueStep(Step &step, Instant now, int64_t unixMs);
+    void reportOverdueStep(Step &step, const ApprovalLoad &load, Instant now, int64_t unixMs);
 
     // dispatcher_urgency.cc
     static int64_t objectiveMs(const Job &job, const WorkRoute &route);
@@ -241,7 +256,8 @@
     // Share of workers that the policy service approves, by route; smoothed.
     std::map<std::string, double> m_approvedShare;
     uint64_t m_lastApprovalCall = 0; // see PendingApproval::call
-    bool m_overdueCallIsNext = false; // of the calls for overdue steps and others, by turns
+    ApprovalCallers m_approvalCallers;
+    bool m_overdueCallIsNext = true; // of the calls for overdue steps and others, by turns
     std::map<TeamPriority, Resources> m_priorityUse; // updated by decide()
     // Resources of runs that are being stopped, by team, less what waiting steps of the present
     // decision have claimed.
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -131,6 +131,14 @@
 {
     std::set<WorkerId> workers;
     double expectedPlaces = 0; // see PendingApproval
+    bool renewal = false; // see PendingApproval
+};
+
+// Steps that may need approvals, in the order in which they get calls.
+struct ApprovalOrder
+{
+    std::vector<Step *> overdue; // ready steps that have waited too long for a call
+    std::vector<Step *> others;
 };
 
 // Workers without a valid approval that may run a step and are named in no call in progress, with
@@ -176,9 +184,11 @@
     std::set<WorkerId> deniedWorkers;
     std::map<uint64_t, ApprovalCall> approvalCalls; // by number; those that are not late
     Instant nextApprovalCallAt; // earliest time of the next approval call
+    Instant nextRenewalCheckAt; // earliest time at which approvals are renewed
     Instant approvalAnsweredAt = Instant::min(); // when the last call was answered
     int32_t answeredApprovalCalls = 0;
     int32_t failedApprovalCalls = 0;
+    int32_t lateApprovalCalls = 0; // since the last answer
 
     bool done() const { return succeeded == static_cast<int32_t>(tasks.size()); }
 };
