Send no start without a lease after an outage of the log

Callers saw ready work wait for 2 s and longer after the log had been away for more than 2.5 s: starts went out without a lease ("400 late"), so their healthy workers were avoided.

The first starts after the outage were sent before the links were told of the append that holds them, so the last known append was that from before the outage, and no lease may be extended then. The links are now told first. A start that can have no lease is withdrawn, as while leases are suspended, and one that is decided without a current tenure waits for the next append even while starts are not recorded first; it would be withdrawn again and again.

WorkerLinksTest.AStartWithoutALeaseIsWithdrawnInsteadOfSent fails without it. The test for a slow log passed before, too: it did not reach the fault, and guards against a loop of withdrawn starts.

The fake worker now rejects starts without a lease, as workers do, and the fixture of WorkerLinksTest has a current tenure, which its starts need.

--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -385,7 +385,8 @@
     for (const ThrottleOrder &throttle : orders.throttles)
         m_links->throttle(throttle);
     for (const StartOrder &start : orders.starts) {
-        if (m_recordBeforeStart)
+        // Without a current tenure a start waits for the next append, too: it would be withdrawn.
+        if (m_recordBeforeStart || !m_links->tenureIsCurrent())
             m_startsToRecord.push_back(start);
         else
             m_links->start(start);
--- a/src/control/scheduler_records.cc
+++ b/src/control/scheduler_records.cc
@@ -223,11 +223,13 @@
     m_tenureClock.recordStored(m_lastStoredAt);
     publish(records);
     updateStartRecording(m_lastStoredAt - m_writer.sentAt());
+    std::swap(m_storedPositions, m_batchPositions);
+    // Before the starts: after an outage of the log only this append permits their leases.
+    m_links->onAppendStored(m_writer.storedSentAt());
     if (!m_onReleased) {
         for (const StartOrder &start : std::exchange(m_startsInBatch, {}))
             m_links->start(start);
     }
-    std::swap(m_storedPositions, m_batchPositions);
     for (const WorkerId &id : m_batchUsedWorkers) {
         m_storedUsedWorkers.insert(id);
         m_suspendedLeases.erase(id);
@@ -237,7 +239,6 @@
     if (!m_batchUsedWorkers.empty())
         schedulePass();
     m_batchUsedWorkers.clear();
-    m_links->onAppendStored(m_writer.storedSentAt());
     if (m_onReleased && m_releaseInBatch)
         return finishRelease();
     const bool soon = m_onReleased || !m_startsToRecord.empty();
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -261,6 +261,10 @@
             return later(error.code == ErrorCode::OutcomeUnknown ? timeout : Duration(1),
                          [error, done] { done(error); });
         ++startCalls;
+        if (fence.leaseEndMs == 0) {
+            ++startsWithoutLease;
+            return later(Duration(1), [done] { done(StartOutcome::WorkerUnavailable); });
+        }
         const bool answered =
             std::exchange(worker.unansweredStarts, std::max(0, worker.unansweredStarts - 1)) == 0;
         if (!answered && worker.delaysUnansweredStarts)
@@ -315,6 +319,7 @@
     std::set<TaskRef> succeeded;
     int starts = 0; // runs that began
     int startCalls = 0; // start calls, including repeated ones
+    int startsWithoutLease = 0; // start calls that were rejected because they carry no lease
     bool ranTwice = false; // a task ran twice at a time, or again after it had succeeded
 
 private:
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -126,17 +126,25 @@
     return out;
 }
 
+bool WorkerLinks::mayExtendLease(const Link &link) const
+{
+    return link.workerTimeReadAt != Instant::min() && tenureIsCurrent()
+           && !m_callbacks.suspendedLeaseExpiry(link.entry.id);
+}
+
+bool WorkerLinks::tenureIsCurrent() const
+{
+    return m_clock.now() - m_tenureHeldAt <= LeaseExtensionWindow;
+}
+
 CommandFence WorkerLinks::makeFence(Link &link, bool extendLease)
 {
     CommandFence out;
     out.epoch = m_options.epoch;
     out.incarnation = link.entry.id;
-    if (!extendLease || link.workerTimeReadAt == Instant::min()
-        || m_callbacks.suspendedLeaseExpiry(link.entry.id))
+    if (!extendLease || !mayExtendLease(link))
         return out;
     const Instant now = m_clock.now();
-    if (now - m_tenureHeldAt > LeaseExtensionWindow)
-        return out;
     const Duration lease =
         std::min({RequestedLease, m_options.maxLease, m_tenureHeldAt + MaxLeaseAfterAppend - now});
     out.leaseEndMs = link.workerTimeMs + (now - link.workerTimeReadAt).count() + lease.count();
@@ -302,16 +310,15 @@
 
 void WorkerLinks::sendStart(const StartOrder &order, size_t priorAttempts)
 {
+    Link &link = *find(order.worker);
     // A run cannot begin without a lease.
-    const bool leaseSuspended = m_callbacks.suspendedLeaseExpiry(order.worker).has_value();
-    if (leaseSuspended || !m_callbacks.startWanted(order)) {
+    if (!mayExtendLease(link) || !m_callbacks.startWanted(order)) {
         onCallDone(order.worker);
         // An unanswered attempt may still be carried out.
         const StartOutcome outcome =
             priorAttempts == 0 ? StartOutcome::Withdrawn : StartOutcome::Unknown;
         return m_callbacks.startAnswered(order, outcome);
     }
-    Link &link = *find(order.worker);
     m_gateway.start(
         link.entry, makeFence(link, true), order, StartTimeouts[priorAttempts],
         [this, alive = m_alive, order, priorAttempts](const Result<StartOutcome> &answer) {
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -74,6 +74,9 @@
     // that waited for finished runs to be stored. Without such calls, lease extension stops after a
     // short time.
     void onAppendStored(Instant sentAt);
+    // Returns whether the last stored append is recent enough for leases to be extended. Without
+    // that, starts are withdrawn instead of sent.
+    bool tenureIsCurrent() const;
     // Detects expired leases and closes unneeded links. Call several times a second.
     void tick();
     bool contains(const WorkerId &id) const { return m_links.contains(id); }
@@ -119,6 +122,8 @@
     void schedulePoll(const WorkerId &id, Duration delay);
     void onPollAnswer(const WorkerId &id, Result<PollResult> answer);
     void setReachable(Link &link, bool reachable, const std::string &reason);
+    // Returns whether a longer lease may be asked for.
+    bool mayExtendLease(const Link &link) const;
     // Builds the fence of a call. With `extendLease` it asks for a longer lease, if that is safe.
     CommandFence makeFence(Link &link, bool extendLease);
     // Runs `call` once fewer than the permitted number of calls to the worker are in flight. Each
--- a/src/control/worker_links_test.cc
+++ b/src/control/worker_links_test.cc
@@ -21,7 +21,7 @@
 protected:
     WorkerLinksTest()
     {
-        connect({1, Duration(10'000)});
+        connect({1, Duration(10'000), m_clock.now()});
         run(Duration(50));
     }
     // Creates the links with these options, and one to worker "w".
@@ -184,6 +184,19 @@
     EXPECT_EQ(startOne(), StartOutcome::Started);
 }
 
+// Guards against starts that a worker rejects because they carry no lease, after which the worker
+// is avoided although nothing is wrong with it.
+TEST_F(WorkerLinksTest, AStartWithoutALeaseIsWithdrawnInsteadOfSent)
+{
+    run(Duration(2'600));
+    EXPECT_FALSE(m_links->tenureIsCurrent());
+    EXPECT_EQ(startOne(), StartOutcome::Withdrawn);
+    EXPECT_EQ(m_workers.startCalls, 0);
+    m_links->onAppendStored(m_clock.now());
+    m_outcome.reset();
+    EXPECT_EQ(startOne(), StartOutcome::Started);
+}
+
 // Guards against tasks that run twice: a former scheduler that gets an answer of the log late, and
 // meanwhile has been replaced, extends leases for longer than its successor expects.
 TEST_F(WorkerLinksTest, AnAppendPermitsToExtendLeasesFromWhenItWasSent)
