Test how long tasks of a worker wait that is lost with the scheduler

The bound of docs/platform.md, section 6, had no test: tasks placed on a worker that is lost together with the scheduler start elsewhere within 6.4 s, and other tasks of the same account and pool within 3 s of the takeover.

The test passes on the code as it is; it was not run with a fault.

--- a/src/control/instance_takeover_test.cc
+++ b/src/control/instance_takeover_test.cc
@@ -2,7 +2,9 @@
 #include "control/instance_testing.h"
 #include "work/codec.h"
 
+#include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace cardamompaddle {
 namespace {
@@ -23,6 +25,22 @@
         ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
         addNode(lost);
     }
+    // Returns how many tasks of the job run.
+    int64_t runningOf(const std::string &job) const
+    {
+        int64_t out = 0;
+        for (const auto &[id, worker] : m_workers.workers)
+            out += std::ranges::count_if(
+                worker.running, [&job](const auto &run) { return run.task.step.job == job; });
+        return out;
+    }
+    bool runs(const TaskRef &task) const
+    {
+        return std::ranges::any_of(m_workers.workers, [&task](const auto &it) {
+            return std::ranges::any_of(it.second.running,
+                                       [&task](const auto &run) { return run.task == task; });
+        });
+    }
     // Starts three instances and a job of one task, and returns the worker on which it runs.
     testing::TestWorkers::Worker &startJob()
     {
@@ -277,6 +295,40 @@
     EXPECT_TRUE(released->startsRecorded);
 }
 
+// Guards against tasks that wait for longer than the stated bounds when a worker is lost together
+// with its scheduler: those placed there, and others of the same account and pool.
+TEST_F(InstanceTakeoverTest, AWorkerThatIsLostWithTheSchedulerDelaysOnlyItsOwnTasks)
+{
+    constexpr Duration LostWorkerBound{6'400}; // from the last sign of the former scheduler
+    constexpr Duration StartBound{3'000}; // from the takeover
+    m_maxLease = Duration(10'000);
+    for (const char *name : {"a", "b", "c"})
+        addNode(name);
+    ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+    ASSERT_EQ(submit(scheduler(), "running", 8), SubmitOutcome::Accepted);
+    ASSERT_TRUE(runUntil([this] { return m_workers.runningCount() == 8; })) << "both are full";
+    ASSERT_EQ(submit(scheduler(), "waiting", 4), SubmitOutcome::Accepted);
+    runFor(Duration(300));
+    testing::TestWorkers::Worker &lost = m_workers.workers["w1"];
+    const std::vector<testing::TestWorkers::Run> lostRuns = std::exchange(lost.running, {});
+    ASSERT_EQ(lostRuns.size(), 4U);
+    lost.unresponsive = true;
+    scheduler().instance.reset();
+    const Instant lostAt = m_clock.now();
+    ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+    const Instant tookOverAt = m_clock.now();
+    for (const char *name : {"w3", "w4", "w5", "w6"})
+        m_model.put(RegistryTopic, name, "ready");
+    EXPECT_TRUE(runUntil([this] { return runningOf("waiting") == 4; }, StartBound));
+    RecordProperty("others_ms", static_cast<int>((m_clock.now() - tookOverAt).count()));
+    const auto allRun = [&] {
+        return std::ranges::all_of(lostRuns, [this](const auto &run) { return runs(run.task); });
+    };
+    EXPECT_TRUE(runUntil(allRun, LostWorkerBound - (m_clock.now() - lostAt)));
+    RecordProperty("lost_ms", static_cast<int>((m_clock.now() - lostAt).count()));
+    EXPECT_FALSE(m_workers.ranTwice);
+}
+
 // Guards against a wait that hardly gets shorter because each successor has just started: it knows
 // how much of the wait was left when that was stored, but not how long ago that was.
 TEST_F(InstanceTakeoverTest, AnInstanceThatRestartsWaitsOnlyForTheRest)
