--- a/src/control/start_promise_simulation.h
+++ b/src/control/start_promise_simulation.h
@@ -493,7 +493,7 @@
         for (const auto &[id, worker] : m_workers) {
             for (const WorkerModel::Task &running : worker.tasks) {
                 if (running.task == order.task && running.run != order.run)
-                    m_violations.push_back(task + " runs on " + id);
+                    m_violations.emplace_back(task).append(" runs on ").append(id);
             }
         }
         if (stateOf(order.task).succeeded.contains(order.task.index))
