--- a/src/net/silenced_server_testing.h
+++ b/src/net/silenced_server_testing.h
@@ -18,8 +18,11 @@
 class SilencedServer
 {
 public:
-    explicit SilencedServer(boost::asio::io_context &io)
-        : m_io(io), m_acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0})
+    // Answers each request with `body`.
+    explicit SilencedServer(boost::asio::io_context &io, const std::string &body = "ok")
+        : m_io(io), m_acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+          m_response("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size())
+                     + "\r\n\r\n" + body)
     {
         accept();
     }
@@ -66,16 +69,15 @@
                 if (ec || connection->silent)
                     return;
                 connection->request.clear();
-                static const std::string response =
-                    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
                 boost::system::error_code ignored;
-                boost::asio::write(connection->socket, boost::asio::buffer(response), ignored);
+                boost::asio::write(connection->socket, boost::asio::buffer(m_response), ignored);
                 serve(connection);
             });
     }
 
     boost::asio::io_context &m_io;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    std::string m_response;
     std::vector<std::shared_ptr<Connection>> m_connections;
 };
 
--- a/testing/soak/instance_process.cc
+++ b/testing/soak/instance_process.cc
@@ -97,7 +97,15 @@
     const bool hasOffset = m_options.timeOfDayOffset != Duration::zero();
     char *const arguments[] = {program.data(), settings.data(), hasOffset ? offset.data() : nullptr,
                                nullptr};
+    // A reload that comes before the program runs must wait for it: nothing there could handle it.
+    sigset_t reload;
+    sigset_t former;
+    sigemptyset(&reload);
+    sigaddset(&reload, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &reload, &former);
     m_pid = ::fork();
+    if (m_pid != 0)
+        pthread_sigmask(SIG_SETMASK, &former, nullptr);
     if (m_pid < 0)
         return Error{ErrorCode::Unavailable, "cannot start a process"};
     if (m_pid == 0)
