Request approvals last for steps that a takeover holds back, and name different workers

Steps that a takeover holds back became overdue and took every second call from steps that could start, for approvals that lapse before use; so did those at the limit of their team. They now come last.

Workers of equal room now come in an order that differs from call to call.

A failed call counts as a call, so a step whose calls keep failing does not stay at the head of the overdue ones.

--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -1,5 +1,6 @@
 // Approvals of the policy service: selects the step to request them for and the workers to name.
 
+#include "base/hash.h"
 #include "dispatch/approval_call_size.h"
 #include "dispatch/internal/impl.h"
 
@@ -61,14 +62,15 @@
 enum class ApprovalTurn : uint8_t {
     First, // no call was answered and none is in progress
     Further,
-    Limited, // could not start even with approvals
+    Blocked, // could not start even with approvals
 };
 
-ApprovalTurn approvalTurn(const Step &step)
+ApprovalTurn approvalTurn(const Step &step, bool heldBack)
 {
-    if (step.answeredApprovalCalls == 0 && step.approvalCalls.empty())
-        return ApprovalTurn::First;
-    return step.waitReason == WaitReason::TeamLimit ? ApprovalTurn::Limited : ApprovalTurn::Further;
+    if (heldBack || step.waitReason == WaitReason::TeamLimit)
+        return ApprovalTurn::Blocked;
+    const bool asked = step.answeredApprovalCalls > 0 || !step.approvalCalls.empty();
+    return asked ? ApprovalTurn::Further : ApprovalTurn::First;
 }
 
 } // namespace
@@ -146,9 +148,11 @@
     });
     std::stable_sort(waits.begin(), waits.end(),
                      [](const auto &a, const auto &b) { return a.first < b.first; });
-    std::stable_sort(out.others.begin(), out.others.end(), [](const Step *a, const Step *b) {
-        return approvalTurn(*a) < approvalTurn(*b);
-    });
+    const auto turnOf = [this](const Step *step) {
+        return approvalTurn(*step, mayHaveUnrecordedRuns(*step->job));
+    };
+    std::stable_sort(out.others.begin(), out.others.end(),
+                     [&](const Step *a, const Step *b) { return turnOf(a) < turnOf(b); });
     out.overdue.reserve(waits.size());
     for (const auto &[since, step] : waits)
         out.overdue.push_back(step);
@@ -160,9 +164,10 @@
 std::optional<Instant> Dispatcher::Impl::waitsForCallSince(const Step &step, Instant now,
                                                            int64_t unixMs) const
 {
-    if (hasCall(step) || approvalTurn(step) == ApprovalTurn::Limited || !isReady(step, unixMs))
+    const ApprovalTurn turn = approvalTurn(step, mayHaveUnrecordedRuns(*step.job));
+    if (hasCall(step) || turn == ApprovalTurn::Blocked || !isReady(step, unixMs))
         return std::nullopt;
-    return std::max(waitStart(step, now), step.approvalAnsweredAt);
+    return std::max(waitStart(step, now), step.approvalCallEndedAt);
 }
 
 ApprovalLoad Dispatcher::Impl::approvalLoad(Instant now, int64_t unixMs) const
@@ -277,10 +282,15 @@
     const size_t maxWorkers = maxWorkersPerCall(policy);
     PendingApproval out = newCall(step);
     std::vector<ApprovalChance> chances;
+    // Of workers with equal room, calls name different ones, so that steps do not all find their
+    // places on the same few.
+    const auto rank = [&out](const std::pair<int64_t, WorkerId> &it) {
+        return std::tuple<int64_t, uint64_t, const WorkerId &>(
+            -it.first, stableHash(it.second, out.call), it.second);
+    };
     const auto consider = [&](ApprovalCandidates::List &list, double probability) {
-        std::sort(list.begin(), list.end(), [](const auto &a, const auto &b) {
-            return std::tie(b.first, a.second) < std::tie(a.first, b.second);
-        });
+        std::sort(list.begin(), list.end(),
+                  [&rank](const auto &a, const auto &b) { return rank(a) < rank(b); });
         for (const auto &[fitting, id] : list) {
             if (out.workers.size() >= maxWorkers)
                 return;
@@ -339,13 +349,13 @@
         return;
     ++(answer == nullptr ? step->failedApprovalCalls : step->answeredApprovalCalls);
     step->approvalCalls.erase(pending.call);
+    if (!pending.renewal)
+        step->approvalCallEndedAt = now;
     if (answer == nullptr)
         return;
     step->lateApprovalCalls = 0;
-    if (!pending.renewal) {
-        step->approvalAnsweredAt = now;
+    if (!pending.renewal)
         step->nextApprovalCallAt = pending.namesAll ? now + ApprovalCallInterval : now;
-    }
     // The policy service answers for one incarnation of a worker.
     const auto restartedSince = [this, at](const WorkerId &id) {
         const auto it = m_workers.find(id);
--- a/src/dispatch/dispatcher_approvals_test.cc
+++ b/src/dispatch/dispatcher_approvals_test.cc
@@ -355,6 +355,45 @@
     EXPECT_TRUE(decide().starts.empty());
 }
 
+// Guards against steps that a takeover holds back and that take the callers from steps which could
+// start.
+TEST_F(ApprovalsTest, StepsThatATakeoverHoldsBackGetCallsAfterTheOthers)
+{
+    joinWorkers(20);
+    m_dispatcher.setUnreconciledWorkers({"silent"});
+    for (int i = 0; i < 5; ++i)
+        add("old" + std::to_string(i), {step(1)}, nullptr, true);
+    m_dispatcher.reportOverdueTasks(m_now, UnixNow);
+    m_now += Duration(3'000);
+    m_jobRoute = "batch"; // less urgent
+    for (int i = 0; i < 5; ++i)
+        add("new" + std::to_string(i), {step(1)});
+    for (int i = 0; i < 5; ++i) {
+        const auto pending = next();
+        ASSERT_TRUE(pending);
+        m_dispatcher.approvalRequested(*pending);
+        EXPECT_TRUE(pending->step.job.starts_with("new")) << pending->step.job;
+    }
+}
+
+// Guards against steps that all find their places on the same few workers, so that most of them
+// need a second call.
+TEST_F(ApprovalsTest, CallsOfSeveralStepsNameDifferentWorkersOfEqualRoom)
+{
+    joinWorkers(60);
+    std::set<WorkerId> named;
+    size_t most = 0;
+    for (int i = 0; i < 6; ++i) {
+        add("job" + std::to_string(i), {step(1)});
+        const auto pending = next();
+        ASSERT_TRUE(pending);
+        m_dispatcher.approvalRequested(*pending);
+        named.insert(pending->workers.begin(), pending->workers.end());
+        most = std::max(most, pending->workers.size());
+    }
+    EXPECT_GE(named.size(), 2 * most);
+}
+
 // Guards against a gang that learns which workers are approved only once they have room, when
 // other work takes it first.
 TEST_F(ApprovalsTest, AWaitingGangAsksAboutWorkersWithoutRoom)
--- a/src/dispatch/dispatcher_takeover.cc
+++ b/src/dispatch/dispatcher_takeover.cc
@@ -35,7 +35,8 @@
     return job.mayBeRunning && !m_unrecorded.empty();
 }
 
-// Returns an upper bound of what unrecorded runs use; none if a worker's capacity is unknown.
+// Returns an upper bound of what unrecorded runs use; none if a worker's capacity is unknown. The
+// capacity of a worker does not change while runs of it may exist.
 std::optional<Resources> Dispatcher::Impl::unrecordedRoom() const
 {
     Resources out;
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -185,7 +185,8 @@
     std::map<uint64_t, ApprovalCall> approvalCalls; // by number; those that are not late
     Instant nextApprovalCallAt; // earliest time of the next approval call
     Instant nextRenewalCheckAt; // earliest time at which approvals are renewed
-    Instant approvalAnsweredAt = Instant::min(); // when the last call was answered
+    // When a call for the step, other than a renewal, was last answered or failed.
+    Instant approvalCallEndedAt = Instant::min();
     int32_t answeredApprovalCalls = 0;
     int32_t failedApprovalCalls = 0;
     int32_t lateApprovalCalls = 0; // since the last answer
