Keep the mark of a silent worker across two takeovers in quick succession

A new holder now stores the mark again with its first records, for workers that have given it no answer, and takes it back before they get starts.

--- a/src/control/instance_takeover_test.cc
+++ b/src/control/instance_takeover_test.cc
@@ -267,6 +267,81 @@
     EXPECT_FALSE(m_workers.ranTwice);
 }
 
+// The log tells of a former scheduler that was lost while it did not record its starts, and of a
+// silent worker whose record names the epoch in which its runs were all recorded.
+class RecordedRunsTest : public InstanceTakeoverTest
+{
+protected:
+    static constexpr int64_t FormerEpoch = 5;
+
+    // Returns whether a task of an older job starts at the other worker within the bound for ready
+    // work with room.
+    bool startsBesideWorkerRecordedIn(int64_t epoch)
+    {
+        m_maxLease = Duration(10'000);
+        work::Tenure tenure;
+        tenure.holder = "x";
+        tenure.address = "x:1";
+        tenure.epoch = FormerEpoch;
+        m_model.put(WorkTopic, work_key::Tenure, encodeRecord(tenure));
+        work::UsedWorker silent;
+        silent.id = "w1";
+        silent.address = "10.0.0.1:80";
+        silent.runsRecordedEpoch = epoch;
+        m_model.put(WorkTopic, work_key::usedWorker("w1"), encodeRecord(silent));
+        m_model.put(JobsTopic, work_key::job("old"), encodeRecord(makeJob("old")));
+        m_workers.workers["w1"].unresponsive = true;
+        addNode("a");
+        EXPECT_TRUE(runUntil([this] { return schedulers() == 1; }));
+        return runUntil([this] { return m_workers.starts == 1; }, Duration(3'000));
+    }
+};
+
+TEST_F(RecordedRunsTest, AMarkOfTheFormerTenureHoldsBackNoOtherTasks)
+{
+    EXPECT_TRUE(startsBesideWorkerRecordedIn(FormerEpoch));
+}
+
+// Guards against a task that runs twice: a mark of a tenure before the former one says nothing of
+// what that one has started.
+TEST_F(RecordedRunsTest, AMarkOfAnEarlierTenureIsNoLongerTrue)
+{
+    EXPECT_FALSE(startsBesideWorkerRecordedIn(FormerEpoch - 1));
+}
+
+TEST_F(RecordedRunsTest, AMarkOfALaterTenureIsIgnored)
+{
+    EXPECT_FALSE(startsBesideWorkerRecordedIn(FormerEpoch + 1));
+}
+
+// Guards against a task that runs twice after a takeover: a worker that is ready again gets starts
+// while its stored record still says that nothing is started there.
+TEST_F(InstanceTakeoverTest, AWorkerThatIsReadyAgainGetsStartsOnceItsMarkIsTakenBack)
+{
+    addNode("a").log->appendTime = Duration(150);
+    ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }));
+    ASSERT_TRUE(
+        runUntil([this] { return !scheduler().instance->jobTable().tenure().startsRecorded; },
+                 Duration(6'000)));
+    const auto recordedEpoch = [this] {
+        const auto &used = scheduler().instance->jobTable().usedWorkers();
+        const auto it = used.find("w1");
+        return it == used.end() ? -1 : it->second.runsRecordedEpoch;
+    };
+    m_model.put(RegistryTopic, "w1", "draining");
+    m_model.put(RegistryTopic, "w2", "draining");
+    ASSERT_TRUE(runUntil([&] { return recordedEpoch() > 0; })) << "not marked";
+    ASSERT_EQ(submit(scheduler(), "job"), SubmitOutcome::Accepted);
+    m_model.put(RegistryTopic, "w1", "ready");
+    ASSERT_TRUE(runUntil([this] { return m_workers.starts == 1; }));
+    int64_t stored = -1;
+    for (const KeyedRecord &record : m_model.topics[WorkTopic].records) {
+        if (record.key == work_key::usedWorker("w1"))
+            stored = decodeRecord<work::UsedWorker>(record.value)->runsRecordedEpoch;
+    }
+    EXPECT_EQ(stored, 0);
+}
+
 // Guards against tasks that wait for a silent worker after a planned hand-over, although the last
 // records of the holder name all runs.
 TEST_F(InstanceTakeoverTest, APlannedHandOverTellsThatAllRunsAreRecorded)
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -111,7 +111,8 @@
     };
     links.reachable = [this](const WorkerId &id, bool reachable) {
         reachable ? (void)m_reachable.insert(id) : (void)m_reachable.erase(id);
-        if (reachable && m_suspendedLeases.contains(id)) {
+        const bool reopens = m_closedWorkers.contains(id) && !m_retiredWorkers.contains(id);
+        if (reachable && (reopens || m_suspendedLeases.contains(id))) {
             m_usedWorkersToStore.insert(id);
             scheduleFlush(Duration::zero());
         }
--- a/src/control/scheduler_records.cc
+++ b/src/control/scheduler_records.cc
@@ -201,13 +201,19 @@
     return !m_unreconciled.contains(id) || m_recordedWorkers.contains(id);
 }
 
-// Records of workers that get no starts any more that their runs are recorded, so that a later
-// scheduler does not take any task for running there. Needed only while starts are not recorded.
+// Records of workers that get no starts that their runs are recorded, so that a later scheduler
+// does not take any task for running there: of those that drain or have left, and of those that
+// have given this scheduler no answer yet. Needed only while starts are not recorded.
 void Scheduler::closeWorkers(std::vector<KeyedRecord> &records)
 {
     if (m_options.tenure.startsRecorded)
         return;
-    for (const WorkerId &id : m_retiredWorkers) {
+    std::set<WorkerId> closable = m_retiredWorkers;
+    for (const WorkerId &id : m_unreconciled) {
+        if (!m_reachable.contains(id))
+            closable.insert(id);
+    }
+    for (const WorkerId &id : closable) {
         if (!m_storedUsedWorkers.contains(id) || m_batchUsedWorkers.contains(id)
             || m_suspendedLeases.contains(id) || !runsAreRecorded(id)
             || !m_closedWorkers.insert(id).second)
