--- a/review/lab-2/lab_main.cc
+++ b/review/lab-2/lab_main.cc
@@ -20,11 +20,14 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <random>
 #include <set>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 namespace lab {
@@ -63,12 +66,9 @@
     Duration firstAt{5'000};
     Duration lastAt{56'000};
     Duration interval{3'000};
-    int crashed = 6;
+    int crashed = 0;
     Duration downTime{600};
     bool silent = true;
-    bool newId = false;
-    bool sameRack = false; // always the workers of the first rack
-    bool otherKind = false; // the next life alternates between 16 and 8 cores
     // A worker is cut off this long after its restart, for `cutTime`. 0: never
     Duration cutAfter{0};
     Duration cutTime{5'500};
@@ -76,15 +76,18 @@
     // Jobs on a second route, handed in at the start of the load. The trouble is a manifest that
     // does not have this route any more.
     int batchJobs = 0;
-    bool features = false; // occurrences, labels, racks
+    // Scheduled submissions of so many occurrences, handed in one after the other from `firstAt`
+    // on. The platform kills an instance that takes more than `memoryMb`, and starts it again.
+    int large = 0;
+    int occurrences = 0;
+    int64_t memoryMb = 0; // 0: not watched
+    bool spread = false; // at most one task of a step on a worker
     // Jobs that are cancelled as soon as the hand-in is answered, one every `interval`. The trouble
     // is an outage of the log for `outage`, in which its appends get no answer and are carried out
     // `late` later.
     int cancelled = 0;
     Duration outage{2'900};
     Duration late{5'000};
-    Duration logDelay{0}; // of each call to the log, for 4 s of each 10 s
-    Duration killEvery{0}; // the instances get SIGKILL or SIGSTOP by turns; 0: never
     Duration removeRouteAfter{0}; // 0: never
 };
 
@@ -108,15 +111,11 @@
     std::string prefix = "/q/";
     int steps = 0;
     int tasks = 0; // of each step
-    int repetitions = 0;
-    int64_t firstDueMs = 0;
-    int64_t intervalMs = 0;
-    std::string label;
-    int perWorker = 0;
     bool accepted = false;
     int tries = 0;
     std::string state;
     bool cancels = false;
+    bool large = false;
     std::optional<Instant> cancelAckAt;
 };
 
@@ -163,11 +162,8 @@
     void ask(size_t job, int tries);
     void crashSome();
     void ran(const RunEvent &event);
-    void checkLimit(const RunEvent &event);
-    void checkOrder(const RunEvent &event);
-    void disturbInstances();
-    void findScheduler();
-    void slowLog();
+    void submitLarge(int left);
+    void watchMemory();
     void broken(const std::string &rule, const std::string &what);
     void finish();
     std::optional<Duration> runTime(const std::string &task) const;
@@ -187,7 +183,6 @@
     std::unique_ptr<emulator::PlatformEmulator> m_platform;
     std::vector<std::unique_ptr<LabWorker>> m_workers;
     std::map<std::string, Instant> m_beatAt;
-    std::map<std::string, Instant> m_downSince; // crashed, by id
     std::vector<soak::InstanceProcess> m_instances;
     std::set<size_t> m_ready;
     std::vector<JobRecord> m_jobs;
@@ -196,15 +191,14 @@
     std::map<std::string, std::string> m_stalled; // what is wrong, by job
     std::set<std::string> m_batchIds;
     std::map<std::string, size_t> m_byId;
-    int m_nextWorkerNumber = 2'000;
     size_t m_asked = 0;
     Instant m_zero = now();
     Instant m_beganAt;
     bool m_began = false;
     bool m_loadEnded = false;
     int m_crashes = 0;
-    int m_disturbances = 0;
-    size_t m_schedules = SIZE_MAX; // the instance that schedules, as its metrics told last
+    int64_t m_peakRssKb = 0;
+    int m_killedForMemory = 0;
 };
 
 void Lab::note(const char *format, ...)
@@ -250,7 +244,6 @@
         spec.id = "i-" + std::to_string(1'000 + i);
         spec.zone = "z" + std::to_string(i % 4 + 1);
         spec.rack = "r" + std::to_string(i / 6);
-        spec.kind = i % 3 == 0 ? "kind-b" : "kind-a";
         emulator::WorkerModelOptions model;
         model.id = spec.id;
         model.maxLease = Duration(10'000);
@@ -357,12 +350,10 @@
     submitBatch();
     if (m_trouble && m_scenario.crashed > 0)
         after(m_scenario.firstAt, [this] { crashSome(); });
-    if (m_trouble && m_scenario.logDelay > Duration::zero())
-        after(m_scenario.firstAt, [this] { slowLog(); });
-    if (m_trouble && m_scenario.killEvery > Duration::zero()) {
-        findScheduler();
-        after(m_scenario.firstAt, [this] { disturbInstances(); });
-    }
+    if (m_scenario.memoryMb > 0)
+        watchMemory();
+    if (m_trouble && m_scenario.large > 0)
+        after(m_scenario.firstAt, [this] { submitLarge(m_scenario.large); });
     if (m_trouble && m_scenario.removeRouteAfter > Duration::zero())
         after(m_scenario.removeRouteAfter, [this] { publishConfig(false); });
     after(m_scenario.loadTime, [this] {
@@ -475,18 +466,6 @@
     job.steps = std::uniform_int_distribution<int>(1, m_scenario.maxSteps)(m_random);
     job.tasks =
         std::uniform_int_distribution<int>(m_scenario.minTasks, m_scenario.maxTasks)(m_random);
-    if (m_scenario.features) {
-        const auto kind = m_random() % 4;
-        if (kind == 0) {
-            job.repetitions = 1 + static_cast<int>(m_random() % 4);
-            job.firstDueMs = unixNow() + static_cast<int64_t>(m_random() % 4'000);
-            job.intervalMs = 300 + static_cast<int64_t>(m_random() % 2'000);
-        }
-        if (kind == 1)
-            job.label = "kind-b";
-        if (kind == 2)
-            job.perWorker = 1;
-    }
     json::array steps;
     for (int i = 0; i < job.steps; ++i) {
         json::object step{{"Count", job.tasks},
@@ -495,19 +474,11 @@
                           {"EstimatedMs", (m_scenario.shortestMs + m_scenario.longestMs) / 2}};
         if (i > 0)
             step["After"] = json::array{i - 1};
-        if (!job.label.empty())
-            step["Requirements"] = job.label;
-        if (job.perWorker > 0)
-            step["AntiAffinity"] = job.perWorker;
+        if (m_scenario.spread)
+            step["AntiAffinity"] = 1;
         steps.push_back(std::move(step));
     }
-    json::object submission{{"Specification", "lab"}, {"Steps", std::move(steps)}};
-    if (job.repetitions > 0) {
-        submission["Repetitions"] = job.repetitions;
-        submission["FirstRunMs"] = job.firstDueMs;
-        submission["IntervalMs"] = job.intervalMs;
-    }
-    job.body = json::serialize(submission);
+    job.body = json::serialize(json::object{{"Specification", "lab"}, {"Steps", std::move(steps)}});
     m_byId[job.id] = m_jobs.size();
     m_jobs.push_back(std::move(job));
     send(m_jobs.size() - 1);
@@ -569,8 +540,7 @@
     if (now() - m_beganAt >= m_scenario.lastAt)
         return;
     for (int i = 0; i < m_scenario.crashed; ++i) {
-        const size_t index = m_scenario.sameRack ? static_cast<size_t>(i) : m_random();
-        LabWorker &worker = *m_workers[index % m_workers.size()];
+        LabWorker &worker = *m_workers[m_random() % m_workers.size()];
         if (!worker.isUp())
             continue;
         ++m_crashes;
@@ -578,24 +548,12 @@
              worker.model().runs().size());
         worker.crash(m_scenario.silent);
         after(m_scenario.downTime, [this, &worker] {
-            WorkerSpec spec = worker.spec();
-            const std::string former = spec.id;
-            if (m_scenario.newId)
-                spec.id = "i-" + std::to_string(m_nextWorkerNumber++);
-            if (m_scenario.otherKind) {
-                const bool small = spec.cpuMilli > 8'000;
-                spec.cpuMilli = small ? 8'000 : 16'000;
-                spec.memoryMb = small ? 16'384 : 32'768;
-                spec.kind = small ? "kind-b" : "kind-a";
-            }
-            worker.restart(spec);
-            if (m_scenario.newId)
-                m_platform->put(topic::Registry, former, "");
+            worker.restart();
             // It writes its entry as soon as it is up.
-            m_beatAt[spec.id] = now();
-            m_platform->put(topic::Registry, spec.id, worker.entry());
-            note("worker %s is up again as %s with %lld cpu", former.c_str(), spec.id.c_str(),
-                 static_cast<long long>(spec.cpuMilli));
+            const std::string &id = worker.spec().id;
+            m_beatAt[id] = now();
+            m_platform->put(topic::Registry, id, worker.entry());
+            note("worker %s is up again", id.c_str());
             if (m_scenario.cutAfter <= Duration::zero())
                 return;
             after(m_scenario.cutAfter, [this, &worker] {
@@ -634,8 +592,7 @@
         }
         runs.push_back({event.run, event.worker, event.life, event.at, {}, "", false});
         checkCancelled(event);
-        checkOrder(event);
-        return checkLimit(event);
+        return;
     }
     if (known == runs.end())
         return;
@@ -647,111 +604,63 @@
     }
 }
 
-void Lab::checkOrder(const RunEvent &event)
-{
-    const std::string id = event.task.substr(0, event.task.find('.'));
-    const auto it = m_byId.find(id);
-    if (it == m_byId.end()) {
-        if (!m_batchIds.contains(id))
-            broken("UNASKED", event.task + " is of no job that was sent");
-        return;
-    }
-    const JobRecord &job = m_jobs[it->second];
-    int occurrence = 0;
-    int step = 0;
-    int index = 0;
-    std::sscanf(event.task.c_str() + id.size(), ".%d.%d.%d", &occurrence, &step, &index);
-    constexpr int64_t EarlyMs = 250;
-    if (job.repetitions > 0 && unixNow() < job.firstDueMs + occurrence * job.intervalMs - EarlyMs)
-        broken("ORDER", event.task + " starts before its time");
-    if (occurrence >= std::max(1, job.repetitions) || step >= job.steps || index >= job.tasks)
-        broken("UNASKED", event.task + " is no task of its job");
-    for (int i = 0; step > 0 && i < job.tasks; ++i) {
-        const auto &runs = m_runs[id + "." + std::to_string(occurrence) + "."
-                                  + std::to_string(step - 1) + "." + std::to_string(i)];
-        if (std::none_of(runs.begin(), runs.end(),
-                         [](const RunRecord &run) { return run.how == "done"; }))
-            broken("ORDER", event.task + " starts before the step before it is done");
-    }
-    int together = 0;
-    for (const auto &worker : m_workers) {
-        if (worker->spec().id != event.worker)
-            continue;
-        if (!job.label.empty() && worker->spec().kind != job.label)
-            broken("ROUTE", event.task + " starts on a worker without its label");
-        const std::string prefix =
-            id + "." + std::to_string(occurrence) + "." + std::to_string(step) + ".";
-        for (const auto &[task, run] : worker->model().runs())
-            together += task.compare(0, prefix.size(), prefix) == 0 ? 1 : 0;
-    }
-    if (job.perWorker > 0 && together > job.perWorker)
-        broken("ROUTE", event.task + " starts beyond AntiAffinity");
-}
-
-// Kills an instance, or stops it for a time, by turns. It is started again soon after its end.
-void Lab::disturbInstances()
+// Hands in a scheduled submission: each minute two steps of four tasks, 10,000 times (a week), the
+// first time an hour from now.
+void Lab::submitLarge(int left)
 {
-    if (now() - m_beganAt >= m_scenario.lastAt)
-        return;
-    size_t victim = m_random() % m_instances.size();
-    for (size_t i = 0; i < m_instances.size(); ++i) {
-        if (i == m_schedules)
-            victim = i;
-    }
-    soak::InstanceProcess &instance = m_instances[victim];
-    const bool kills = m_disturbances++ % 2 == 0;
-    note("%s gets %s", instance.name().c_str(), kills ? "SIGKILL" : "SIGSTOP");
-    if (kills) {
-        instance.kill();
-        after(Duration(300), [&instance] { (void)instance.start().ok(); });
-    } else {
-        instance.signal(SIGSTOP);
-        after(Duration(600 + static_cast<int64_t>(m_random() % 2'500)), [this, &instance] {
-            note("%s goes on", instance.name().c_str());
-            instance.signal(SIGCONT);
-        });
-    }
-    after(m_scenario.killEvery, [this] { disturbInstances(); });
-}
-
-void Lab::slowLog()
-{
-    if (now() - m_beganAt >= m_scenario.lastAt)
+    if (left == 0)
         return;
-    note("the log is slow");
-    m_platform->logFaults().delay = m_scenario.logDelay;
-    after(Duration(4'000), [this] {
-        note("the log is fast");
-        m_platform->logFaults().delay = Duration::zero();
-    });
-    after(Duration(10'000), [this] { slowLog(); });
-}
-
-void Lab::findScheduler()
-{
-    for (size_t i = 0; i < m_instances.size(); ++i)
-        m_http.request(m_instances[i].metricsAddress(), "GET", "/metrics", "", Duration(500),
-                       [this, i](const Result<HttpResponse> &response, bool) {
-                           if (response
-                               && response->body.find("\ncardamompaddle_entry_schedules 1")
-                                      != std::string::npos)
-                               m_schedules = i;
-                       });
-    after(Duration(500), [this] { findScheduler(); });
+    constexpr int64_t HourMs = 3'600'000;
+    JobRecord job = batchJob();
+    job.large = true;
+    const json::object first{
+        {"Count", 4}, {"Cpu", 500}, {"MemoryRequestMb", 256}, {"EstimatedMs", 900}};
+    json::object second = first;
+    second["After"] = json::array{0};
+    job.body = json::serialize(json::object{{"Specification", "lab"},
+                                            {"Steps", json::array{first, second}},
+                                            {"Repetitions", m_scenario.occurrences},
+                                            {"FirstRunMs", unixNow() + HourMs},
+                                            {"IntervalMs", 60'000}});
+    m_jobs.push_back(std::move(job));
+    send(m_jobs.size() - 1);
+    after(Duration(500), [this, left] { submitLarge(left - 1); });
 }
 
-void Lab::checkLimit(const RunEvent &event)
+// Does as the platform: a process that exceeds its memory is killed, and started again.
+void Lab::watchMemory()
 {
-    for (const auto &worker : m_workers) {
-        if (worker->spec().id != event.worker)
+    for (const auto &entry : std::filesystem::directory_iterator("/proc")) {
+        const std::string pid = entry.path().filename();
+        if (pid.find_first_not_of("0123456789") != std::string::npos)
+            continue;
+        std::ifstream status(entry.path() / "status");
+        std::string line;
+        long long parent = 0;
+        long long rssKb = 0;
+        while (std::getline(status, line)) {
+            if (line.starts_with("PPid:"))
+                parent = std::atoll(line.c_str() + 5);
+            if (line.starts_with("VmRSS:"))
+                rssKb = std::atoll(line.c_str() + 6);
+        }
+        if (parent != ::getpid())
+            continue;
+        std::ifstream commandLine(entry.path() / "cmdline");
+        std::string command((std::istreambuf_iterator<char>(commandLine)), {});
+        m_peakRssKb = std::max<int64_t>(m_peakRssKb, rssKb);
+        if (rssKb <= m_scenario.memoryMb * 1'000)
             continue;
-        const auto used =
-            static_cast<int64_t>(worker->model().runs().size()) * m_scenario.taskCpuMilli;
-        if (used > worker->spec().cpuMilli)
-            broken("LIMIT", event.task + " brings worker " + event.worker + " to "
-                                + std::to_string(used) + " of "
-                                + std::to_string(worker->spec().cpuMilli));
+        for (soak::InstanceProcess &instance : m_instances) {
+            if (command.find("/" + instance.name() + ".json") == std::string::npos)
+                continue;
+            note("%s takes %lld kB and is killed by the platform", instance.name().c_str(), rssKb);
+            ++m_killedForMemory;
+            instance.kill();
+            after(Duration(300), [&instance] { (void)instance.start().ok(); });
+        }
     }
+    after(Duration(100), [this] { watchMemory(); });
 }
 
 // The rule LOST: for 3 s, a submission has nothing running while a task's turn has come, there is
@@ -773,8 +682,6 @@
     for (const JobRecord &job : m_jobs) {
         if (!job.accepted)
             continue;
-        if (job.repetitions > 0)
-            continue; // judged by its state
         bool running = false;
         Instant turnSince = m_beganAt;
         Instant lastEnd = m_beganAt;
@@ -863,15 +770,13 @@
                     std::count_if(runs.begin(), runs.end(),
                                   [](const RunRecord &it) { return it.how == "failed"; }));
         }
-        if (job.cancels)
+        if (job.cancels || job.large)
             continue;
         if ((job.state == "failed" || job.state == "cancelled") && failedRuns == 0)
             broken("LOST", job.id + " is shown as " + job.state
                                + " although none of its runs ended failed and nobody cancelled it");
         else if (const auto it = m_stalled.find(job.id); it != m_stalled.end())
             broken("LOST", job.id + ", whose state is answered " + job.state + ": " + it->second);
-        if (job.repetitions > 0 && job.state != "completed")
-            broken("LOST", job.id + ", which is due, is answered " + job.state);
         if (job.state == "410")
             broken("LOST", job.id + " is accepted and not known");
     }
@@ -882,7 +787,11 @@
     std::printf("; broken:");
     for (const auto &[rule, count] : m_broken)
         std::printf(" %s %d", rule.c_str(), count);
-    std::printf("%s\n", m_broken.empty() ? " nothing" : "");
+    std::printf("%s", m_broken.empty() ? " nothing" : "");
+    if (m_peakRssKb > 0)
+        std::printf("; peak of an instance %lld kB, killed for memory %d times",
+                    static_cast<long long>(m_peakRssKb), m_killedForMemory);
+    std::printf("\n");
     if (accepted == 0)
         return 2;
     return m_broken.contains(m_scenario.rule) ? 1 : 0;
@@ -890,86 +799,47 @@
 
 std::vector<Scenario> scenarios()
 {
-    Scenario restart;
-    restart.name = "restart";
-    restart.rule = "TWICE";
-    restart.sameRack = true;
-    restart.interval = Duration(9'000);
-    restart.submitInterval = Duration(45);
-    restart.lastAt = Duration(48'000);
-    restart.loadTime = Duration(53'000);
-    restart.downTime = Duration(400);
-    restart.shortestMs = 80;
-    restart.longestMs = 300;
-
-    Scenario kind;
-    kind.name = "kind";
-    kind.rule = "LIMIT";
-    kind.silent = false;
-    kind.otherKind = true;
-    kind.minTasks = 30;
-    kind.maxTasks = 60;
-    kind.taskCpuMilli = 2'600;
-    kind.shortestMs = 1'500;
-    kind.longestMs = 4'000;
-    kind.submitInterval = Duration(500);
-    kind.loadTime = Duration(40'000);
-    kind.lastAt = Duration(36'000);
-    kind.finishTime = Duration(20'000);
-
-    Scenario crashes;
-    crashes.name = "crashes";
-    crashes.rule = "LOST";
-    crashes.silent = false;
-    crashes.newId = true;
-    crashes.interval = Duration(600);
-    crashes.downTime = Duration(300);
-    crashes.submitInterval = Duration(40);
-
     Scenario lease;
     lease.name = "lease";
     lease.rule = "TWICE";
+    lease.crashed = 6;
+    lease.spread = true;
+    lease.taskCpuMilli = 400;
     lease.shortestMs = 7'000;
     lease.longestMs = 9'500;
-    lease.minTasks = 4;
-    lease.maxTasks = 10;
-    lease.submitInterval = Duration(200);
+    lease.minTasks = 20;
+    lease.maxTasks = 40;
+    lease.maxSteps = 1;
+    lease.submitInterval = Duration(500);
+    lease.loadTime = Duration(45'000);
+    lease.lastAt = Duration(32'000);
     lease.interval = Duration(8'000);
+    lease.downTime = Duration(400);
     lease.cutAfter = Duration(1'500);
-    lease.finishTime = Duration(25'000);
+    lease.finishTime = Duration(20'000);
 
     Scenario route;
     route.name = "route";
     route.rule = "LOST";
-    route.crashed = 0;
     route.loadTime = Duration(25'000);
     route.batchJobs = 10;
     route.removeRouteAfter = Duration(4'000);
 
-    Scenario features;
-    features.name = "features";
-    features.rule = "TWICE";
-    features.crashed = 0;
-    features.features = true;
-    features.killEvery = Duration(6'000);
+    Scenario large;
+    large.name = "large";
+    large.rule = "LOST";
+    large.loadTime = Duration(40'000);
+    large.large = 12;
+    large.occurrences = 10'000;
+    large.memoryMb = 260;
 
     Scenario cancel;
     cancel.name = "cancel";
     cancel.rule = "UNASKED";
-    cancel.crashed = 0;
     cancel.cancelled = 3;
     cancel.interval = Duration(18'000);
     cancel.loadTime = Duration(55'000);
-    Scenario many = features;
-    many.name = "many";
-    many.workers = 100;
-    many.killEvery = Duration(5'000);
-
-    Scenario slow = features;
-    slow.name = "slow";
-    slow.killEvery = Duration(5'000);
-    slow.logDelay = Duration(200);
-    return {restart, kind, crashes, lease, route, features, cancel, many, slow};
+    return {large, route, cancel, lease};
 }
 
 } // namespace lab
--- a/review/lab-2/lab_worker.cc
+++ b/review/lab-2/lab_worker.cc
@@ -119,7 +119,7 @@
         life.server.reset();
 }
 
-void LabWorker::restart(const WorkerSpec &spec)
+void LabWorker::restart()
 {
     if (m_up)
         return;
@@ -127,9 +127,8 @@
     life.answersReset = true;
     if (life.server)
         life.server->stopAccepting();
-    m_spec = spec;
     m_sequence = 0;
-    m_model.restart(spec.id, now());
+    m_model.restart(m_spec.id, now());
     open();
 }
 
--- a/review/lab-2/lab_worker.h
+++ b/review/lab-2/lab_worker.h
@@ -48,7 +48,7 @@
     // restart. Otherwise all connections are reset and new ones are refused.
     void crash(bool silent);
     // Starts the worker again at its address. It knows nothing of before.
-    void restart(const WorkerSpec &spec);
+    void restart();
     // Cut off: calls get no answer and are not carried out; what runs goes on.
     void setCutOff(bool cutOff) { m_cutOff = cutOff; }
     // Ends runs that are due and answers polls that have waited long enough. Call it often.
