--- a/review/lab-2/lab_main.cc
+++ b/review/lab-2/lab_main.cc
@@ -882,9 +882,11 @@
         if (it.name != name)
             continue;
         int status = 2;
-        {
+        try {
             lab::Lab lab(it, trouble, seed, entry, folder, file);
             status = lab.run();
+        } catch (const std::exception &error) { // the processes have been ended
+            std::fprintf(stderr, "lab: %s\n", error.what());
         }
         std::fclose(file);
         return status;
--- a/review/lab-2/lab_worker.cc
+++ b/review/lab-2/lab_worker.cc
@@ -6,8 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdio>
-#include <cstdlib>
+#include <stdexcept>
 #include <unistd.h>
 
 namespace lab {
@@ -94,8 +93,7 @@
             handle(*it, request, done);
         });
     if (!server) {
-        std::fprintf(stderr, "lab: %s\n", server.error().reason.c_str());
-        std::exit(2);
+        throw std::runtime_error(server.error().reason);
     }
     life->server = std::move(*server);
     m_port = life->server->port();
--- a/review/lab-2/lab_worker.h
+++ b/review/lab-2/lab_worker.h
@@ -40,7 +40,7 @@
 class LabWorker
 {
 public:
-    // Terminates the program if no port can be bound.
+    // Throws std::runtime_error if no port can be bound; restart() too.
     LabWorker(boost::asio::io_context &io, WorkerSpec spec,
               cardamompaddle::emulator::WorkerModelOptions options);
 
