--- a/review/lab-2/play.sh
+++ b/review/lab-2/play.sh
@@ -1,11 +1,12 @@
 #!/usr/bin/env bash
-# Plays a scenario of the lab for a case: play.sh SCENARIO CASE-FOLDER [SEED]
-# TROUBLE=0 plays it without the disruption. Exit status: 0 the rule held, 1 it was broken, 2 the
+# Plays a scenario of the lab for a case: play.sh SCENARIO CASE-FOLDER TROUBLE SEED
+# TROUBLE is 1, or 0 to play it without the disruption. Exit status: 0 the rule held, 1 it was broken, 2 the
 # case could not run. The settings and logs of the processes go into a temporary folder.
 set -uo pipefail
 scenario=$1
 folder=$(cd "$2" && pwd)
-seed=${3:-${SEED:-1}}
+trouble=$3
+seed=$4
 cd "$(dirname "$0")/../.." || exit 2
 lab=target/review-2/lab
 entry=target/platform/cardamompaddle-entry # as in deploy/system.toml
@@ -16,7 +17,7 @@
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
 timeout 118 "$lab" "$scenario" --entry="$entry" --folder="$work" --record="$folder/record.txt" \
-    --trouble="${TROUBLE:-1}" --seed="$seed"
+    --trouble="$trouble" --seed="$seed"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
