Calls to workers carry a fencing token of their own, start answers the worker's clock

Until now a call was fenced by the epoch of the tenure alone, and the answer to a start told nothing of the clock that its lease was measured by. A worker that is back under its id can't be told apart that way. Only the interfaces change here: the token is still the epoch, and nothing reads the clock yet. Instances of an earlier version send the epoch in place of the token; they are no links of a scheduler that uses tokens, and their calls go on being fenced by the epoch.

--- a/src/control/crashing_task_instance_test.cc
+++ b/src/control/crashing_task_instance_test.cc
@@ -20,7 +20,7 @@
             worker.running.clear();
             worker.ended.clear();
             worker.lastPosition = 0;
-            worker.epoch = 0;
+            worker.token = 0;
             ++worker.startedAtMs;
         }
         return true;
--- a/src/control/gateways.h
+++ b/src/control/gateways.h
@@ -124,9 +124,11 @@
 // Fencing data sent with every call to a worker.
 struct CommandFence
 {
-    int64_t epoch = 0; // fencing token: a worker refuses calls with a lower one than it has seen
+    int64_t token = 0; // fencing token: a worker refuses calls with a lower one than it has seen
     int64_t leaseEndMs = 0; // on the worker's clock; 0: the lease is not extended
-    WorkerId incarnation; // the intended worker; any other at the same address refuses the call
+    // The intended worker; any other one at the same address refuses the call. A worker that has
+    // started again under its ID does not.
+    WorkerId worker;
 };
 
 struct PollResult
@@ -135,14 +137,21 @@
     int64_t workerTimeMs = 0; // worker's clock when it answered
 };
 
-// Calls to workers. Errors of all calls: PermissionDenied if the worker has seen a higher epoch,
+// A worker's answer to a start order.
+struct StartAnswer
+{
+    StartOutcome outcome = StartOutcome::Unknown;
+    std::optional<int64_t> workerTimeMs; // worker's clock when it answered; none if it is unknown
+};
+
+// Calls to workers. Errors of all calls: PermissionDenied if the worker has seen a higher token,
 // Conflict if another worker now has the address, Unavailable if the call was certainly not carried
 // out, OutcomeUnknown.
 class WorkerGateway
 {
 public:
     using PollDone = std::function<void(Result<PollResult>)>;
-    using StartDone = std::function<void(Result<StartOutcome>)>;
+    using StartDone = std::function<void(Result<StartAnswer>)>;
     using Done = std::function<void(Result<void>)>;
 
     virtual ~WorkerGateway() = default;
--- a/src/control/remote_worker_gateway.cc
+++ b/src/control/remote_worker_gateway.cc
@@ -250,6 +250,8 @@
     if (!link->incarnation.empty() && link->incarnation != answer->incarnation)
         return loseLink(name, "it has restarted", {});
     link->incarnation = answer->incarnation;
+    if (!answer->sendsFencingTokens)
+        return loseLink(name, "its version sends no fencing tokens", {});
     const Instant now = m_clock.now();
     const Duration took = std::max(Duration::zero(), now - sentAt - m_ownLag);
     if (!m_selector.acknowledged(name, took, now)) {
--- a/src/control/remote_worker_gateway_test.cc
+++ b/src/control/remote_worker_gateway_test.cc
@@ -20,6 +20,8 @@
 using testing::workerEntry;
 
 // One instance that may become a link. Messages to it are held until the test answers them.
+const StartAnswer Started{StartOutcome::Started, std::nullopt};
+
 class RemoteWorkerGatewayTest : public ::testing::Test
 {
 protected:
@@ -51,6 +53,7 @@
     {
         work::WorkerCallsReceived out;
         out.incarnation = incarnation;
+        out.sendsFencingTokens = true;
         return out;
     }
     // Makes the instance a link.
@@ -66,7 +69,7 @@
     {
         m_insideCall = true;
         m_gateway.start(workerEntry(worker), {3, 9'000, worker}, startOrder(worker, job), timeout,
-                        [this](const Result<StartOutcome> &answer) {
+                        [this](const Result<StartAnswer> &answer) {
                             EXPECT_FALSE(m_insideCall) << "a callback ran inside the call";
                             m_outcomes.push_back(answer);
                         });
@@ -112,7 +115,7 @@
     std::map<std::string, work::Member> m_members;
     RemoteWorkerGateway m_gateway{
         m_io, m_clock, m_direct, m_peers, {"self", "scheduler:1", "session", 3}};
-    std::vector<Result<StartOutcome>> m_outcomes;
+    std::vector<Result<StartAnswer>> m_outcomes;
     int m_pollAnswers = 0;
     Instant m_requestedAt = Instant::min();
     bool m_insideCall = false;
@@ -172,13 +175,13 @@
     const int64_t id = deliver().at(0);
     work::WorkerAnswers foreign;
     foreign.session = "another session";
-    foreign.answers = {encodeStartAnswer(id, StartOutcome::NoRoom)};
+    foreign.answers = {encodeStartAnswer(id, StartAnswer{StartOutcome::NoRoom, std::nullopt})};
     m_gateway.answered(foreign);
     EXPECT_TRUE(m_outcomes.empty());
-    answer(encodeStartAnswer(id, StartOutcome::Started));
-    answer(encodeStartAnswer(id, StartOutcome::Started));
+    answer(encodeStartAnswer(id, Started));
+    answer(encodeStartAnswer(id, Started));
     ASSERT_EQ(m_outcomes.size(), 1U);
-    EXPECT_EQ(*m_outcomes[0], StartOutcome::Started);
+    EXPECT_EQ(m_outcomes[0]->outcome, StartOutcome::Started);
 }
 
 // Guards against a task that is started elsewhere although its start may be carried out: a lost
@@ -203,7 +206,7 @@
     EXPECT_EQ(m_direct.polls[0].requestedAt, instantFromMs(123));
     m_direct.polls[0].done(PollResult{});
     EXPECT_EQ(m_pollAnswers, 1);
-    answer(encodeStartAnswer(ids[0], StartOutcome::Started));
+    answer(encodeStartAnswer(ids[0], Started));
     EXPECT_EQ(m_outcomes.size(), 2U) << "a late answer";
     start("next");
     EXPECT_EQ(m_direct.starts.size(), 1U);
@@ -222,7 +225,7 @@
     EXPECT_TRUE(m_outcomes.empty());
     for (const auto &it : m_direct.starts) {
         EXPECT_LE(it.timeout, Duration(200));
-        it.done(StartOutcome::Started);
+        it.done(Started);
     }
     EXPECT_EQ(m_outcomes.size(), 2U);
 }
@@ -296,4 +299,17 @@
     EXPECT_EQ(m_outcomes[0].error().code, ErrorCode::Unavailable);
 }
 
+// Guards against calls that workers refuse, and a tenure that is given up for it, because an
+// instance of an earlier version sends them with the epoch in place of their token.
+TEST_F(RemoteWorkerGatewayTest, AnInstanceThatSendsNoTokensIsNoLink)
+{
+    update();
+    work::WorkerCallsReceived earlierVersion;
+    earlierVersion.incarnation = "i1";
+    takeMessage().done(earlierVersion);
+    EXPECT_EQ(m_gateway.linkCount(), 0U);
+    start("job");
+    EXPECT_EQ(m_direct.starts.size(), 1U);
+}
+
 } // namespace cardamompaddle
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -250,7 +250,7 @@
     };
     struct Worker
     {
-        int64_t epoch = 0;
+        int64_t token = 0; // highest fencing token seen
         int64_t leaseEndMs = 0; // last requested lease end
         int64_t latestLeaseEndMs = 0; // latest requested lease end
         int64_t startedAtMs = 1;
@@ -304,14 +304,18 @@
         ++startCalls;
         if (fence.leaseEndMs == 0) {
             ++startsWithoutLease;
-            return later(Duration(1), [done] { done(StartOutcome::WorkerUnavailable); });
+            return later(Duration(1), [done] {
+                done(StartAnswer{StartOutcome::WorkerUnavailable, std::nullopt});
+            });
         }
         const bool answered =
             std::exchange(worker.unansweredStarts, std::max(0, worker.unansweredStarts - 1)) == 0;
         if (!answered && worker.delaysUnansweredStarts)
             return later(timeout, [error = noAnswer(), done] { done(error); });
         if (worker.refusesAfterUnanswered)
-            return later(Duration(1), [done] { done(StartOutcome::NoRoom); });
+            return later(Duration(1), [done] {
+                done(StartAnswer{StartOutcome::NoRoom, std::nullopt});
+            });
         const bool alreadyRunning =
             std::any_of(worker.running.begin(), worker.running.end(), [&order](const Run &run) {
                 return run.task == order.task && run.run == order.run;
@@ -320,7 +324,7 @@
             beginRun(worker, order);
         if (!answered)
             return later(timeout, [error = noAnswer(), done] { done(error); });
-        later(Duration(1), [done] { done(StartOutcome::Started); });
+        later(Duration(1), [done] { done(StartAnswer{StartOutcome::Started, std::nullopt}); });
     }
     void stop(const WorkerEntry &entry, const CommandFence &fence, const StopOrder &order,
               Duration timeout, Done done) override
@@ -378,13 +382,13 @@
     // Returns the error to answer with; its reason is empty if the call is accepted.
     Error checkFence(Worker &worker, const WorkerId &id, const CommandFence &fence)
     {
-        if (worker.unresponsive || fence.epoch >= worker.unresponsiveFromEpoch)
+        if (worker.unresponsive || fence.token >= worker.unresponsiveFromEpoch)
             return noAnswer();
-        if (!worker.idAtAddress.empty() && fence.incarnation == id)
+        if (!worker.idAtAddress.empty() && fence.worker == id)
             return {ErrorCode::Conflict, "another worker"};
-        if (fence.epoch < worker.epoch)
-            return {ErrorCode::PermissionDenied, "epoch"};
-        worker.epoch = fence.epoch;
+        if (fence.token < worker.token)
+            return {ErrorCode::PermissionDenied, "token"};
+        worker.token = fence.token;
         if (fence.leaseEndMs > 0)
             worker.leaseEndMs = fence.leaseEndMs;
         worker.latestLeaseEndMs = std::max(worker.latestLeaseEndMs, fence.leaseEndMs);
--- a/src/control/worker_call_codec.cc
+++ b/src/control/worker_call_codec.cc
@@ -143,9 +143,10 @@
 {
     work::WorkerCall out;
     out.kind = kind;
-    out.worker = fence.incarnation;
+    out.worker = fence.worker;
     out.address = worker.address;
     out.leaseEndMs = fence.leaseEndMs;
+    out.fencingToken = fence.token;
     return out;
 }
 
@@ -195,7 +196,7 @@
 
 CommandFence decodeFence(const work::WorkerCall &call, int64_t epoch)
 {
-    return {epoch, call.leaseEndMs, call.worker};
+    return {call.fencingToken > 0 ? call.fencingToken : epoch, call.leaseEndMs, call.worker};
 }
 
 Result<StartOrder> decodeStart(const work::WorkerCall &call,
@@ -258,17 +259,18 @@
     return out;
 }
 
-work::WorkerAnswer encodeStartAnswer(int64_t id, const Result<StartOutcome> &answer)
+work::WorkerAnswer encodeStartAnswer(int64_t id, const Result<StartAnswer> &answer)
 {
     if (!answer)
         return encodeError(id, answer.error());
-    const auto result = findFirst(StartResults, *answer);
+    const auto result = findFirst(StartResults, answer->outcome);
     if (!result)
-        return encodeError(
-            id, {ErrorCode::OutcomeUnknown, "outcome " + std::string(startOutcomeName(*answer))});
+        return encodeError(id, {ErrorCode::OutcomeUnknown,
+                                "outcome " + std::string(startOutcomeName(answer->outcome))});
     work::WorkerAnswer out;
     out.id = id;
     out.startResult = *result;
+    out.workerTimeMs = answer->workerTimeMs.value_or(0);
     return out;
 }
 
@@ -296,14 +298,15 @@
     return out;
 }
 
-Result<StartOutcome> decodeStartAnswer(const work::WorkerAnswer &answer)
+Result<StartAnswer> decodeStartAnswer(const work::WorkerAnswer &answer)
 {
     if (auto error = errorOf(answer))
         return *error;
     const auto outcome = findSecond(StartResults, answer.startResult);
     if (!outcome)
         return unreadable("result of a start");
-    return *outcome;
+    return StartAnswer{*outcome,
+                       answer.workerTimeMs > 0 ? std::optional(answer.workerTimeMs) : std::nullopt};
 }
 
 Result<void> decodeOrderAnswer(const work::WorkerAnswer &answer)
--- a/src/control/worker_call_codec.h
+++ b/src/control/worker_call_codec.h
@@ -29,6 +29,7 @@
 
 // Returns an entry with only the id and the address, which is all that a call needs.
 WorkerEntry decodeWorkerOf(const work::WorkerCall &call);
+// `epoch` is that of the batch; it takes the place of a token that the sender did not set.
 CommandFence decodeFence(const work::WorkerCall &call, int64_t epoch);
 // `payloads` are those of the batch. Errors: also InvalidArgument if the job's payload is missing.
 Result<StartOrder> decodeStart(const work::WorkerCall &call,
@@ -40,10 +41,10 @@
 // an unknown name becomes OutcomeUnknown.
 work::WorkerAnswer encodeError(int64_t id, const Error &error);
 work::WorkerAnswer encodePollAnswer(int64_t id, const Result<PollResult> &answer);
-work::WorkerAnswer encodeStartAnswer(int64_t id, const Result<StartOutcome> &answer);
+work::WorkerAnswer encodeStartAnswer(int64_t id, const Result<StartAnswer> &answer);
 work::WorkerAnswer encodeOrderAnswer(int64_t id, const Result<void> &answer);
 Result<PollResult> decodePollAnswer(const work::WorkerAnswer &answer, Instant requestedAt);
-Result<StartOutcome> decodeStartAnswer(const work::WorkerAnswer &answer);
+Result<StartAnswer> decodeStartAnswer(const work::WorkerAnswer &answer);
 Result<void> decodeOrderAnswer(const work::WorkerAnswer &answer);
 
 } // namespace cardamompaddle
--- a/src/control/worker_call_codec_test.cc
+++ b/src/control/worker_call_codec_test.cc
@@ -12,7 +12,7 @@
 using testing::startOrder;
 using testing::workerEntry;
 
-const CommandFence Fence{5, 9'000, "w"};
+const CommandFence Fence{5'000'001, 9'000, "w"};
 
 // Encodes and decodes a struct, as if it had been sent to a peer.
 work::WorkerCall sent(const work::WorkerCall &call)
@@ -47,7 +47,8 @@
     EXPECT_EQ(decodeWorkerOf(call).address, "10.0.0.1:80");
     const CommandFence fence = decodeFence(call, 5);
     EXPECT_EQ(fence.leaseEndMs, 9'000);
-    EXPECT_EQ(fence.incarnation, "w");
+    EXPECT_EQ(fence.worker, "w");
+    EXPECT_EQ(fence.token, Fence.token) << "the token of the call, not the epoch of the batch";
     const auto stop = decodeStop(sent(encodeStop(workerEntry("w"), Fence, {"w", start.task, 7})));
     ASSERT_TRUE(stop);
     EXPECT_EQ(stop->task, start.task);
@@ -106,8 +107,13 @@
     for (const StartOutcome outcome :
          {StartOutcome::Started, StartOutcome::NoRoom, StartOutcome::StaleRun,
           StartOutcome::NoApproval, StartOutcome::WorkerUnavailable})
-        EXPECT_EQ(*decodeStartAnswer(sent(encodeStartAnswer(1, outcome))), outcome);
-    EXPECT_EQ(decodeStartAnswer(sent(encodeStartAnswer(1, StartOutcome::Unknown))).error().code,
+        EXPECT_EQ(decodeStartAnswer(sent(encodeStartAnswer(1, StartAnswer{outcome, std::nullopt})))
+                      ->outcome,
+                  outcome);
+    EXPECT_EQ(decodeStartAnswer(
+                  sent(encodeStartAnswer(1, StartAnswer{StartOutcome::Unknown, std::nullopt})))
+                  .error()
+                  .code,
               ErrorCode::OutcomeUnknown);
     for (const ErrorCode code : {ErrorCode::PermissionDenied, ErrorCode::Conflict,
                                  ErrorCode::Unavailable, ErrorCode::OutcomeUnknown})
@@ -117,4 +123,28 @@
     EXPECT_EQ(decodeOrderAnswer(answer).error().code, ErrorCode::OutcomeUnknown);
 }
 
+// Guards against calls of a scheduler of an earlier version, which sends no tokens, that workers
+// refuse.
+TEST(WorkerCallCodecTest, ACallWithoutATokenIsFencedByTheEpochOfItsBatch)
+{
+    work::WorkerCall call = sent(encodePoll(workerEntry("w"), Fence, 12, Duration(900)));
+    call.fencingToken = 0;
+    EXPECT_EQ(decodeFence(call, 5).token, 5);
+}
+
+// Guards against a start that another incarnation has answered and that passes for confirmed
+// because a peer made the call.
+TEST(WorkerCallCodecTest, AStartAnswerKeepsTheWorkersClock)
+{
+    const auto known =
+        decodeStartAnswer(encodeStartAnswer(1, StartAnswer{StartOutcome::Started, 42}));
+    ASSERT_TRUE(known);
+    EXPECT_EQ(known->outcome, StartOutcome::Started);
+    EXPECT_EQ(known->workerTimeMs, 42);
+    const auto unknown =
+        decodeStartAnswer(encodeStartAnswer(1, StartAnswer{StartOutcome::Started, std::nullopt}));
+    ASSERT_TRUE(unknown);
+    EXPECT_EQ(unknown->workerTimeMs, std::nullopt);
+}
+
 } // namespace cardamompaddle
--- a/src/control/worker_call_server.cc
+++ b/src/control/worker_call_server.cc
@@ -49,6 +49,7 @@
 {
     work::WorkerCallsReceived out;
     out.incarnation = m_incarnation;
+    out.sendsFencingTokens = true;
     if (!batch.calls.empty())
         m_outboxes[batch.session].replyTo = batch.replyTo;
     if (batch.epoch < m_highestEpoch) {
@@ -172,7 +173,7 @@
             return done(unreadable(order.error()));
         return m_workers.start(
             worker, fence, *order, timeout,
-            [this, alive = m_alive, session, id = call.id](const Result<StartOutcome> &it) {
+            [this, alive = m_alive, session, id = call.id](const Result<StartAnswer> &it) {
                 if (*alive)
                     answer(session, encodeStartAnswer(id, it));
             });
--- a/src/control/worker_call_server_test.cc
+++ b/src/control/worker_call_server_test.cc
@@ -67,9 +67,9 @@
     run();
     ASSERT_EQ(m_workers.starts.size(), 2U);
     EXPECT_EQ(m_workers.starts[0].order.job->payload, "payload");
-    EXPECT_EQ(m_workers.starts[0].fence.epoch, 1);
+    EXPECT_EQ(m_workers.starts[0].fence.token, 1);
     EXPECT_EQ(m_workers.starts[0].fence.leaseEndMs, 9'000);
-    m_workers.starts[0].done(StartOutcome::Started);
+    m_workers.starts[0].done(StartAnswer{StartOutcome::Started, std::nullopt});
     m_workers.starts[1].done(Error{ErrorCode::OutcomeUnknown, "no answer"});
     run();
     ASSERT_EQ(m_peers.answers.size(), 1U);
@@ -84,9 +84,9 @@
     m_server.receive(batch(1, {}));
     m_server.receive(batch(1, {10, 11}));
     run();
-    m_workers.starts[0].done(StartOutcome::Started);
+    m_workers.starts[0].done(StartAnswer{StartOutcome::Started, std::nullopt});
     run();
-    m_workers.starts[1].done(StartOutcome::Started);
+    m_workers.starts[1].done(StartAnswer{StartOutcome::Started, std::nullopt});
     run();
     ASSERT_EQ(m_peers.answers.size(), 1U) << "one message in flight";
     for (size_t i = 0; i < m_peers.answers.size() && i < 10; ++i) {
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -140,8 +140,8 @@
 CommandFence WorkerLinks::makeFence(Link &link, bool extendLease)
 {
     CommandFence out;
-    out.epoch = m_options.epoch;
-    out.incarnation = link.entry.id;
+    out.token = m_options.epoch;
+    out.worker = link.entry.id;
     if (!extendLease || !mayExtendLease(link))
         return out;
     const Instant now = m_clock.now();
@@ -321,14 +321,14 @@
     }
     m_gateway.start(
         link.entry, makeFence(link, true), order, StartTimeouts[priorAttempts],
-        [this, alive = m_alive, order, priorAttempts](const Result<StartOutcome> &answer) {
+        [this, alive = m_alive, order, priorAttempts](const Result<StartAnswer> &answer) {
             if (*alive)
                 onStartAnswer(order, priorAttempts, answer);
         });
 }
 
 void WorkerLinks::onStartAnswer(const StartOrder &order, size_t priorAttempts,
-                                const Result<StartOutcome> &answer)
+                                const Result<StartAnswer> &answer)
 {
     const bool unanswered = !answer && answer.error().code == ErrorCode::OutcomeUnknown;
     if (unanswered)
@@ -343,7 +343,7 @@
     onCallDone(order.worker);
     StartOutcome outcome = StartOutcome::WorkerUnavailable;
     if (answer)
-        outcome = *answer;
+        outcome = answer->outcome;
     // An unanswered attempt may still be carried out, even if a later one was refused.
     if (unanswered || (priorAttempts > 0 && outcome != StartOutcome::Started))
         outcome = StartOutcome::Unknown;
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -134,7 +134,7 @@
     // Sends a start order if it is still wanted. `priorAttempts` of it had no answer.
     void sendStart(const StartOrder &order, size_t priorAttempts);
     void onStartAnswer(const StartOrder &order, size_t priorAttempts,
-                       const Result<StartOutcome> &answer);
+                       const Result<StartAnswer> &answer);
     // Ends a stop or throttle call and returns whether it succeeded. A failure is logged as
     // `failureEvent`.
     bool finishOrder(std::string_view failureEvent, const WorkerId &id, const TaskRef &task,
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -2416,6 +2416,18 @@
 void UsedWorker::__set_runsRecordedEpoch(const int64_t val) {
   this->runsRecordedEpoch = val;
 }
+
+void UsedWorker::__set_startedAtMs(const int64_t val) {
+  this->startedAtMs = val;
+}
+
+void UsedWorker::__set_strayLeasesExpireWithinMs(const int64_t val) {
+  this->strayLeasesExpireWithinMs = val;
+}
+
+void UsedWorker::__set_unansweredStartsExpireWithinMs(const int64_t val) {
+  this->unansweredStartsExpireWithinMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const UsedWorker& obj)
 {
   obj.printTo(out);
@@ -2476,6 +2488,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedAtMs);
+          this->__isset.startedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->strayLeasesExpireWithinMs);
+          this->__isset.strayLeasesExpireWithinMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->unansweredStartsExpireWithinMs);
+          this->__isset.unansweredStartsExpireWithinMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2509,6 +2545,18 @@
   xfer += oprot->writeI64(this->runsRecordedEpoch);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("startedAtMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->startedAtMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("strayLeasesExpireWithinMs", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->strayLeasesExpireWithinMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unansweredStartsExpireWithinMs", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->unansweredStartsExpireWithinMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2520,6 +2568,9 @@
   swap(a.address, b.address);
   swap(a.leasesExpireWithinMs, b.leasesExpireWithinMs);
   swap(a.runsRecordedEpoch, b.runsRecordedEpoch);
+  swap(a.startedAtMs, b.startedAtMs);
+  swap(a.strayLeasesExpireWithinMs, b.strayLeasesExpireWithinMs);
+  swap(a.unansweredStartsExpireWithinMs, b.unansweredStartsExpireWithinMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -2528,6 +2579,9 @@
   address = other109.address;
   leasesExpireWithinMs = other109.leasesExpireWithinMs;
   runsRecordedEpoch = other109.runsRecordedEpoch;
+  startedAtMs = other109.startedAtMs;
+  strayLeasesExpireWithinMs = other109.strayLeasesExpireWithinMs;
+  unansweredStartsExpireWithinMs = other109.unansweredStartsExpireWithinMs;
   __isset = other109.__isset;
 }
 UsedWorker::UsedWorker(UsedWorker&& other110) noexcept {
@@ -2535,6 +2589,9 @@
   address = std::move(other110.address);
   leasesExpireWithinMs = other110.leasesExpireWithinMs;
   runsRecordedEpoch = other110.runsRecordedEpoch;
+  startedAtMs = other110.startedAtMs;
+  strayLeasesExpireWithinMs = other110.strayLeasesExpireWithinMs;
+  unansweredStartsExpireWithinMs = other110.unansweredStartsExpireWithinMs;
   __isset = other110.__isset;
 }
 UsedWorker& UsedWorker::operator=(const UsedWorker& other111) {
@@ -2542,6 +2599,9 @@
   address = other111.address;
   leasesExpireWithinMs = other111.leasesExpireWithinMs;
   runsRecordedEpoch = other111.runsRecordedEpoch;
+  startedAtMs = other111.startedAtMs;
+  strayLeasesExpireWithinMs = other111.strayLeasesExpireWithinMs;
+  unansweredStartsExpireWithinMs = other111.unansweredStartsExpireWithinMs;
   __isset = other111.__isset;
   return *this;
 }
@@ -2550,6 +2610,9 @@
   address = std::move(other112.address);
   leasesExpireWithinMs = other112.leasesExpireWithinMs;
   runsRecordedEpoch = other112.runsRecordedEpoch;
+  startedAtMs = other112.startedAtMs;
+  strayLeasesExpireWithinMs = other112.strayLeasesExpireWithinMs;
+  unansweredStartsExpireWithinMs = other112.unansweredStartsExpireWithinMs;
   __isset = other112.__isset;
   return *this;
 }
@@ -2560,6 +2623,9 @@
   out << ", " << "address=" << to_string(address);
   out << ", " << "leasesExpireWithinMs=" << to_string(leasesExpireWithinMs);
   out << ", " << "runsRecordedEpoch=" << to_string(runsRecordedEpoch);
+  out << ", " << "startedAtMs=" << to_string(startedAtMs);
+  out << ", " << "strayLeasesExpireWithinMs=" << to_string(strayLeasesExpireWithinMs);
+  out << ", " << "unansweredStartsExpireWithinMs=" << to_string(unansweredStartsExpireWithinMs);
   out << ")";
 }
 
@@ -3439,6 +3505,10 @@
 void WorkerCall::__set_ticket(const std::string& val) {
   this->ticket = val;
 }
+
+void WorkerCall::__set_fencingToken(const int64_t val) {
+  this->fencingToken = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerCall& obj)
 {
   obj.printTo(out);
@@ -3573,6 +3643,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fencingToken);
+          this->__isset.fencingToken = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3642,6 +3720,10 @@
   xfer += oprot->writeString(this->ticket);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("fencingToken", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->fencingToken);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3662,6 +3744,7 @@
   swap(a.speedPercent, b.speedPercent);
   swap(a.checkpoint, b.checkpoint);
   swap(a.ticket, b.ticket);
+  swap(a.fencingToken, b.fencingToken);
   swap(a.__isset, b.__isset);
 }
 
@@ -3679,6 +3762,7 @@
   speedPercent = other150.speedPercent;
   checkpoint = other150.checkpoint;
   ticket = other150.ticket;
+  fencingToken = other150.fencingToken;
   __isset = other150.__isset;
 }
 WorkerCall::WorkerCall(WorkerCall&& other151) noexcept {
@@ -3695,6 +3779,7 @@
   speedPercent = other151.speedPercent;
   checkpoint = std::move(other151.checkpoint);
   ticket = std::move(other151.ticket);
+  fencingToken = other151.fencingToken;
   __isset = other151.__isset;
 }
 WorkerCall& WorkerCall::operator=(const WorkerCall& other152) {
@@ -3711,6 +3796,7 @@
   speedPercent = other152.speedPercent;
   checkpoint = other152.checkpoint;
   ticket = other152.ticket;
+  fencingToken = other152.fencingToken;
   __isset = other152.__isset;
   return *this;
 }
@@ -3728,6 +3814,7 @@
   speedPercent = other153.speedPercent;
   checkpoint = std::move(other153.checkpoint);
   ticket = std::move(other153.ticket);
+  fencingToken = other153.fencingToken;
   __isset = other153.__isset;
   return *this;
 }
@@ -3747,6 +3834,7 @@
   out << ", " << "speedPercent=" << to_string(speedPercent);
   out << ", " << "checkpoint=" << to_string(checkpoint);
   out << ", " << "ticket=" << to_string(ticket);
+  out << ", " << "fencingToken=" << to_string(fencingToken);
   out << ")";
 }
 
@@ -4013,6 +4101,10 @@
 void WorkerCallsReceived::__set_incarnation(const std::string& val) {
   this->incarnation = val;
 }
+
+void WorkerCallsReceived::__set_sendsFencingTokens(const bool val) {
+  this->sendsFencingTokens = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerCallsReceived& obj)
 {
   obj.printTo(out);
@@ -4049,6 +4141,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->sendsFencingTokens);
+          this->__isset.sendsFencingTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4070,6 +4170,10 @@
   xfer += oprot->writeString(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sendsFencingTokens", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->sendsFencingTokens);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4078,24 +4182,29 @@
 void swap(WorkerCallsReceived &a, WorkerCallsReceived &b) {
   using ::std::swap;
   swap(a.incarnation, b.incarnation);
+  swap(a.sendsFencingTokens, b.sendsFencingTokens);
   swap(a.__isset, b.__isset);
 }
 
 WorkerCallsReceived::WorkerCallsReceived(const WorkerCallsReceived& other172) {
   incarnation = other172.incarnation;
+  sendsFencingTokens = other172.sendsFencingTokens;
   __isset = other172.__isset;
 }
 WorkerCallsReceived::WorkerCallsReceived(WorkerCallsReceived&& other173) noexcept {
   incarnation = std::move(other173.incarnation);
+  sendsFencingTokens = other173.sendsFencingTokens;
   __isset = other173.__isset;
 }
 WorkerCallsReceived& WorkerCallsReceived::operator=(const WorkerCallsReceived& other174) {
   incarnation = other174.incarnation;
+  sendsFencingTokens = other174.sendsFencingTokens;
   __isset = other174.__isset;
   return *this;
 }
 WorkerCallsReceived& WorkerCallsReceived::operator=(WorkerCallsReceived&& other175) noexcept {
   incarnation = std::move(other175.incarnation);
+  sendsFencingTokens = other175.sendsFencingTokens;
   __isset = other175.__isset;
   return *this;
 }
@@ -4103,6 +4212,7 @@
   using ::apache::thrift::to_string;
   out << "WorkerCallsReceived(";
   out << "incarnation=" << to_string(incarnation);
+  out << ", " << "sendsFencingTokens=" << to_string(sendsFencingTokens);
   out << ")";
 }
 
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -878,11 +878,14 @@
 std::ostream& operator<<(std::ostream& out, const ApprovalAnswer& obj);
 
 typedef struct _UsedWorker__isset {
-  _UsedWorker__isset() : id(false), address(false), leasesExpireWithinMs(false), runsRecordedEpoch(false) {}
+  _UsedWorker__isset() : id(false), address(false), leasesExpireWithinMs(false), runsRecordedEpoch(false), startedAtMs(false), strayLeasesExpireWithinMs(false), unansweredStartsExpireWithinMs(false) {}
   bool id :1;
   bool address :1;
   bool leasesExpireWithinMs :1;
   bool runsRecordedEpoch :1;
+  bool startedAtMs :1;
+  bool strayLeasesExpireWithinMs :1;
+  bool unansweredStartsExpireWithinMs :1;
 } _UsedWorker__isset;
 
 class UsedWorker : public virtual ::apache::thrift::TBase {
@@ -896,7 +899,10 @@
              : id(),
                address(),
                leasesExpireWithinMs(0),
-               runsRecordedEpoch(0) {
+               runsRecordedEpoch(0),
+               startedAtMs(0),
+               strayLeasesExpireWithinMs(0),
+               unansweredStartsExpireWithinMs(0) {
   }
 
   virtual ~UsedWorker() noexcept;
@@ -904,6 +910,9 @@
   std::string address;
   int64_t leasesExpireWithinMs;
   int64_t runsRecordedEpoch;
+  int64_t startedAtMs;
+  int64_t strayLeasesExpireWithinMs;
+  int64_t unansweredStartsExpireWithinMs;
 
   _UsedWorker__isset __isset;
 
@@ -915,6 +924,12 @@
 
   void __set_runsRecordedEpoch(const int64_t val);
 
+  void __set_startedAtMs(const int64_t val);
+
+  void __set_strayLeasesExpireWithinMs(const int64_t val);
+
+  void __set_unansweredStartsExpireWithinMs(const int64_t val);
+
   bool operator == (const UsedWorker & rhs) const
   {
     if (!(id == rhs.id))
@@ -925,6 +940,12 @@
       return false;
     if (!(runsRecordedEpoch == rhs.runsRecordedEpoch))
       return false;
+    if (!(startedAtMs == rhs.startedAtMs))
+      return false;
+    if (!(strayLeasesExpireWithinMs == rhs.strayLeasesExpireWithinMs))
+      return false;
+    if (!(unansweredStartsExpireWithinMs == rhs.unansweredStartsExpireWithinMs))
+      return false;
     return true;
   }
   bool operator != (const UsedWorker &rhs) const {
@@ -1233,7 +1254,7 @@
 std::ostream& operator<<(std::ostream& out, const CallerResponse& obj);
 
 typedef struct _WorkerCall__isset {
-  _WorkerCall__isset() : id(false), kind(false), worker(false), address(false), leaseEndMs(false), timeoutMs(false), waitMs(false), acknowledged(false), task(false), run(false), speedPercent(false), checkpoint(false), ticket(false) {}
+  _WorkerCall__isset() : id(false), kind(false), worker(false), address(false), leaseEndMs(false), timeoutMs(false), waitMs(false), acknowledged(false), task(false), run(false), speedPercent(false), checkpoint(false), ticket(false), fencingToken(false) {}
   bool id :1;
   bool kind :1;
   bool worker :1;
@@ -1247,6 +1268,7 @@
   bool speedPercent :1;
   bool checkpoint :1;
   bool ticket :1;
+  bool fencingToken :1;
 } _WorkerCall__isset;
 
 class WorkerCall : public virtual ::apache::thrift::TBase {
@@ -1269,7 +1291,8 @@
                run(0),
                speedPercent(0),
                checkpoint(),
-               ticket() {
+               ticket(),
+               fencingToken(0) {
   }
 
   virtual ~WorkerCall() noexcept;
@@ -1290,6 +1313,7 @@
   int32_t speedPercent;
   std::string checkpoint;
   std::string ticket;
+  int64_t fencingToken;
 
   _WorkerCall__isset __isset;
 
@@ -1319,6 +1343,8 @@
 
   void __set_ticket(const std::string& val);
 
+  void __set_fencingToken(const int64_t val);
+
   bool operator == (const WorkerCall & rhs) const
   {
     if (!(id == rhs.id))
@@ -1347,6 +1373,8 @@
       return false;
     if (!(ticket == rhs.ticket))
       return false;
+    if (!(fencingToken == rhs.fencingToken))
+      return false;
     return true;
   }
   bool operator != (const WorkerCall &rhs) const {
@@ -1444,8 +1472,9 @@
 std::ostream& operator<<(std::ostream& out, const WorkerCalls& obj);
 
 typedef struct _WorkerCallsReceived__isset {
-  _WorkerCallsReceived__isset() : incarnation(false) {}
+  _WorkerCallsReceived__isset() : incarnation(false), sendsFencingTokens(false) {}
   bool incarnation :1;
+  bool sendsFencingTokens :1;
 } _WorkerCallsReceived__isset;
 
 class WorkerCallsReceived : public virtual ::apache::thrift::TBase {
@@ -1456,20 +1485,26 @@
   WorkerCallsReceived& operator=(const WorkerCallsReceived&);
   WorkerCallsReceived& operator=(WorkerCallsReceived&&) noexcept;
   WorkerCallsReceived() noexcept
-                      : incarnation() {
+                      : incarnation(),
+                        sendsFencingTokens(0) {
   }
 
   virtual ~WorkerCallsReceived() noexcept;
   std::string incarnation;
+  bool sendsFencingTokens;
 
   _WorkerCallsReceived__isset __isset;
 
   void __set_incarnation(const std::string& val);
 
+  void __set_sendsFencingTokens(const bool val);
+
   bool operator == (const WorkerCallsReceived & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
       return false;
+    if (!(sendsFencingTokens == rhs.sendsFencingTokens))
+      return false;
     return true;
   }
   bool operator != (const WorkerCallsReceived &rhs) const {
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -71,7 +71,8 @@
   6: i64 endedAtHeldMs;
 }
 
-// The scheduler's leadership term. `epoch` is also the fencing token of the commands to workers.
+// The scheduler's leadership term. `epoch` is also the upper part of the fencing tokens of its calls to
+// workers.
 struct Tenure {
   1: string holder;
   2: string address;           // IP:PORT on which peers reach the holder
@@ -113,6 +114,15 @@
   // jobs names all runs that holders of this epoch or an earlier one may have started there, whatever
   // Tenure.startsRecorded says. 0: runs may exist there that no record names.
   4: i64 runsRecordedEpoch;
+  // Unix time of the start of the worker's incarnation: tasks are started only in this one. 0 in records
+  // of versions that did not store it.
+  5: i64 startedAtMs;
+  // Calls that were meant for an earlier incarnation may have extended leases in this one. These expire
+  // within this time after the record was stored; 0: there are none.
+  6: i64 strayLeasesExpireWithinMs;
+  // Starts without an answer may still be carried out in an incarnation that nobody has heard of. Their
+  // leases expire within this time after the record was stored; 0: there are no such starts.
+  7: i64 unansweredStartsExpireWithinMs;
 }
 
 // Records of one topic of the log, as stored. `topicEnd` is the offset at which the topic ended
@@ -165,6 +175,7 @@
   11: i32 speedPercent;        // Throttle
   12: string checkpoint;       // Start
   13: string ticket;           // Start
+  14: i64 fencingToken;        // 0, from versions that did not send it: the epoch of the batch
 }
 struct WorkerCalls {
   1: string session;           // of the scheduler's tenure; answers carry it
@@ -176,7 +187,11 @@
 }
 // The answer to WorkerCalls once they are read, before any of them is made. A changed incarnation
 // shows that the calls of earlier batches are lost.
-struct WorkerCallsReceived { 1: string incarnation; }
+struct WorkerCallsReceived {
+  1: string incarnation;
+  // Whether the instance sends each call's own fencing token; earlier versions send the epoch.
+  2: bool sendsFencingTokens;
+}
 enum StartResult { Started = 0, NoRoom = 1, StaleRun = 2, NoApproval = 3, WorkerUnavailable = 4 }
 enum RunEnd {
   Succeeded = 0, Failed = 1, Stopped = 2, LeaseLapsed = 3, GangBroken = 4, GangIncomplete = 5
@@ -188,7 +203,7 @@
   2: string error;             // name of the ErrorCode; empty: none
   3: string reason;            // of an error
   4: StartResult startResult;  // Start
-  5: i64 workerTimeMs;         // Poll: worker's clock when it answered
+  5: i64 workerTimeMs;         // Poll, Start: worker's clock when it answered; 0: unknown
   6: i64 startedAtMs;          // Poll: Unix time of the start of the worker's incarnation
   7: list<ListedRun> running;  // Poll
   8: list<FinishedRun> finished; // Poll
--- a/testing/emulator/platform_emulator_fixture.h
+++ b/testing/emulator/platform_emulator_fixture.h
@@ -134,9 +134,10 @@
         order.task = m_task;
         order.run = run;
         order.job = std::make_shared<work::Submission>();
-        return await<Result<StartOutcome>>([&](auto done) {
+        const auto answer = await<Result<StartAnswer>>([&](auto done) {
             m_workers->start(worker, fence(worker, Lease.count(), epoch), order, timeout, done);
         });
+        return answer ? Result<StartOutcome>(answer->outcome) : answer.error();
     }
     Result<void> stop(const WorkerEntry &worker, int64_t run)
     {
--- a/testing/emulator/policy_server_test.cc
+++ b/testing/emulator/policy_server_test.cc
@@ -35,9 +35,10 @@
         order.run = run;
         order.ticket = ticket;
         order.job = std::make_shared<work::Submission>();
-        return await<Result<StartOutcome>>([&](auto done) {
+        const auto answer = await<Result<StartAnswer>>([&](auto done) {
             m_workers->start(worker, fence(worker, Lease.count()), order, Timeout, done);
         });
+        return answer ? Result<StartOutcome>(answer->outcome) : answer.error();
     }
 
     std::unique_ptr<PlatformPolicyClient> m_policy;
