Tests that fail: a worker that starts again under its id runs tasks twice

One test each for hypotheses A (a lease requested by a former clock), B (ends acknowledged with a former incarnation's position) and C (a start for the former incarnation that begins in the present one), with real instances on modelled workers whose incarnations have clocks of their own.

--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -254,13 +254,20 @@
         int64_t leaseEndMs = 0; // last requested lease end
         int64_t latestLeaseEndMs = 0; // latest requested lease end
         int64_t startedAtMs = 1;
+        // When its present incarnation started. If set, its clock counts from then, and its runs
+        // end with their leases, of `maxLease` at most.
+        std::optional<Instant> startedAt;
+        Instant leasesUntil = Instant::min();
         std::vector<Run> running;
         std::vector<EndedRun> ended;
+        std::set<TaskRef> stopped; // late starts of these tasks are rejected
         int64_t lastPosition = 0; // of the newest finished run
         bool unresponsive = false; // calls get no answer
         int64_t unresponsiveFromEpoch = INT64_MAX; // calls of this epoch or a later one get none
         int unansweredStarts = 0; // number of coming start calls that get no answer
         bool delaysUnansweredStarts = false; // unanswered starts are not carried out
+        // If set, unanswered starts are carried out this much later, in whatever incarnation.
+        std::optional<Duration> lateStartDelay;
         bool refusesAfterUnanswered = false; // answered starts get NoRoom
         std::string idAtAddress; // if set, another worker has taken over the address
     };
@@ -282,7 +289,7 @@
                 poll(entry, fence, acknowledged, wait - Duration(5), timeout, requestedAt, done);
             });
         PollResult answer;
-        answer.workerTimeMs = workerTimeMs();
+        answer.workerTimeMs = clockOf(worker);
         answer.report.requestedAt = requestedAt;
         answer.report.startedAtMs = worker.startedAtMs;
         for (const Run &run : worker.running)
@@ -310,7 +317,14 @@
         }
         const bool answered =
             std::exchange(worker.unansweredStarts, std::max(0, worker.unansweredStarts - 1)) == 0;
-        if (!answered && worker.delaysUnansweredStarts)
+        if (!answered && worker.lateStartDelay)
+            later(*worker.lateStartDelay, [this, entry, fence, order] {
+                Worker &present = workers[entry.id];
+                const bool accepted = checkFence(present, entry.id, fence).reason.empty();
+                if (accepted && !present.stopped.contains(order.task))
+                    beginRun(present, order);
+            });
+        if (!answered && (worker.delaysUnansweredStarts || worker.lateStartDelay))
             return later(timeout, [error = noAnswer(), done] { done(error); });
         if (worker.refusesAfterUnanswered)
             return later(Duration(1), [done] {
@@ -324,7 +338,8 @@
             beginRun(worker, order);
         if (!answered)
             return later(timeout, [error = noAnswer(), done] { done(error); });
-        later(Duration(1), [done] { done(StartAnswer{StartOutcome::Started, std::nullopt}); });
+        const auto clockMs = worker.startedAt ? std::optional(clockOf(worker)) : std::nullopt;
+        later(Duration(1), [clockMs, done] { done(StartAnswer{StartOutcome::Started, clockMs}); });
     }
     void stop(const WorkerEntry &entry, const CommandFence &fence, const StopOrder &order,
               Duration timeout, Done done) override
@@ -335,6 +350,7 @@
             return later(error.code == ErrorCode::OutcomeUnknown ? timeout : Duration(1),
                          [error, done] { done(error); });
         finishRun(worker, order.task, RunOutcome::Stopped);
+        worker.stopped.insert(order.task);
         later(Duration(1), [done] { done({}); });
     }
     void throttle(const WorkerEntry &, const CommandFence &, const ThrottleOrder &, Duration,
@@ -343,6 +359,14 @@
         later(Duration(1), [done] { done({}); });
     }
 
+    // The worker starts again under its ID and knows nothing of before.
+    void restart(const WorkerId &id, Instant now)
+    {
+        Worker next;
+        next.startedAtMs = workers[id].startedAtMs + 1;
+        next.startedAt = now;
+        workers[id] = next;
+    }
     void finishAllRuns(RunOutcome outcome)
     {
         for (auto &[id, worker] : workers) {
@@ -359,7 +383,9 @@
     }
 
     std::map<WorkerId, Worker> workers;
-    std::function<int64_t()> workerTimeMs = [] { return 1'000; }; // clock of all workers
+    // Clock of all workers that have no start of their own.
+    std::function<int64_t()> workerTimeMs = [] { return 1'000; };
+    Duration maxLease{10'000};
     size_t maxEndsListed = 500; // finished runs in one answer to poll()
     std::set<TaskRef> succeeded;
     int starts = 0; // runs that began
@@ -369,11 +395,27 @@
 
 private:
     static Error noAnswer() { return {ErrorCode::OutcomeUnknown, "no answer"}; }
+    int64_t clockOf(const Worker &worker) const
+    {
+        return worker.startedAt ? (m_clock.now() - *worker.startedAt).count() : workerTimeMs();
+    }
+    // The runs end when the leases do, also on a worker that answers nothing.
+    void endExpiredRuns()
+    {
+        for (auto &[id, worker] : workers) {
+            if (worker.startedAt && m_clock.now() > worker.leasesUntil)
+                worker.running.clear();
+        }
+    }
     void beginRun(Worker &worker, const StartOrder &order)
     {
+        endExpiredRuns();
         for (const auto &[id, other] : workers) {
-            for (const Run &run : other.running)
+            for (const Run &run : other.running) {
+                if (&other == &worker && run.task == order.task && run.run == order.run)
+                    return; // it is there already
                 ranTwice = ranTwice || run.task == order.task;
+            }
         }
         ranTwice = ranTwice || succeeded.contains(order.task);
         worker.running.push_back({order.task, order.run});
@@ -392,6 +434,9 @@
         if (fence.leaseEndMs > 0)
             worker.leaseEndMs = fence.leaseEndMs;
         worker.latestLeaseEndMs = std::max(worker.latestLeaseEndMs, fence.leaseEndMs);
+        const Duration lease = std::min(Duration(fence.leaseEndMs - clockOf(worker)), maxLease);
+        if (fence.leaseEndMs > 0)
+            worker.leasesUntil = std::max(worker.leasesUntil, m_clock.now() + lease);
         return {};
     }
     void finishRun(Worker &worker, const TaskRef &task, RunOutcome outcome)
@@ -412,6 +457,7 @@
     }
 
     boost::asio::io_context &m_io;
+    TestClock m_clock;
 };
 
 // Policy service and peers of the instances under test.
