--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -183,8 +183,9 @@
     link->pollInFlight = true;
     // A poll may extend the lease even if its answer is lost. An unreachable worker's lease is
     // therefore not extended, so that it expires.
-    m_gateway.poll(link->entry, makeFence(*link, link->reachable), m_callbacks.storedPosition(id),
-                   wait, wait + (lossy ? LossyPollTimeoutMargin : PollTimeoutMargin), now,
+    link->acknowledged = m_callbacks.storedPosition(id);
+    m_gateway.poll(link->entry, makeFence(*link, link->reachable), link->acknowledged, wait,
+                   wait + (lossy ? LossyPollTimeoutMargin : PollTimeoutMargin), now,
                    [this, alive = m_alive, id](Result<PollResult> answer) {
                        if (*alive)
                            onPollAnswer(id, std::move(answer));
@@ -206,6 +207,14 @@
         return;
     }
     const Instant now = m_clock.now();
+    if (std::exchange(link->startedAtMs, answer->report.startedAtMs) != answer->report.startedAtMs)
+        logInfo("worker_incarnation",
+                "worker=" + id + " started_at_ms=" + std::to_string(answer->report.startedAtMs)
+                    + " clock_ms=" + std::to_string(answer->workerTimeMs)
+                    + " running=" + std::to_string(answer->report.running.size())
+                    + " acknowledged=" + std::to_string(link->acknowledged) + " first_end="
+                    + std::to_string(
+                        answer->report.ended.empty() ? 0 : answer->report.ended.front().position));
     link->workerTimeMs = answer->workerTimeMs;
     link->workerTimeReadAt = now;
     const bool firstReport = !link->reported;
@@ -327,12 +336,30 @@
         });
 }
 
+// Tells of a start that was answered by another clock than its lease was requested by.
+void WorkerLinks::logClock(const StartOrder &order, const Result<StartAnswer> &answer)
+{
+    constexpr int64_t ToleranceMs = 500;
+    const Link *link = find(order.worker);
+    if (!answer || !answer->workerTimeMs || link == nullptr)
+        return;
+    const int64_t expectedMs =
+        link->workerTimeMs + (m_clock.now() - link->workerTimeReadAt).count();
+    if (*answer->workerTimeMs + ToleranceMs >= expectedMs)
+        return;
+    logWarn("start_clock_differs",
+            "task=" + order.task.toString() + " run=" + std::to_string(order.run)
+                + " worker=" + order.worker + " clock_ms=" + std::to_string(*answer->workerTimeMs)
+                + " expected_clock_ms=" + std::to_string(expectedMs));
+}
+
 void WorkerLinks::onStartAnswer(const StartOrder &order, size_t priorAttempts,
                                 const Result<StartAnswer> &answer)
 {
     const bool unanswered = !answer && answer.error().code == ErrorCode::OutcomeUnknown;
     if (unanswered)
         m_lossyUntil = m_clock.now() + LossyPeriod;
+    logClock(order, answer);
     if (!answer)
         logWarn("start_failed",
                 "task=" + order.task.toString() + " run=" + std::to_string(order.run)
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -108,6 +108,8 @@
         bool replaced = false; // reported as replaced
         bool reachable = false;
         Instant unreachableSince; // while it is not reachable
+        int64_t startedAtMs = 0; // of the incarnation that answered last; Unix time
+        int64_t acknowledged = 0; // with the last poll
         int64_t workerTimeMs = 0; // worker's clock at workerTimeReadAt
         Instant workerTimeReadAt = Instant::min(); // min(): the worker's clock is unknown
         Instant leaseExpiry; // every lease on the worker has expired by then
@@ -133,6 +135,7 @@
     void onCallDone(const WorkerId &id);
     // Sends a start order if it is still wanted. `priorAttempts` of it had no answer.
     void sendStart(const StartOrder &order, size_t priorAttempts);
+    void logClock(const StartOrder &order, const Result<StartAnswer> &answer);
     void onStartAnswer(const StartOrder &order, size_t priorAttempts,
                        const Result<StartAnswer> &answer);
     // Ends a stop or throttle call and returns whether it succeeded. A failure is logged as
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -194,6 +194,7 @@
     emitEvent("run_started", step.job->spec->id,
               "task=" + out.starts.back().task.toString() + " run=" + std::to_string(run)
                   + " worker=" + worker.entry.id
+                  + " started_at_ms=" + std::to_string(worker.incarnationStartedAtMs.value_or(0))
                   + " resumed=" + (out.starts.back().checkpoint.empty() ? "false" : "true"));
 }
 
