--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -169,7 +169,7 @@
     if (*change == JobTable::Change::Tenure || *change == JobTable::Change::Member)
         updateClaimWait();
     if (*change == JobTable::Change::UsedWorker)
-        updateSuspendedLease(id, now);
+        updateFormerLeases(id, now);
     const bool released = *change == JobTable::Change::Tenure && m_jobTable.tenure().released;
     if (released && !m_scheduler)
         armTick(std::clamp(claimTimeout(), Duration::zero(), TickInterval));
@@ -179,15 +179,24 @@
         m_scheduler->jobTableChanged(*change, id);
 }
 
-void Instance::updateSuspendedLease(const WorkerId &id, Instant now)
+void Instance::updateFormerLeases(const WorkerId &id, Instant now)
 {
     const auto &workers = m_jobTable.usedWorkers();
     const auto it = workers.find(id);
-    const int64_t expireWithinMs = it == workers.end() ? 0 : it->second.leasesExpireWithinMs;
-    if (expireWithinMs > 0)
-        m_suspendedLeases[id] = now + Duration(expireWithinMs);
-    else
-        m_suspendedLeases.erase(id);
+    if (it == workers.end()) {
+        m_formerLeases.erase(id);
+        return;
+    }
+    // 0 stands for leases that do not exist or may be extended at any time.
+    const auto expiry = [now](int64_t withinMs) {
+        return withinMs > 0 ? now + Duration(withinMs) : Instant::min();
+    };
+    FormerLeases &former = m_formerLeases[id];
+    former.used = true;
+    former.startedAtMs = it->second.startedAtMs;
+    former.expiry = expiry(it->second.leasesExpireWithinMs);
+    former.strayExpiry = expiry(it->second.strayLeasesExpireWithinMs);
+    former.unansweredExpiry = expiry(it->second.unansweredStartsExpireWithinMs);
 }
 
 void Instance::onOperatorRecord(const KeyedRecord &record)
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -141,7 +141,7 @@
     Instant now() const { return m_context.scheduler.clock.now(); }
     std::unique_ptr<LogFollower> createOperatorFollower();
     void onWorkRecord(const KeyedRecord &record);
-    void updateSuspendedLease(const WorkerId &id, Instant now);
+    void updateFormerLeases(const WorkerId &id, Instant now);
     void onOperatorRecord(const KeyedRecord &record);
     void applyZones();
     void announce();
@@ -182,9 +182,8 @@
     std::unique_ptr<JobSubmitter> m_submitter;
     std::unique_ptr<Scheduler> m_scheduler;
     std::shared_ptr<const Catalog> m_catalog;
-    // Workers whose stored record promises that nobody extends their lease, and when all leases on
-    // them have expired.
-    std::map<WorkerId, Instant> m_suspendedLeases;
+    // What the stored records of workers tell of their leases; see SchedulerOptions.
+    std::map<WorkerId, FormerLeases> m_formerLeases;
     std::map<std::string, std::string> m_zonesOut; // availability zone by record key
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_claimTimer;
--- a/src/control/instance_takeover_test.cc
+++ b/src/control/instance_takeover_test.cc
@@ -158,7 +158,7 @@
     ASSERT_TRUE(runUntil([&] { return m_nodes[late].instance->isScheduler(); }));
     ASSERT_TRUE(m_nodes[last].instance->isScheduler()) << "the late one was not replaced yet";
     // Before its first append, which would tell that it has been replaced.
-    ASSERT_TRUE(runUntil([&] { return worker.token == lateEpoch; }));
+    ASSERT_TRUE(runUntil([&] { return epochOfToken(worker.token) == lateEpoch; }));
     cutFromLog(late);
     const Instant cutAt = m_clock.now();
     m_model.put(RegistryTopic, "w3", "ready");
--- a/src/control/instance_tenure.cc
+++ b/src/control/instance_tenure.cc
@@ -181,7 +181,7 @@
     options.maxLease = m_options.maxLease;
     options.offRackFactor = m_options.offRackFactor;
     options.terminalRetention = m_options.terminalRetention;
-    options.suspendedLeases = m_suspendedLeases;
+    options.formerLeases = m_formerLeases;
     m_jobs->setPollInterval(SchedulerPollInterval);
     m_hasHeldTenure = true;
     updateClaimWait();
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -88,7 +88,10 @@
                             m_context.workTopic),
       m_tenureClock(m_options.tenure.heldMs, m_context.clock.now()), m_releaseTimer(m_context.io)
 {
-    m_suspendedLeases = m_options.suspendedLeases;
+    for (const auto &[id, former] : m_options.formerLeases) {
+        if (former.expiry != Instant::min())
+            m_suspendedLeases[id] = former.expiry;
+    }
     m_startedAt = m_lastStoredAt = m_lastPublishedAt = m_loadLoggedAt = m_context.clock.now();
     m_tenureRecordedAt = m_startedAt;
     WorkerLinks::Callbacks links;
@@ -105,10 +108,10 @@
     links.stopConfirmed = [this](const StopOrder &order) {
         m_dispatcher.stopAnswered(order, m_context.clock.now());
     };
-    links.suspendedLeaseExpiry = [this](const WorkerId &id) {
-        const auto it = m_suspendedLeases.find(id);
-        return it == m_suspendedLeases.end() ? std::nullopt : std::optional(it->second);
+    links.leasesPermitted = [this](const WorkerId &id, int64_t startedAtMs) {
+        return leasesPermitted(id, startedAtMs);
     };
+    links.formerLeases = [this](const WorkerId &id) { return formerLeases(id); };
     links.reachable = [this](const WorkerId &id, bool reachable) {
         reachable ? (void)m_reachable.insert(id) : (void)m_reachable.erase(id);
         const bool reopens = m_closedWorkers.contains(id) && !m_retiredWorkers.contains(id);
@@ -118,8 +121,8 @@
         }
         updateReachable(id);
     };
-    links.lost = [this](const WorkerId &id) {
-        m_dispatcher.workerLost(id);
+    links.lost = [this](const WorkerId &id, const std::set<RunRef> &unanswered) {
+        m_dispatcher.workerLost(id, unanswered);
         updateReconciliation();
         schedulePass();
     };
@@ -130,9 +133,10 @@
     };
     links.fenced = [this] { reportTenureLost("a worker has seen a higher epoch"); };
     links.busy = [this](const WorkerId &id) { return m_dispatcher.isBusy(id); };
-    links.storedPosition = [this](const WorkerId &id) {
+    links.storedPosition = [this](const WorkerId &id, int64_t startedAtMs) {
         const auto it = m_storedPositions.find(id);
-        return it == m_storedPositions.end() ? 0 : it->second;
+        const bool known = it != m_storedPositions.end() && it->second.startedAtMs == startedAtMs;
+        return known ? it->second.position : 0;
     };
     WorkerLinksOptions linksOptions;
     linksOptions.epoch = m_options.tenure.epoch;
@@ -165,7 +169,7 @@
     const int64_t formerEpoch = m_options.tenure.epoch - 1;
     for (const auto &[id, used] : m_context.jobTable.usedWorkers()) {
         m_unreconciled.insert(id);
-        m_storedUsedWorkers.insert(id);
+        m_storedUsedWorkers[id] = used.startedAtMs;
         if (m_options.tenure.startsRecorded || used.runsRecordedEpoch == formerEpoch)
             m_recordedWorkers.insert(id);
     }
@@ -297,11 +301,7 @@
 {
     const LoadMeter::Scope measured(m_load, LoadPart::Report);
     m_dispatcher.workerReported(id, report, m_context.clock.now());
-    // A restarted worker numbers its finished runs from the beginning again.
-    for (auto *positions : {&m_storedPositions, &m_batchPositions}) {
-        if (const auto it = positions->find(id); it != positions->end())
-            it->second = std::min(it->second, m_dispatcher.endPosition(id));
-    }
+    storeIncarnation(id);
     if (!m_allReconciled)
         updateReconciliation();
     schedulePass();
@@ -311,9 +311,42 @@
 
 void Scheduler::updateReachable(const WorkerId &id)
 {
-    m_dispatcher.setReachable(id, m_reachable.contains(id) && m_storedUsedWorkers.contains(id)
-                                      && !m_suspendedLeases.contains(id)
-                                      && !m_closedWorkers.contains(id));
+    const bool usable = m_reachable.contains(id)
+                        && leasesPermitted(id, m_links->incarnationStart(id))
+                        && !m_closedWorkers.contains(id);
+    m_dispatcher.setReachable(id, usable);
+}
+
+bool Scheduler::leasesPermitted(const WorkerId &id, int64_t startedAtMs) const
+{
+    const auto it = m_storedUsedWorkers.find(id);
+    return it != m_storedUsedWorkers.end() && it->second == startedAtMs
+           && !m_suspendedLeases.contains(id);
+}
+
+FormerLeases Scheduler::formerLeases(const WorkerId &id) const
+{
+    FormerLeases out;
+    if (const auto it = m_options.formerLeases.find(id); it != m_options.formerLeases.end())
+        out = it->second;
+    const auto &used = m_context.jobTable.usedWorkers();
+    if (const auto it = used.find(id); it != used.end()) {
+        out.used = true;
+        out.startedAtMs = it->second.startedAtMs;
+    }
+    const auto suspended = m_suspendedLeases.find(id);
+    out.expiry = suspended == m_suspendedLeases.end() ? Instant::min() : suspended->second;
+    return out;
+}
+
+void Scheduler::storeIncarnation(const WorkerId &id)
+{
+    const auto it = m_storedUsedWorkers.find(id);
+    if (it == m_storedUsedWorkers.end() || it->second == incarnationToStore(id))
+        return;
+    updateReachable(id);
+    if (!m_retiredWorkers.contains(id) && m_usedWorkersToStore.insert(id).second)
+        scheduleFlush(Duration::zero());
 }
 
 void Scheduler::updateReconciliation()
@@ -349,7 +382,7 @@
     for (const WorkerId &id : m_unreconciled) {
         if (!m_links->contains(id))
             continue;
-        const Duration left = m_links->leaseExpiry(id) - now;
+        const Duration left = m_links->lease(id).expiry() - now;
         longest = std::max(longest, left);
         if (named++ < MaxNamed)
             names += (names.empty() ? "" : ",") + id + "/" + std::to_string(left.count());
@@ -430,7 +463,7 @@
     m_jobGarbageCollector.collect(now, m_tenureClock.heldMs(), retention);
     if (!m_allReconciled)
         updateReconciliation();
-    for (const WorkerId &id : m_storedUsedWorkers) {
+    for (const auto &[id, startedAtMs] : m_storedUsedWorkers) {
         if (m_registryLoaded && !m_links->contains(id))
             m_usedWorkersToRemove.insert(id);
     }
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -66,9 +66,9 @@
     // The former scheduler sent nothing after this time that the log has stored.
     Instant formerTenureHeldAt = Instant::min();
     Duration terminalRetention{120'000}; // how long the state of a job can be queried after its end
-    // Workers whose stored record promises that nobody extends their lease, and when all leases on
-    // them have expired.
-    std::map<WorkerId, Instant> suspendedLeases;
+    // What the stored records of workers tell of their leases. `expiry` is set if the record
+    // promises that nobody extends them.
+    std::map<WorkerId, FormerLeases> formerLeases;
 };
 
 class Scheduler
@@ -128,6 +128,12 @@
     // The record of a worker in use; see work::UsedWorker for the values.
     KeyedRecord usedWorkerRecord(const WorkerId &id, Duration leasesExpireWithin,
                                  int64_t runsRecordedEpoch) const;
+    // Returns the incarnation that the worker's next record names.
+    int64_t incarnationToStore(const WorkerId &id) const;
+    // Has the worker's record stored if it names another incarnation than the one that answers.
+    void storeIncarnation(const WorkerId &id);
+    FormerLeases formerLeases(const WorkerId &id) const;
+    bool leasesPermitted(const WorkerId &id, int64_t startedAtMs) const;
     void suspendLeases(std::vector<KeyedRecord> &records);
     void closeWorkers(std::vector<KeyedRecord> &records);
     bool runsAreRecorded(const WorkerId &id) const;
@@ -171,9 +177,9 @@
     // Workers on which earlier schedulers have started nothing that the progress of jobs does not
     // tell.
     std::set<WorkerId> m_recordedWorkers;
-    // Workers with a stored UsedWorker record. Only these get starts, so that a later scheduler
-    // knows every worker on which tasks may run.
-    std::set<WorkerId> m_storedUsedWorkers;
+    // Workers with a stored UsedWorker record, and the incarnation that it names. Only these get
+    // leases and starts, so that a later scheduler knows where tasks may run.
+    std::map<WorkerId, int64_t> m_storedUsedWorkers;
     std::set<WorkerId> m_usedWorkersToStore;
     // Workers whose lease must not be extended until their record is stored without the promise
     // that it is not, and when all leases on them have expired. A later scheduler relies on it.
@@ -187,8 +193,14 @@
     std::set<WorkerId> m_closedWorkers;
     std::set<WorkerId> m_usedWorkersToRemove;
     std::set<WorkerId> m_reachable;
-    // Position up to which each worker's finished runs are stored. Workers may discard these.
-    std::map<WorkerId, int64_t> m_storedPositions;
+    // Position up to which the finished runs of a worker's incarnation are stored. The worker may
+    // discard these.
+    struct StoredPosition
+    {
+        int64_t startedAtMs = 0; // of the incarnation
+        int64_t position = 0;
+    };
+    std::map<WorkerId, StoredPosition> m_storedPositions;
 
     boost::asio::steady_timer m_passTimer;
     Duration m_passDelay; // before the next pass
@@ -215,8 +227,8 @@
     JobGarbageCollector m_jobGarbageCollector;
     // Contents of the append in flight: positions of finished runs, used workers, and the keys of
     // records that peers need at once.
-    std::map<WorkerId, int64_t> m_batchPositions;
-    std::set<WorkerId> m_batchUsedWorkers;
+    std::map<WorkerId, StoredPosition> m_batchPositions;
+    std::map<WorkerId, int64_t> m_batchUsedWorkers; // with the incarnation that is stored
     std::set<std::string> m_batchUrgent;
     Instant m_lastPublishedAt;
     bool m_flushPending = false; // a flush was requested while an append was in flight
--- a/src/control/scheduler_records.cc
+++ b/src/control/scheduler_records.cc
@@ -29,6 +29,12 @@
 // meanwhile does not count the whole of it.
 constexpr Duration SuspensionStoreInterval{500};
 
+// Returns 0 if the time has passed.
+int64_t millisecondsUntil(Instant time, Instant now)
+{
+    return time <= now ? 0 : (time - now).count();
+}
+
 } // namespace
 
 // Stops recording starts before they are sent while the log is slow, and resumes once it is fast.
@@ -87,10 +93,13 @@
     std::vector<KeyedRecord> records;
     m_flushPending = false;
     m_batchPositions.clear();
+    const auto addPosition = [this](const WorkerId &id) {
+        m_batchPositions[id] = {m_dispatcher.incarnationStart(id), m_dispatcher.endPosition(id)};
+    };
     for (const auto &[id, used] : m_context.jobTable.usedWorkers())
-        m_batchPositions[id] = m_dispatcher.endPosition(id);
-    for (const WorkerId &id : m_storedUsedWorkers)
-        m_batchPositions[id] = m_dispatcher.endPosition(id);
+        addPosition(id);
+    for (const auto &[id, startedAtMs] : m_storedUsedWorkers)
+        addPosition(id);
     m_batchUrgent.clear();
     for (const work::Progress &progress : m_dispatcher.takeProgress(m_tenureClock.heldMs())) {
         const std::string key = work_key::progress(progress.id, progress.part);
@@ -148,9 +157,11 @@
         m_retiredWorkers.erase(id);
     }
     m_usedWorkersToRemove.clear();
-    m_batchUsedWorkers = std::exchange(m_usedWorkersToStore, {});
-    for (const WorkerId &id : m_batchUsedWorkers)
+    m_batchUsedWorkers.clear();
+    for (const WorkerId &id : std::exchange(m_usedWorkersToStore, {})) {
+        m_batchUsedWorkers[id] = incarnationToStore(id);
         records.push_back(usedWorkerRecord(id, Duration::zero(), 0));
+    }
     suspendLeases(records);
     closeWorkers(records);
 }
@@ -163,9 +174,26 @@
     used.address = m_links->address(id);
     used.leasesExpireWithinMs = leasesExpireWithin.count();
     used.runsRecordedEpoch = runsRecordedEpoch;
+    used.startedAtMs = incarnationToStore(id);
+    if (m_links->contains(id)) {
+        const Instant now = m_context.clock.now();
+        const WorkerLease &lease = m_links->lease(id);
+        used.strayLeasesExpireWithinMs = millisecondsUntil(lease.strayExpiry(), now);
+        used.unansweredStartsExpireWithinMs = millisecondsUntil(lease.unansweredExpiry(), now);
+    }
     return {work_key::usedWorker(id), encodeRecord(used), false, 0};
 }
 
+// An incarnation is named once it has answered a probe, so that the record tells what stray calls
+// may have done there. Nothing was sent to a worker without a record.
+int64_t Scheduler::incarnationToStore(const WorkerId &id) const
+{
+    const auto stored = m_storedUsedWorkers.find(id);
+    const bool answers = m_links->contains(id) && m_links->lease(id).isProbed();
+    return stored == m_storedUsedWorkers.end() || answers ? m_links->incarnationStart(id)
+                                                          : stored->second;
+}
+
 // Promises not to extend the leases of unresponsive workers, so that a later scheduler waits only
 // for what is left of them. The promise is kept from now on, before it is stored. It gives a time
 // span, which each instance counts from its own reading of the record, since clocks differ.
@@ -182,7 +210,7 @@
                 || storedAt->second >= m_suspendedLeases.at(id)))
             continue;
         // A span of 0 would withdraw the promise.
-        const Duration left = std::max(m_links->leaseExpiry(id) - now, Duration(1));
+        const Duration left = std::max(m_links->lease(id).expiry() - now, Duration(1));
         if (!renewed)
             m_suspendedLeases[id] = now + left;
         m_suspensionsStoredAt[id] = now;
@@ -236,11 +264,12 @@
         for (const StartOrder &start : std::exchange(m_startsInBatch, {}))
             m_links->start(start);
     }
-    for (const WorkerId &id : m_batchUsedWorkers) {
-        m_storedUsedWorkers.insert(id);
+    for (const auto &[id, startedAtMs] : m_batchUsedWorkers) {
+        m_storedUsedWorkers[id] = startedAtMs;
         m_suspendedLeases.erase(id);
         m_closedWorkers.erase(id);
         updateReachable(id);
+        storeIncarnation(id);
     }
     if (!m_batchUsedWorkers.empty())
         schedulePass();
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "control/instance.h"
+#include "control/worker_lease.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -424,7 +425,7 @@
     // Returns the error to answer with; its reason is empty if the call is accepted.
     Error checkFence(Worker &worker, const WorkerId &id, const CommandFence &fence)
     {
-        if (worker.unresponsive || fence.token >= worker.unresponsiveFromEpoch)
+        if (worker.unresponsive || epochOfToken(fence.token) >= worker.unresponsiveFromEpoch)
             return noAnswer();
         if (!worker.idAtAddress.empty() && fence.worker == id)
             return {ErrorCode::Conflict, "another worker"};
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -38,25 +38,16 @@
 // Requested lease, bounded by what the worker grants. Long enough to outlast a change of
 // schedulers, short enough to restart the tasks of an unresponsive worker soon.
 constexpr Duration RequestedLease{4'500};
-// A worker's clock may run slow by this much.
-constexpr int MaxClockSlownessPercent = 3;
 // Leases are extended only for this long after the last successful append. A scheduler that was
 // replaced without noticing then stops extending leases; its successor relies on that.
 constexpr Duration LeaseExtensionWindow{2'500};
 // No lease is requested to end later than this after the last successful append, so that a
 // successor knows when all of them have expired.
 constexpr Duration MaxLeaseAfterAppend{6'000};
-constexpr Duration LeaseExpiryMargin{200};
 // A worker that answers does so within this time. It is not lost before, however long ago the
 // former scheduler was active: finished runs that it has not reported yet would start again.
 constexpr Duration FirstPollTime{600};
 
-// Returns the time after which a lease has expired even on a slow worker's clock.
-Duration maxLeaseDuration(Duration lease)
-{
-    return lease + lease * MaxClockSlownessPercent / 100 + LeaseExpiryMargin;
-}
-
 // Returns the time after which all leases of a scheduler that stored its last record at `heldAt`
 // have expired.
 Instant latestLeaseExpiry(Instant heldAt, Duration maxLease)
@@ -65,6 +56,12 @@
     return heldAt + maxLeaseDuration(std::min(latest, MaxLeaseAfterAppend));
 }
 
+std::string describeLease(const WorkerLease &lease, Instant now)
+{
+    return "bound=" + std::string(leaseBoundName(lease.bound()))
+           + " lease_ms=" + std::to_string((lease.expiry() - now).count());
+}
+
 } // namespace
 
 WorkerLinks::WorkerLinks(boost::asio::io_context &io, const Clock &clock, WorkerGateway &gateway,
@@ -86,22 +83,44 @@
 
 void WorkerLinks::setEntry(const WorkerEntry &entry, bool listed)
 {
-    const auto [it, added] = m_links.try_emplace(entry.id);
-    Link &link = it->second;
-    if (listed || added)
+    const bool added = !contains(entry.id);
+    if (added)
+        addLink(entry);
+    Link &link = *find(entry.id);
+    if (listed)
         link.entry = entry;
     link.listed = link.listed || listed;
-    if (!added)
-        return;
-    link.timer = std::make_shared<boost::asio::steady_timer>(m_io);
-    link.unreachableSince = m_clock.now();
+    const bool restarted = listed && link.lease.listed(entry.startedAtMs);
+    if (added)
+        poll(entry.id);
+    else if (restarted)
+        probe(entry.id, "registry");
+}
+
+void WorkerLinks::addLink(const WorkerEntry &entry)
+{
+    const Instant now = m_clock.now();
+    FormerLeases former = m_callbacks.formerLeases(entry.id);
     // Unless the log tells that it has stopped, a former scheduler may go on extending the lease
     // without the log for a while.
-    const Instant latestExpiry =
-        latestLeaseExpiry(m_options.formerTenureHeldAt, m_options.maxLease);
-    link.leaseExpiry = std::max(m_callbacks.suspendedLeaseExpiry(entry.id).value_or(latestExpiry),
-                                link.unreachableSince + FirstPollTime);
-    poll(entry.id);
+    if (former.expiry == Instant::min())
+        former.expiry = latestLeaseExpiry(m_options.formerTenureHeldAt, m_options.maxLease);
+    former.lastCallAt = m_options.formerTenureHeldAt + LeaseExtensionWindow;
+    Link link(WorkerLease(m_options.epoch, m_options.maxLease, former));
+    link.lease.keepUntil(now + FirstPollTime);
+    link.entry = entry;
+    link.unreachableSince = now;
+    link.timer = std::make_shared<boost::asio::steady_timer>(m_io);
+    m_links.emplace(entry.id, std::move(link));
+}
+
+int64_t WorkerLinks::incarnationStart(const WorkerId &id) const
+{
+    const auto it = m_links.find(id);
+    if (it == m_links.end())
+        return 0;
+    const Link &link = it->second;
+    return link.lease.isProbed() ? link.lease.startedAtMs() : link.entry.startedAtMs;
 }
 
 void WorkerLinks::markUnlisted(const WorkerId &id)
@@ -128,8 +147,8 @@
 
 bool WorkerLinks::mayExtendLease(const Link &link) const
 {
-    return link.workerTimeReadAt != Instant::min() && tenureIsCurrent()
-           && !m_callbacks.suspendedLeaseExpiry(link.entry.id);
+    return link.lease.isProbed() && tenureIsCurrent()
+           && m_callbacks.leasesPermitted(link.entry.id, link.lease.startedAtMs());
 }
 
 bool WorkerLinks::tenureIsCurrent() const
@@ -140,16 +159,15 @@
 CommandFence WorkerLinks::makeFence(Link &link, bool extendLease)
 {
     CommandFence out;
-    out.token = m_options.epoch;
+    out.token = link.lease.token();
     out.worker = link.entry.id;
     if (!extendLease || !mayExtendLease(link))
         return out;
     const Instant now = m_clock.now();
     const Duration lease =
         std::min({RequestedLease, m_options.maxLease, m_tenureHeldAt + MaxLeaseAfterAppend - now});
-    out.leaseEndMs = link.workerTimeMs + (now - link.workerTimeReadAt).count() + lease.count();
-    link.leaseExpiry = std::max(link.leaseExpiry, now + maxLeaseDuration(lease));
-    link.lost = false;
+    out.leaseEndMs = link.lease.request(lease, now);
+    link.lost = link.confirmedLost = false;
     return out;
 }
 
@@ -174,53 +192,75 @@
     const bool lossy = now < m_lossyUntil;
     if (lossy)
         wait = std::min(wait, LossyPollWait);
-    // The first poll is sent to learn which runs are active. While reported runs are not yet
-    // stored, the worker answers at once anyway.
-    if (!link->reported || !link->reachable || link->hasUnstoredRuns)
+    // A probe is sent to learn which runs are active. While reported runs are not yet stored, the
+    // worker answers at once anyway.
+    const WorkerLease &lease = link->lease;
+    if (!lease.isProbed() || link->hasUnstoredRuns)
         wait = Duration::zero();
-    else if (m_callbacks.suspendedLeaseExpiry(id))
+    else if (!m_callbacks.leasesPermitted(id, lease.startedAtMs()))
         wait = std::min(wait, SuspendedLeasePollWait);
     link->pollInFlight = true;
     // A poll may extend the lease even if its answer is lost. An unreachable worker's lease is
     // therefore not extended, so that it expires.
-    link->acknowledged = m_callbacks.storedPosition(id);
-    m_gateway.poll(link->entry, makeFence(*link, link->reachable), link->acknowledged, wait,
-                   wait + (lossy ? LossyPollTimeoutMargin : PollTimeoutMargin), now,
-                   [this, alive = m_alive, id](Result<PollResult> answer) {
-                       if (*alive)
-                           onPollAnswer(id, std::move(answer));
-                   });
+    const CommandFence fence = makeFence(*link, link->reachable);
+    const int64_t acknowledged =
+        lease.isProbed() ? m_callbacks.storedPosition(id, lease.startedAtMs()) : 0;
+    m_gateway.poll(
+        link->entry, fence, acknowledged, wait,
+        wait + (lossy ? LossyPollTimeoutMargin : PollTimeoutMargin), now,
+        [this, alive = m_alive, id, number = ++link->lastPoll](const Result<PollResult> &answer) {
+            const Link *current = *alive ? find(id) : nullptr;
+            if (current != nullptr && current->lastPoll == number)
+                onPollAnswer(id, answer);
+        });
 }
 
-void WorkerLinks::onPollAnswer(const WorkerId &id, Result<PollResult> answer)
+void WorkerLinks::probe(const WorkerId &id, std::string_view why)
 {
     Link *link = find(id);
-    if (link == nullptr)
-        return;
+    logInfo("worker_probed", "worker=" + id + " reason=" + std::string(why)
+                                 + " token=" + std::to_string(link->lease.token())
+                                 + " started_at_ms=" + std::to_string(link->lease.startedAtMs()));
     link->pollInFlight = false;
-    if (!answer) {
-        const bool wasReachable = link->reachable;
-        setReachable(*link, false, answer.error().reason);
-        handleError(id, answer.error());
-        if (*m_alive && find(id) != nullptr)
-            schedulePoll(id, wasReachable ? Duration::zero() : PollRetryDelay);
-        return;
-    }
+    poll(id);
+}
+
+void WorkerLinks::onPollFailed(const WorkerId &id, const Error &error)
+{
+    Link *link = find(id);
+    const bool wasReachable = link->reachable;
+    const int64_t token = link->lease.token();
+    // The worker may have started again meanwhile.
+    link->lease.beginProbe();
+    setReachable(*link, false, error.reason);
+    handleError(id, token, error);
+    if (*m_alive && find(id) != nullptr)
+        schedulePoll(id, wasReachable ? Duration::zero() : PollRetryDelay);
+}
+
+void WorkerLinks::onPollAnswer(const WorkerId &id, const Result<PollResult> &answer)
+{
+    Link *link = find(id);
+    link->pollInFlight = false;
+    if (!answer)
+        return onPollFailed(id, answer.error());
     const Instant now = m_clock.now();
-    if (std::exchange(link->startedAtMs, answer->report.startedAtMs) != answer->report.startedAtMs)
+    const int64_t expectedMs = link->lease.expectedClockMs(now);
+    const int64_t formerStart = link->lease.startedAtMs();
+    const WorkerLease::Report kind = link->lease.reported(
+        answer->report.startedAtMs, answer->workerTimeMs, answer->report.requestedAt, now);
+    if (kind == WorkerLease::Report::NeedsProbe)
+        return probe(id, "poll");
+    if (kind == WorkerLease::Report::ProbedNew)
         logInfo("worker_incarnation",
                 "worker=" + id + " started_at_ms=" + std::to_string(answer->report.startedAtMs)
-                    + " clock_ms=" + std::to_string(answer->workerTimeMs)
-                    + " running=" + std::to_string(answer->report.running.size())
-                    + " acknowledged=" + std::to_string(link->acknowledged) + " first_end="
-                    + std::to_string(
-                        answer->report.ended.empty() ? 0 : answer->report.ended.front().position));
-    link->workerTimeMs = answer->workerTimeMs;
-    link->workerTimeReadAt = now;
-    const bool firstReport = !link->reported;
-    link->reported = true;
+                    + " former=" + std::to_string(formerStart)
+                    + " clock_ms=" + std::to_string(answer->workerTimeMs) + " expected_clock_ms="
+                    + std::to_string(expectedMs) + " token=" + std::to_string(link->lease.token())
+                    + " " + describeLease(link->lease, now));
+    const bool isProbe = kind != WorkerLease::Report::Current;
     link->reconciled = link->reconciled || !answer->report.moreEnded;
-    link->lost = link->replaced = false;
+    link->lost = link->confirmedLost = link->replaced = false;
     const bool hasFinishedRuns = !answer->report.ended.empty();
     m_callbacks.report(id, answer->report);
     if (!*m_alive)
@@ -229,8 +269,8 @@
     if (link == nullptr)
         return;
     setReachable(*link, true, "answered");
-    // The first poll could not extend the lease, because the worker's clock was unknown.
-    if (firstReport)
+    // A probe does not extend the lease.
+    if (isProbe)
         return poll(id);
     link->hasUnstoredRuns = hasFinishedRuns;
     schedulePoll(id, hasFinishedRuns ? UnstoredPollInterval : Duration::zero());
@@ -258,26 +298,51 @@
     m_callbacks.reachable(link.entry.id, reachable);
 }
 
-void WorkerLinks::handleError(const WorkerId &id, const Error &error)
+bool WorkerLinks::isFencedByProbe(const WorkerId &id, int64_t token, const Error &error) const
+{
+    const auto it = m_links.find(id);
+    return error.code == ErrorCode::PermissionDenied && it != m_links.end()
+           && token < it->second.lease.token();
+}
+
+void WorkerLinks::handleError(const WorkerId &id, int64_t token, const Error &error)
 {
     if (error.code == ErrorCode::OutcomeUnknown)
         m_lossyUntil = m_clock.now() + LossyPeriod;
+    if (isFencedByProbe(id, token, error))
+        return;
     if (error.code == ErrorCode::PermissionDenied)
         return m_callbacks.fenced();
     // Another worker has the address now, so this one is gone with all its runs.
     Link *link = error.code == ErrorCode::Conflict ? find(id) : nullptr;
-    if (link != nullptr && !link->replaced) {
-        link->replaced = true;
-        markLost(*link, "another worker has its address", m_callbacks.replaced);
-    }
+    if (link == nullptr || link->replaced)
+        return;
+    link->replaced = link->lost = true;
+    logInfo("worker_lost", "worker=" + id + " reason=\"another worker has its address\"");
+    m_callbacks.replaced(id);
 }
 
-void WorkerLinks::markLost(Link &link, const std::string &reason,
-                           const std::function<void(const WorkerId &)> &callback)
+void WorkerLinks::expireRuns(const WorkerId &id, Instant now)
 {
-    link.lost = true;
-    logInfo("worker_lost", "worker=" + link.entry.id + " reason=\"" + reason + "\"");
-    callback(link.entry.id);
+    Link &link = m_links.at(id);
+    const WorkerLease &lease = link.lease;
+    // A worker that the registry does not list any more is gone: no other incarnation follows.
+    const bool mayHaveOthers = link.listed && now <= lease.unansweredExpiry();
+    if (now <= lease.expiry())
+        return;
+    // Of an earlier scheduler's starts it is not known which had no answer.
+    const std::set<RunRef> unanswered = lease.unansweredRuns();
+    if (mayHaveOthers && (unanswered.empty() || link.confirmedLost))
+        return;
+    link.confirmedLost = true;
+    link.lost = !mayHaveOthers;
+    const size_t left = mayHaveOthers ? unanswered.size() : 0;
+    logInfo("worker_lost", "worker=" + id + " reason=\"its leases have lapsed\" unanswered_starts="
+                               + std::to_string(left)
+                               + " listed=" + (link.listed ? "true" : "false")
+                               + " started_at_ms=" + std::to_string(lease.startedAtMs()) + " "
+                               + describeLease(lease, now));
+    m_callbacks.lost(id, mayHaveOthers ? unanswered : std::set<RunRef>());
 }
 
 void WorkerLinks::enqueue(const WorkerId &id, std::function<void()> call)
@@ -328,38 +393,53 @@
             priorAttempts == 0 ? StartOutcome::Withdrawn : StartOutcome::Unknown;
         return m_callbacks.startAnswered(order, outcome);
     }
+    const CommandFence fence = makeFence(link, true);
+    const Instant now = m_clock.now();
+    link.lease.startSent({order.task, order.run}, now);
     m_gateway.start(
-        link.entry, makeFence(link, true), order, StartTimeouts[priorAttempts],
-        [this, alive = m_alive, order, priorAttempts](const Result<StartAnswer> &answer) {
+        link.entry, fence, order, StartTimeouts[priorAttempts],
+        [this, alive = m_alive, attempt = StartAttempt{order, priorAttempts, fence.token, now}](
+            const Result<StartAnswer> &answer) {
             if (*alive)
-                onStartAnswer(order, priorAttempts, answer);
+                onStartAnswer(attempt, answer);
         });
 }
 
-// Tells of a start that was answered by another clock than its lease was requested by.
-void WorkerLinks::logClock(const StartOrder &order, const Result<StartAnswer> &answer)
+StartOutcome WorkerLinks::outcomeOf(const StartAttempt &attempt, const Result<StartAnswer> &answer)
 {
-    constexpr int64_t ToleranceMs = 500;
-    const Link *link = find(order.worker);
-    if (!answer || !answer->workerTimeMs || link == nullptr)
-        return;
-    const int64_t expectedMs =
-        link->workerTimeMs + (m_clock.now() - link->workerTimeReadAt).count();
-    if (*answer->workerTimeMs + ToleranceMs >= expectedMs)
-        return;
-    logWarn("start_clock_differs",
-            "task=" + order.task.toString() + " run=" + std::to_string(order.run)
-                + " worker=" + order.worker + " clock_ms=" + std::to_string(*answer->workerTimeMs)
-                + " expected_clock_ms=" + std::to_string(expectedMs));
+    const WorkerId &id = attempt.order.worker;
+    Link *link = find(id);
+    const bool unanswered = !answer && answer.error().code == ErrorCode::OutcomeUnknown;
+    // An unanswered attempt may still be carried out, even if a later one was refused.
+    if (unanswered || link == nullptr)
+        return StartOutcome::Unknown;
+    const bool isFirst = attempt.priorAttempts == 0;
+    StartOutcome out = answer ? answer->outcome : StartOutcome::WorkerUnavailable;
+    if (!answer && isFencedByProbe(id, attempt.token, answer.error()))
+        out = StartOutcome::Withdrawn;
+    const auto clockMs = answer ? answer->workerTimeMs : std::nullopt;
+    if (out == StartOutcome::Started && clockMs && attempt.token == link->lease.token()
+        && !link->lease.clockFits(*clockMs, attempt.sentAt)) {
+        logWarn("start_clock_differs",
+                "task=" + attempt.order.task.toString()
+                    + " run=" + std::to_string(attempt.order.run) + " worker=" + id
+                    + " clock_ms=" + std::to_string(*clockMs) + " expected_clock_ms="
+                    + std::to_string(link->lease.expectedClockMs(attempt.sentAt)));
+        link->lease.beginProbe();
+        probe(id, "clock");
+        return StartOutcome::Unknown;
+    }
+    if (isFirst)
+        link->lease.startAnswered({attempt.order.task, attempt.order.run});
+    return isFirst || out == StartOutcome::Started ? out : StartOutcome::Unknown;
 }
 
-void WorkerLinks::onStartAnswer(const StartOrder &order, size_t priorAttempts,
-                                const Result<StartAnswer> &answer)
+void WorkerLinks::onStartAnswer(const StartAttempt &attempt, const Result<StartAnswer> &answer)
 {
+    const auto &[order, priorAttempts, token, sentAt] = attempt;
     const bool unanswered = !answer && answer.error().code == ErrorCode::OutcomeUnknown;
     if (unanswered)
         m_lossyUntil = m_clock.now() + LossyPeriod;
-    logClock(order, answer);
     if (!answer)
         logWarn("start_failed",
                 "task=" + order.task.toString() + " run=" + std::to_string(order.run)
@@ -367,27 +447,22 @@
                     + " reason=\"" + answer.error().reason + "\"");
     if (unanswered && priorAttempts + 1 < StartTimeouts.size() && contains(order.worker))
         return sendStart(order, priorAttempts + 1);
+    const StartOutcome outcome = outcomeOf(attempt, answer);
     onCallDone(order.worker);
-    StartOutcome outcome = StartOutcome::WorkerUnavailable;
-    if (answer)
-        outcome = answer->outcome;
-    // An unanswered attempt may still be carried out, even if a later one was refused.
-    if (unanswered || (priorAttempts > 0 && outcome != StartOutcome::Started))
-        outcome = StartOutcome::Unknown;
     m_callbacks.startAnswered(order, outcome);
     if (!answer && *m_alive)
-        handleError(order.worker, answer.error());
+        handleError(order.worker, token, answer.error());
 }
 
 bool WorkerLinks::finishOrder(std::string_view failureEvent, const WorkerId &id,
-                              const TaskRef &task, const Result<void> &answer)
+                              const TaskRef &task, int64_t token, const Result<void> &answer)
 {
     onCallDone(id);
     if (answer)
         return true;
     logWarn(failureEvent, "task=" + task.toString() + " worker=" + id + " reason=\""
                               + answer.error().reason + "\"");
-    handleError(id, answer.error());
+    handleError(id, token, answer.error());
     return false;
 }
 
@@ -397,13 +472,16 @@
         return;
     enqueue(order.worker, [this, order] {
         Link &link = *find(order.worker);
-        m_gateway.stop(link.entry, makeFence(link, false), order, OrderTimeout,
-                       [this, alive = m_alive, order](const Result<void> &answer) {
-                           // The dispatcher repeats an unconfirmed stop.
-                           if (*alive
-                               && finishOrder("stop_failed", order.worker, order.task, answer))
-                               m_callbacks.stopConfirmed(order);
-                       });
+        // The dispatcher repeats an unconfirmed stop.
+        if (!link.lease.isProbed())
+            return onCallDone(order.worker);
+        const CommandFence fence = makeFence(link, false);
+        m_gateway.stop(
+            link.entry, fence, order, OrderTimeout,
+            [this, alive = m_alive, order, token = fence.token](const Result<void> &answer) {
+                if (*alive && finishOrder("stop_failed", order.worker, order.task, token, answer))
+                    m_callbacks.stopConfirmed(order);
+            });
     });
 }
 
@@ -413,29 +491,33 @@
         return;
     enqueue(order.worker, [this, order] {
         Link &link = *find(order.worker);
-        m_gateway.throttle(link.entry, makeFence(link, false), order, OrderTimeout,
-                           [this, alive = m_alive, order](const Result<void> &answer) {
-                               if (*alive)
-                                   finishOrder("pace_failed", order.worker, order.task, answer);
-                           });
+        if (!link.lease.isProbed())
+            return onCallDone(order.worker);
+        const CommandFence fence = makeFence(link, false);
+        m_gateway.throttle(
+            link.entry, fence, order, OrderTimeout,
+            [this, alive = m_alive, order, token = fence.token](const Result<void> &answer) {
+                if (*alive)
+                    finishOrder("pace_failed", order.worker, order.task, token, answer);
+            });
     });
 }
 
 void WorkerLinks::tick()
 {
     const Instant now = m_clock.now();
-    std::vector<WorkerId> expired;
+    std::vector<WorkerId> silent;
     std::vector<WorkerId> closable;
     for (auto &[id, link] : m_links) {
-        if (!link.reachable && !link.lost && now > link.leaseExpiry)
-            expired.push_back(id);
+        if (!link.reachable && !link.lost)
+            silent.push_back(id);
         const bool empty = !m_callbacks.busy(id);
         // An unlisted worker without runs has no lease to wait for.
         if (!link.listed && ((link.reconciled && empty) || link.lost))
             closable.push_back(id);
     }
-    for (const WorkerId &id : expired)
-        markLost(m_links.at(id), "its leases have lapsed", m_callbacks.lost);
+    for (const WorkerId &id : silent)
+        expireRuns(id, now);
     for (const WorkerId &id : closable) {
         // Kept while calls are in flight: queued calls still need the link.
         if (Link &link = m_links.at(id); !link.pollInFlight && link.inFlight == 0)
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -1,10 +1,12 @@
 // Manages the scheduler's calls to workers: polls their run lists, extends leases, sends orders,
-// and reports a worker as lost once every lease on it must have expired.
+// and reports runs as lost once their leases must have expired. WorkerLease decides when that is
+// and which incarnation of a worker may be called.
 //
 // Makes no decisions about tasks. Not thread-safe: use it only on the event loop's thread.
 #pragma once
 
 #include "control/gateways.h"
+#include "control/worker_lease.h"
 #include "platform/worker.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -14,8 +16,10 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace cardamompaddle {
@@ -42,16 +46,21 @@
         std::function<void(const StartOrder &, StartOutcome)> startAnswered;
         std::function<void(const StopOrder &)> stopConfirmed;
         std::function<void(const WorkerId &, bool)> reachable;
-        std::function<void(const WorkerId &)> lost; // no run is active there any more
+        // No run is active there any more but those that are named: their starts got no answer, so
+        // they may be active in an incarnation that is not known. Called again without them later.
+        std::function<void(const WorkerId &, const std::set<RunRef> &)> lost;
         // Another worker has its address, so no run is active there any more. May follow `lost`.
         std::function<void(const WorkerId &)> replaced;
         std::function<void()> fenced; // a worker has seen a higher epoch
         std::function<bool(const WorkerId &)> busy; // whether runs are assigned to the worker
-        // Returns the position up to which the worker's finished runs are stored in the log.
-        std::function<int64_t(const WorkerId &)> storedPosition;
-        // Returns when all leases on the worker have expired if its stored record promises that
-        // nobody extends them, which is then respected; otherwise none.
-        std::function<std::optional<Instant>(const WorkerId &)> suspendedLeaseExpiry;
+        // Returns the position up to which the finished runs of the worker's incarnation, given by
+        // its start, are stored in the log.
+        std::function<int64_t(const WorkerId &, int64_t startedAtMs)> storedPosition;
+        // Returns whether the log permits leases in the worker's incarnation: its stored record
+        // names the incarnation and does not promise that nobody extends leases there.
+        std::function<bool(const WorkerId &, int64_t startedAtMs)> leasesPermitted;
+        // Returns what the stored record of the worker tells of an earlier scheduler's leases.
+        std::function<FormerLeases(const WorkerId &)> formerLeases;
     };
 
     WorkerLinks(boost::asio::io_context &io, const Clock &clock, WorkerGateway &gateway,
@@ -86,8 +95,11 @@
     size_t size() const { return m_links.size(); }
     // Returns the workers that have been unreachable since `time` or longer.
     std::vector<WorkerId> unreachableSince(Instant time) const;
-    // Returns when every lease on the worker has expired unless it is extended again.
-    Instant leaseExpiry(const WorkerId &id) const { return m_links.at(id).leaseExpiry; }
+    // Returns what is known of the leases on a worker that has a link.
+    const WorkerLease &lease(const WorkerId &id) const { return m_links.at(id).lease; }
+    // Returns the start of the worker's incarnation that answered last, or else that the registry
+    // shows; 0 if none is known.
+    int64_t incarnationStart(const WorkerId &id) const;
     // Returns IP:PORT of the worker, or an empty string if there is no link.
     std::string address(const WorkerId &id) const
     {
@@ -98,21 +110,20 @@
 private:
     struct Link
     {
+        explicit Link(WorkerLease workerLease) : lease(std::move(workerLease)) { }
+
         WorkerEntry entry;
+        WorkerLease lease;
         bool listed = false;
         bool pollInFlight = false;
         bool hasUnstoredRuns = false; // reported finished runs are not stored yet
-        bool reported = false; // at least one poll was answered
+        int64_t lastPoll = 0; // number of the last poll; answers to earlier ones are dropped
         bool reconciled = false; // at least one report listed all runs
         bool lost = false; // reported as lost: no run can be active there
+        bool confirmedLost = false; // reported as lost, but for runs whose starts got no answer
         bool replaced = false; // reported as replaced
         bool reachable = false;
         Instant unreachableSince; // while it is not reachable
-        int64_t startedAtMs = 0; // of the incarnation that answered last; Unix time
-        int64_t acknowledged = 0; // with the last poll
-        int64_t workerTimeMs = 0; // worker's clock at workerTimeReadAt
-        Instant workerTimeReadAt = Instant::min(); // min(): the worker's clock is unknown
-        Instant leaseExpiry; // every lease on the worker has expired by then
         std::shared_ptr<boost::asio::steady_timer> timer; // of the next poll
         std::deque<std::function<void()>> queue; // calls over the concurrency limit
         bool queueRunning = false; // runQueue() is active for the link
@@ -120,9 +131,13 @@
     };
 
     Link *find(const WorkerId &id);
+    void addLink(const WorkerEntry &entry);
     void poll(const WorkerId &id);
     void schedulePoll(const WorkerId &id, Duration delay);
-    void onPollAnswer(const WorkerId &id, Result<PollResult> answer);
+    void onPollAnswer(const WorkerId &id, const Result<PollResult> &answer);
+    void onPollFailed(const WorkerId &id, const Error &error);
+    // Sends a probe at once and drops the answer to the poll in flight, if any.
+    void probe(const WorkerId &id, std::string_view why);
     void setReachable(Link &link, bool reachable, const std::string &reason);
     // Returns whether a longer lease may be asked for.
     bool mayExtendLease(const Link &link) const;
@@ -133,18 +148,29 @@
     void enqueue(const WorkerId &id, std::function<void()> call);
     static void runQueue(Link &link);
     void onCallDone(const WorkerId &id);
+    // One attempt to send a start order.
+    struct StartAttempt
+    {
+        StartOrder order;
+        size_t priorAttempts = 0; // of the order that had no answer
+        int64_t token = 0;
+        Instant sentAt;
+    };
     // Sends a start order if it is still wanted. `priorAttempts` of it had no answer.
     void sendStart(const StartOrder &order, size_t priorAttempts);
-    void logClock(const StartOrder &order, const Result<StartAnswer> &answer);
-    void onStartAnswer(const StartOrder &order, size_t priorAttempts,
-                       const Result<StartAnswer> &answer);
+    void onStartAnswer(const StartAttempt &attempt, const Result<StartAnswer> &answer);
+    // Returns the outcome of the order after its last attempt, and books a confirmed start.
+    StartOutcome outcomeOf(const StartAttempt &attempt, const Result<StartAnswer> &answer);
+    // Whether a call with this token was refused because a later probe of the same tenure fences
+    // it, and not by another scheduler.
+    bool isFencedByProbe(const WorkerId &id, int64_t token, const Error &error) const;
     // Ends a stop or throttle call and returns whether it succeeded. A failure is logged as
     // `failureEvent`.
     bool finishOrder(std::string_view failureEvent, const WorkerId &id, const TaskRef &task,
-                     const Result<void> &answer);
-    void handleError(const WorkerId &id, const Error &error);
-    void markLost(Link &link, const std::string &reason,
-                  const std::function<void(const WorkerId &)> &callback);
+                     int64_t token, const Result<void> &answer);
+    void handleError(const WorkerId &id, int64_t token, const Error &error);
+    // Reports the runs whose leases have expired.
+    void expireRuns(const WorkerId &id, Instant now);
 
     boost::asio::io_context &m_io;
     const Clock &m_clock;
--- a/src/control/worker_links_test.cc
+++ b/src/control/worker_links_test.cc
@@ -37,12 +37,16 @@
         };
         callbacks.stopConfirmed = [](const StopOrder &) {};
         callbacks.reachable = [](const WorkerId &, bool) {};
-        callbacks.lost = [this](const WorkerId &) { m_lost = true; };
+        callbacks.lost = [this](const WorkerId &, const std::set<RunRef> &unanswered) {
+            m_lost = unanswered.empty();
+            m_unanswered = unanswered;
+        };
         callbacks.replaced = [](const WorkerId &) {};
         callbacks.fenced = [] {};
         callbacks.busy = [](const WorkerId &) { return true; };
-        callbacks.storedPosition = [](const WorkerId &) -> int64_t { return 0; };
-        callbacks.suspendedLeaseExpiry = [](const WorkerId &) { return std::nullopt; };
+        callbacks.storedPosition = [](const WorkerId &, int64_t) -> int64_t { return 0; };
+        callbacks.leasesPermitted = [](const WorkerId &, int64_t) { return true; };
+        callbacks.formerLeases = [](const WorkerId &) { return FormerLeases(); };
         m_links.emplace(m_io, m_clock, m_workers, options, std::move(callbacks));
         WorkerEntry entry;
         entry.id = "w";
@@ -73,7 +77,8 @@
     std::function<bool()> m_wanted = [] { return true; };
     std::function<void(const StartOrder &, StartOutcome)> m_answered;
     std::optional<WorkerLinks> m_links;
-    bool m_lost = false;
+    bool m_lost = false; // with all its runs
+    std::set<RunRef> m_unanswered; // left out when the worker was reported as lost
 };
 
 // Worker "w" has the clock of the test, so that the ends of its leases can be compared with times
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -93,9 +93,9 @@
         it->second->reachable = reachable;
 }
 
-void Dispatcher::workerLost(const WorkerId &id)
+void Dispatcher::workerLost(const WorkerId &id, const std::set<RunRef> &mayBeActive)
 {
-    m_impl->workerLost(id);
+    m_impl->workerLost(id, mayBeActive);
 }
 
 void Dispatcher::workerReplaced(const WorkerId &id, Instant now)
@@ -118,6 +118,12 @@
     m_impl->stopAnswered(order, now);
 }
 
+int64_t Dispatcher::incarnationStart(const WorkerId &id) const
+{
+    const auto it = m_impl->m_workers.find(id);
+    return it == m_impl->m_workers.end() ? 0 : it->second->incarnationStartedAtMs.value_or(0);
+}
+
 int64_t Dispatcher::endPosition(const WorkerId &id) const
 {
     const auto it = m_impl->m_workers.find(id);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -108,8 +108,9 @@
     void removeWorker(const WorkerId &id);
     // Sets whether the worker answers calls. Nothing starts on a worker that does not.
     void setReachable(const WorkerId &id, bool reachable);
-    // Requeues all runs of the worker. Call it only once the leases of all its runs have expired.
-    void workerLost(const WorkerId &id);
+    // Requeues the runs of the worker but those that are named. Call it only once the leases of all
+    // others have expired.
+    void workerLost(const WorkerId &id, const std::set<RunRef> &mayBeActive = {});
     // Handles another worker at the address of this one, so that this one is gone with all its
     // runs. Unlike workerLost(), counts as a crash unless the worker was draining.
     void workerReplaced(const WorkerId &id, Instant now);
@@ -125,6 +126,9 @@
     void stopAnswered(const StopOrder &order, Instant now);
     // Returns the highest position in the worker's list of finished runs that has been processed.
     int64_t endPosition(const WorkerId &id) const;
+    // Returns the start of the incarnation that the position belongs to, as Unix time in ms; 0 if
+    // the worker has not reported.
+    int64_t incarnationStart(const WorkerId &id) const;
     // Returns whether the worker has an active run or a pending start order.
     bool isBusy(const WorkerId &id) const;
 
--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -96,7 +96,7 @@
 
 void Dispatcher::Impl::workerReplaced(const WorkerId &id, Instant now)
 {
-    workerLost(id);
+    workerLost(id, {});
     blameNewRuns(id, now);
 }
 
--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -61,9 +61,14 @@
     return approval == step.approvals.end() || approval->second.expires > now;
 }
 
-void Dispatcher::Impl::requeueAllRuns(Worker &worker, std::string_view why)
+void Dispatcher::Impl::requeueRuns(Worker &worker, const std::set<RunRef> &mayBeActive,
+                                   std::string_view why)
 {
     for (Attempt *attempt : AttemptSet(worker.attempts)) {
+        // requeue() of one gang member may already have removed another one.
+        if (!worker.attempts.contains(attempt)
+            || mayBeActive.contains({taskRefOf(*attempt), attempt->run}))
+            continue;
         emitEvent("run_lost", attempt->step->job->spec->id,
                   "worker=" + worker.entry.id + " run=" + std::to_string(attempt->run)
                       + " reason=" + std::string(why));
--- a/src/dispatch/dispatcher_workers.cc
+++ b/src/dispatch/dispatcher_workers.cc
@@ -95,17 +95,17 @@
     m_workers.erase(id);
 }
 
-void Dispatcher::Impl::workerLost(const WorkerId &id)
+void Dispatcher::Impl::workerLost(const WorkerId &id, const std::set<RunRef> &mayBeActive)
 {
     const auto it = m_workers.find(id);
     if (it == m_workers.end())
         return;
     recordNewRuns(*it->second);
-    requeueAllRuns(*it->second, "lease_lapsed");
+    requeueRuns(*it->second, mayBeActive, "lease_lapsed");
     releaseOrphanedUse(*it->second);
     it->second->reported = false;
     it->second->reachable = false;
-    if (!it->second->listed)
+    if (!it->second->listed && it->second->attempts.empty())
         eraseWorker(id);
 }
 
@@ -147,8 +147,10 @@
     worker.lastAnswerAt = now;
     // Also a worker that was lost may come back restarted.
     if (worker.incarnationStartedAtMs.value_or(report.startedAtMs) != report.startedAtMs) {
-        emitEvent("worker_restarted", "", "worker=" + id);
-        requeueAllRuns(worker, "worker_restarted");
+        emitEvent("worker_restarted", "",
+                  "worker=" + id + " started_at_ms=" + std::to_string(report.startedAtMs)
+                      + " former=" + std::to_string(*worker.incarnationStartedAtMs));
+        requeueRuns(worker, {}, "worker_restarted");
         worker.endPosition = 0;
         worker.slowdown = 1;
         worker.restartedAt = now;
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -27,7 +27,7 @@
     // dispatcher_workers.cc
     void setWorker(const WorkerEntry &entry);
     void removeWorker(const WorkerId &id);
-    void workerLost(const WorkerId &id);
+    void workerLost(const WorkerId &id, const std::set<RunRef> &mayBeActive);
     void workerReported(const WorkerId &id, const RunReport &report, Instant now);
 
     // dispatcher_runs.cc
@@ -109,7 +109,8 @@
     // Keeps the runs that a report does not show because it cannot list all ends, and does not take
     // them for stalled.
     static void keepUnlistedRuns(Worker &worker, const dispatch::AttemptSet &seen, Instant now);
-    void requeueAllRuns(Worker &worker, std::string_view why);
+    // Requeues the runs of the worker but those that are named.
+    void requeueRuns(Worker &worker, const std::set<RunRef> &mayBeActive, std::string_view why);
 
     // dispatcher_workers.cc
     void updateFailureStreak(Worker &worker, RunOutcome outcome, const std::string &job,
--- a/src/dispatch/worker_runs.h
+++ b/src/dispatch/worker_runs.h
@@ -41,6 +41,15 @@
     static bool parse(const std::string &text, TaskRef &out);
 };
 
+// One run of a task.
+struct RunRef
+{
+    TaskRef task;
+    int64_t run = 0;
+    friend auto operator<=>(const RunRef &,
+                            const RunRef &) = default; // NOLINT(modernize-use-nullptr)
+};
+
 // A worker's entry in the platform's registry.
 struct WorkerEntry
 {
