Tokens go on when a link is reopened, and starts count as confirmed by their own clock only

- A link that is closed and opened again in one tenure began with the first token.
The worker, which had seen higher ones, refused the call, and the scheduler gave up its tenure.
What is known of the leases is kept until calls sent over the closed link can have no effect, and tokens go on from the highest of all closed links.
- A start that another incarnation may have answered, because a probe had begun meanwhile, passed for confirmed.
It counts as unanswered until the next report.
- An answered probe took unanswered starts for refused for good; a later incarnation hasn't seen its token.
They count for as long as they may be carried out.
- A start answer that a later poll answer overtook passed for another clock's.
- A takeover waited for starts of the former scheduler at a restarted, silent worker although its record told that there are none, or the registry doesn't list it.
- A worker that is probed is not reachable for the dispatcher until it answers.
- Records of earlier versions name no incarnation: leases are permitted there, starts only once the record names it.

Tests: WorkerLeaseBoundTest and WorkerLinksTest, with one or more for each of the first four. None of the new tests was run on the code before its repair.

--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -195,7 +195,7 @@
     former.used = true;
     former.startedAtMs = it->second.startedAtMs;
     former.expiry = expiry(it->second.leasesExpireWithinMs);
-    former.strayExpiry = expiry(it->second.strayLeasesExpireWithinMs);
+    former.staleExpiry = expiry(it->second.staleLeasesExpireWithinMs);
     former.unansweredExpiry = expiry(it->second.unansweredStartsExpireWithinMs);
 }
 
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -313,6 +313,7 @@
 {
     const bool usable = m_reachable.contains(id)
                         && leasesPermitted(id, m_links->incarnationStart(id))
+                        && m_storedUsedWorkers.at(id) == m_links->incarnationStart(id)
                         && !m_closedWorkers.contains(id);
     m_dispatcher.setReachable(id, usable);
 }
@@ -320,7 +321,9 @@
 bool Scheduler::leasesPermitted(const WorkerId &id, int64_t startedAtMs) const
 {
     const auto it = m_storedUsedWorkers.find(id);
-    return it != m_storedUsedWorkers.end() && it->second == startedAtMs
+    // A record of an earlier version names no incarnation. A later scheduler then counts with the
+    // longest leases.
+    return it != m_storedUsedWorkers.end() && (it->second == startedAtMs || it->second == 0)
            && !m_suspendedLeases.contains(id);
 }
 
--- a/src/control/scheduler_records.cc
+++ b/src/control/scheduler_records.cc
@@ -178,14 +178,14 @@
     if (m_links->contains(id)) {
         const Instant now = m_context.clock.now();
         const WorkerLease &lease = m_links->lease(id);
-        used.strayLeasesExpireWithinMs = millisecondsUntil(lease.strayExpiry(), now);
+        used.staleLeasesExpireWithinMs = millisecondsUntil(lease.staleExpiry(), now);
         used.unansweredStartsExpireWithinMs = millisecondsUntil(lease.unansweredExpiry(), now);
     }
     return {work_key::usedWorker(id), encodeRecord(used), false, 0};
 }
 
-// An incarnation is named once it has answered a probe, so that the record tells what stray calls
-// may have done there. Nothing was sent to a worker without a record.
+// An incarnation is named once it has answered a probe, so that the record tells what stale calls
+// may have done there. A worker without a record has got no leases, so its entry tells enough.
 int64_t Scheduler::incarnationToStore(const WorkerId &id) const
 {
     const auto stored = m_storedUsedWorkers.find(id);
--- a/src/control/worker_lease.cc
+++ b/src/control/worker_lease.cc
@@ -37,16 +37,18 @@
 std::string_view leaseBoundName(LeaseBound bound)
 {
     static constexpr std::array<std::string_view, 3> Names = {"requested", "former_scheduler",
-                                                              "stray_calls"};
+                                                              "stale_calls"};
     return Names[static_cast<size_t>(bound)];
 }
 
-WorkerLease::WorkerLease(int64_t epoch, Duration maxLease, const FormerLeases &former)
-    : m_epoch(epoch), m_maxLease(maxLease), m_mayHaveStrayCalls(former.used),
-      m_startedAtMs(former.startedAtMs), m_expiry(former.expiry), m_strayExpiry(former.strayExpiry),
+WorkerLease::WorkerLease(int64_t epoch, Duration maxLease, const FormerLeases &former,
+                         int64_t probes)
+    : m_epoch(epoch), m_maxLease(maxLease), m_probes(probes + 1), m_mayHaveStaleCalls(former.used),
+      m_formerSuspended(former.suspended), m_startedAtMs(former.startedAtMs),
+      m_expiry(former.expiry), m_staleExpiry(former.staleExpiry),
       m_formerUnansweredExpiry(former.unansweredExpiry), m_lastCallAt(former.lastCallAt)
 {
-    extend(former.strayExpiry, LeaseBound::StrayCalls);
+    extend(former.staleExpiry, LeaseBound::StaleCalls);
 }
 
 void WorkerLease::extend(Instant expiry, LeaseBound bound)
@@ -71,7 +73,7 @@
     ++m_probes;
 }
 
-bool WorkerLease::listed(int64_t startedAtMs)
+bool WorkerLease::onRegistryEntry(int64_t startedAtMs)
 {
     const bool changed = std::exchange(m_listedStartedAtMs, startedAtMs) != startedAtMs;
     if (!changed || startedAtMs == m_startedAtMs)
@@ -81,46 +83,47 @@
         beginProbe();
         return wasProbed;
     }
-    // It is not known which starts the earlier scheduler has had answers to. Any of them may have
-    // been carried out in the new incarnation.
-    if (m_mayHaveStrayCalls && m_startedAtMs != 0)
-        extend(m_lastCallAt + MaxCallDelay + maxLeaseDuration(m_maxLease), LeaseBound::StrayCalls);
+    // Any start of the earlier scheduler may have been carried out in the new incarnation.
+    if (m_mayHaveStaleCalls && !m_formerSuspended && m_startedAtMs != 0)
+        m_formerUnansweredExpiry = m_lastCallAt + MaxCallDelay + maxLeaseDuration(m_maxLease);
     return false;
 }
 
-WorkerLease::Report WorkerLease::reported(int64_t startedAtMs, int64_t workerTimeMs,
-                                          Instant requestedAt, Instant now)
+WorkerLease::ReportKind WorkerLease::onReport(int64_t startedAtMs, int64_t workerTimeMs,
+                                              Instant requestedAt, Instant now)
 {
     const bool isNew = startedAtMs != m_startedAtMs;
     if (m_probed && isNew) {
         beginProbe();
-        return Report::NeedsProbe;
+        return ReportKind::NeedsProbe;
     }
     m_workerTimeMs = workerTimeMs;
     m_workerTimeReadAt = now;
-    if (m_probed) {
-        std::erase_if(m_unanswered, [requestedAt](const auto &it) {
-            return it.second + MaxCallDelay < requestedAt;
-        });
-        return Report::Current;
-    }
+    std::erase_if(m_unanswered, [requestedAt](const auto &it) {
+        const auto &[sentAt, answeredAt] = it.second;
+        return answeredAt ? *answeredAt <= requestedAt : sentAt + MaxCallDelay < requestedAt;
+    });
+    if (m_probed)
+        return ReportKind::Current;
     m_startedAtMs = startedAtMs;
     m_probed = m_everProbed = true;
-    m_unanswered.clear();
     m_formerUnansweredExpiry = Instant::min();
     if (!isNew)
-        return Report::Probed;
-    if (m_mayHaveStrayCalls) {
-        m_strayExpiry = now + maxLeaseDuration(m_maxLease);
-        extend(m_strayExpiry, LeaseBound::StrayCalls);
+        return ReportKind::Probed;
+    if (m_mayHaveStaleCalls) {
+        m_staleExpiry = now + maxLeaseDuration(m_maxLease);
+        extend(m_staleExpiry, LeaseBound::StaleCalls);
     }
-    return Report::ProbedNew;
+    return ReportKind::ProbedNew;
 }
 
 bool WorkerLease::clockFits(int64_t workerTimeMs, Instant sentAt) const
 {
-    const int64_t elapsedMs = std::max<int64_t>(0, (sentAt - m_workerTimeReadAt).count());
-    const int64_t earliestMs = m_workerTimeMs + elapsedMs * (100 - MaxClockSlownessPercent) / 100;
+    // The clock may have been read after the call was sent.
+    const int64_t elapsedMs = (sentAt - m_workerTimeReadAt).count();
+    const int64_t elapsedAtLeastMs =
+        elapsedMs > 0 ? elapsedMs * (100 - MaxClockSlownessPercent) / 100 : elapsedMs;
+    const int64_t earliestMs = m_workerTimeMs + elapsedAtLeastMs;
     return workerTimeMs + ClockRoundingMs >= earliestMs;
 }
 
@@ -133,7 +136,7 @@
 
 int64_t WorkerLease::request(Duration lease, Instant now)
 {
-    m_mayHaveStrayCalls = true;
+    m_mayHaveStaleCalls = true;
     m_lastCallAt = now;
     extend(now + maxLeaseDuration(lease), LeaseBound::Requested);
     return expectedClockMs(now) + lease.count();
@@ -141,17 +144,33 @@
 
 void WorkerLease::startSent(const RunRef &run, Instant now)
 {
-    m_unanswered[run] = now;
+    m_unanswered[run] = {now, std::nullopt};
+}
+
+void WorkerLease::startAnswered(const RunRef &run, bool confirmed, Instant now)
+{
+    const auto it = m_unanswered.find(run);
+    if (it == m_unanswered.end())
+        return;
+    if (confirmed)
+        m_unanswered.erase(it);
+    else
+        it->second.answeredAt = now;
 }
 
 std::set<RunRef> WorkerLease::unansweredRuns() const
 {
     std::set<RunRef> out;
-    for (const auto &[run, sentAt] : m_unanswered)
+    for (const auto &[run, start] : m_unanswered)
         out.insert(run);
     return out;
 }
 
+Instant WorkerLease::settledAt() const
+{
+    return std::max(m_expiry, m_lastCallAt + MaxCallDelay + maxLeaseDuration(m_maxLease));
+}
+
 Instant WorkerLease::unansweredExpiry() const
 {
     if (m_unanswered.empty())
--- a/src/control/worker_lease_test.cc
+++ b/src/control/worker_lease_test.cc
@@ -20,9 +20,9 @@
 {
 protected:
     // The worker answers a poll that was sent 1 ms ago.
-    WorkerLease::Report report(int64_t startedAtMs, int64_t clockMs)
+    WorkerLease::ReportKind report(int64_t startedAtMs, int64_t clockMs)
     {
-        return m_lease.reported(startedAtMs, clockMs, m_now - Duration(1), m_now);
+        return m_lease.onReport(startedAtMs, clockMs, m_now - Duration(1), m_now);
     }
     void pass(Duration time) { m_now += time; }
     // The worker is probed for the first time and gets a lease.
@@ -58,9 +58,9 @@
 TEST_F(WorkerLeaseBoundTest, AnIncarnationIsUsableOnceItHasAnsweredAProbe)
 {
     EXPECT_FALSE(m_lease.isProbed());
-    EXPECT_EQ(report(FirstStart, 50'000), WorkerLease::Report::ProbedNew);
+    EXPECT_EQ(report(FirstStart, 50'000), WorkerLease::ReportKind::ProbedNew);
     EXPECT_TRUE(m_lease.isProbed());
-    EXPECT_EQ(report(FirstStart, 50'900), WorkerLease::Report::Current);
+    EXPECT_EQ(report(FirstStart, 50'900), WorkerLease::ReportKind::Current);
 }
 
 // Guards against a cut-off worker whose runs wait for longer than their lease lasts.
@@ -81,9 +81,9 @@
     pass(Duration(1'000));
     const int64_t token = m_lease.token();
     restart();
-    EXPECT_GT(m_lease.token(), token) << "stray calls have to be refused from now on";
+    EXPECT_GT(m_lease.token(), token) << "stale calls have to be refused from now on";
     EXPECT_GE(m_lease.expiry(), m_now + SlowMaxLease);
-    EXPECT_EQ(m_lease.bound(), LeaseBound::StrayCalls);
+    EXPECT_EQ(m_lease.bound(), LeaseBound::StaleCalls);
     pass(Duration(3'000));
     m_lease.request(Lease, m_now);
     EXPECT_GE(m_lease.expiry(), m_now + SlowMaxLease - Duration(3'000));
@@ -108,29 +108,29 @@
     former.startedAtMs = FirstStart;
     former.expiry = m_now + Duration(500);
     WorkerLease same(4, MaxLease, former);
-    same.reported(FirstStart, 50'000, m_now, m_now);
+    same.onReport(FirstStart, 50'000, m_now, m_now);
     EXPECT_EQ(same.expiry(), m_now + Duration(500));
     WorkerLease other(4, MaxLease, former);
-    other.reported(SecondStart, 300, m_now, m_now);
+    other.onReport(SecondStart, 300, m_now, m_now);
     EXPECT_GE(other.expiry(), m_now + SlowMaxLease);
-    former.strayExpiry = m_now + Duration(7'000);
+    former.staleExpiry = m_now + Duration(7'000);
     const WorkerLease silent(4, MaxLease, former);
     EXPECT_EQ(silent.expiry(), m_now + Duration(7'000));
 }
 
 // Guards against the same with a worker that has started again and is silent: it is not known which
 // starts the former scheduler had answers to.
-TEST_F(WorkerLeaseBoundTest, ATakeoverWaitsForStrayStartsOfAnIncarnationThatTheRegistryShows)
+TEST_F(WorkerLeaseBoundTest, ATakeoverWaitsForStaleStartsOfAnIncarnationThatTheRegistryShows)
 {
     FormerLeases former;
     former.used = true;
     former.startedAtMs = FirstStart;
     former.lastCallAt = m_now;
     WorkerLease lease(4, MaxLease, former);
-    lease.listed(FirstStart);
-    EXPECT_LT(lease.expiry(), m_now);
-    lease.listed(SecondStart);
-    EXPECT_GE(lease.expiry(), m_now + LongestCallDelay + SlowMaxLease);
+    lease.onRegistryEntry(FirstStart);
+    EXPECT_LT(lease.unansweredExpiry(), m_now);
+    lease.onRegistryEntry(SecondStart);
+    EXPECT_GE(lease.unansweredExpiry(), m_now + LongestCallDelay + SlowMaxLease);
 }
 
 // Guards against two runs at once: a start without an answer may begin in an incarnation that was
@@ -141,40 +141,67 @@
     m_lease.startSent(m_run, m_now);
     EXPECT_EQ(m_lease.unansweredRuns(), std::set<RunRef>{m_run});
     EXPECT_GE(m_lease.unansweredExpiry(), m_now + LongestCallDelay + SlowMaxLease);
-    m_lease.startAnswered(m_run);
+    m_lease.startAnswered(m_run, true, m_now);
     EXPECT_TRUE(m_lease.unansweredRuns().empty());
 }
 
-// Guards against starts that are waited for although the worker refuses them.
-TEST_F(WorkerLeaseBoundTest, AnAnsweredProbeEndsTheWaitForUnansweredStarts)
+// Guards against two runs at once: a start that another incarnation may have answered counts as
+// unanswered until a report shows where it runs, and no longer.
+TEST_F(WorkerLeaseBoundTest, AStartThatAnotherIncarnationMayHaveAnsweredCountsUntilTheNextReport)
+{
+    join();
+    m_lease.startSent(m_run, m_now);
+    m_lease.startAnswered(m_run, false, m_now);
+    EXPECT_EQ(m_lease.unansweredRuns().size(), 1U);
+    pass(Duration(20));
+    restart();
+    EXPECT_TRUE(m_lease.unansweredRuns().empty());
+}
+
+// Guards against the same after a probe, whose token a later incarnation has not seen, and against
+// starts that are waited for although they cannot be carried out any more.
+TEST_F(WorkerLeaseBoundTest, AnUnansweredStartCountsAsLongAsItMayBeCarriedOut)
 {
     join();
     m_lease.startSent(m_run, m_now);
     m_lease.beginProbe();
-    EXPECT_EQ(report(FirstStart, 50'100), WorkerLease::Report::Probed);
+    EXPECT_EQ(report(FirstStart, 50'100), WorkerLease::ReportKind::Probed);
+    EXPECT_EQ(m_lease.unansweredRuns().size(), 1U);
+    pass(LongestCallDelay + Duration(10));
+    report(FirstStart, 62'100);
     EXPECT_TRUE(m_lease.unansweredRuns().empty());
 }
 
+// Guards against calls that a worker refuses because it has seen a higher token in the same tenure,
+// before its link was closed for a time.
+TEST_F(WorkerLeaseBoundTest, TokensGoOnAfterEarlierProbesOfTheTenure)
+{
+    join();
+    m_lease.beginProbe();
+    const WorkerLease next(3, MaxLease, {}, m_lease.probes());
+    EXPECT_GT(next.token(), m_lease.token());
+}
+
 // Guards against an end of a new incarnation that is acknowledged unread, and a lease by a wrong
 // clock, because a poll for the former one has reached it.
 TEST_F(WorkerLeaseBoundTest, AReportOfAnIncarnationThatWasNotProbedAsksForAProbe)
 {
     join();
-    EXPECT_EQ(report(SecondStart, 300), WorkerLease::Report::NeedsProbe);
+    EXPECT_EQ(report(SecondStart, 300), WorkerLease::ReportKind::NeedsProbe);
     EXPECT_FALSE(m_lease.isProbed());
-    EXPECT_EQ(report(SecondStart, 310), WorkerLease::Report::ProbedNew);
+    EXPECT_EQ(report(SecondStart, 310), WorkerLease::ReportKind::ProbedNew);
 }
 
 // Guards against calls to a new incarnation that the registry has shown long before a poll does.
 TEST_F(WorkerLeaseBoundTest, ARegistryEntryOfAnotherIncarnationAsksForAProbeOnce)
 {
-    EXPECT_FALSE(m_lease.listed(FirstStart));
+    EXPECT_FALSE(m_lease.onRegistryEntry(FirstStart));
     join();
-    EXPECT_FALSE(m_lease.listed(FirstStart));
-    EXPECT_TRUE(m_lease.listed(SecondStart));
-    EXPECT_FALSE(m_lease.listed(SecondStart));
+    EXPECT_FALSE(m_lease.onRegistryEntry(FirstStart));
+    EXPECT_TRUE(m_lease.onRegistryEntry(SecondStart));
+    EXPECT_FALSE(m_lease.onRegistryEntry(SecondStart));
     report(SecondStart, 300);
-    EXPECT_FALSE(m_lease.listed(SecondStart));
+    EXPECT_FALSE(m_lease.onRegistryEntry(SecondStart));
 }
 
 // Guards against a worker that is never used again because its time of day was set back before it
@@ -184,7 +211,7 @@
     report(SecondStart, 50'000);
     m_lease.request(Lease, m_now);
     m_lease.beginProbe();
-    EXPECT_EQ(report(FirstStart, 300), WorkerLease::Report::ProbedNew);
+    EXPECT_EQ(report(FirstStart, 300), WorkerLease::ReportKind::ProbedNew);
     EXPECT_EQ(m_lease.startedAtMs(), FirstStart);
 }
 
@@ -198,6 +225,7 @@
     EXPECT_TRUE(m_lease.clockFits(51'960, sentAt)) << "2% slow";
     EXPECT_TRUE(m_lease.clockFits(53'500, sentAt)) << "carried out late";
     EXPECT_FALSE(m_lease.clockFits(1'500, sentAt));
+    EXPECT_TRUE(m_lease.clockFits(49'950, m_now - Duration(50))) << "a later answer came first";
 }
 
 } // namespace cardamompaddle
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -90,7 +90,7 @@
     if (listed)
         link.entry = entry;
     link.listed = link.listed || listed;
-    const bool restarted = listed && link.lease.listed(entry.startedAtMs);
+    const bool restarted = listed && link.lease.onRegistryEntry(entry.startedAtMs);
     if (added)
         poll(entry.id);
     else if (restarted)
@@ -101,12 +101,17 @@
 {
     const Instant now = m_clock.now();
     FormerLeases former = m_callbacks.formerLeases(entry.id);
+    former.suspended = former.expiry != Instant::min();
     // Unless the log tells that it has stopped, a former scheduler may go on extending the lease
     // without the log for a while.
     if (former.expiry == Instant::min())
         former.expiry = latestLeaseExpiry(m_options.formerTenureHeldAt, m_options.maxLease);
     former.lastCallAt = m_options.formerTenureHeldAt + LeaseExtensionWindow;
-    Link link(WorkerLease(m_options.epoch, m_options.maxLease, former));
+    const auto closed = m_closedLeases.extract(entry.id);
+    Link link(closed.empty()
+                  ? WorkerLease(m_options.epoch, m_options.maxLease, former, m_closedProbes)
+                  : closed.mapped());
+    link.lease.beginProbe();
     link.lease.keepUntil(now + FirstPollTime);
     link.entry = entry;
     link.unreachableSince = now;
@@ -192,8 +197,8 @@
     const bool lossy = now < m_lossyUntil;
     if (lossy)
         wait = std::min(wait, LossyPollWait);
-    // A probe is sent to learn which runs are active. While reported runs are not yet stored, the
-    // worker answers at once anyway.
+    // A probe fences all calls before and lists the runs. While reported runs are not yet stored,
+    // the worker answers at once anyway.
     const WorkerLease &lease = link->lease;
     if (!lease.isProbed() || link->hasUnstoredRuns)
         wait = Duration::zero();
@@ -205,14 +210,14 @@
     const CommandFence fence = makeFence(*link, link->reachable);
     const int64_t acknowledged =
         lease.isProbed() ? m_callbacks.storedPosition(id, lease.startedAtMs()) : 0;
-    m_gateway.poll(
-        link->entry, fence, acknowledged, wait,
-        wait + (lossy ? LossyPollTimeoutMargin : PollTimeoutMargin), now,
-        [this, alive = m_alive, id, number = ++link->lastPoll](const Result<PollResult> &answer) {
-            const Link *current = *alive ? find(id) : nullptr;
-            if (current != nullptr && current->lastPoll == number)
-                onPollAnswer(id, answer);
-        });
+    m_gateway.poll(link->entry, fence, acknowledged, wait,
+                   wait + (lossy ? LossyPollTimeoutMargin : PollTimeoutMargin), now,
+                   [this, alive = m_alive, id,
+                    number = link->lastPoll = ++m_lastPoll](const Result<PollResult> &answer) {
+                       const Link *current = *alive ? find(id) : nullptr;
+                       if (current != nullptr && current->lastPoll == number)
+                           onPollAnswer(id, answer);
+                   });
 }
 
 void WorkerLinks::probe(const WorkerId &id, std::string_view why)
@@ -222,6 +227,8 @@
                                  + " token=" + std::to_string(link->lease.token())
                                  + " started_at_ms=" + std::to_string(link->lease.startedAtMs()));
     link->pollInFlight = false;
+    // Nothing is started there before the answer.
+    setReachable(*link, false, "it is probed");
     poll(id);
 }
 
@@ -229,13 +236,14 @@
 {
     Link *link = find(id);
     const bool wasReachable = link->reachable;
-    const int64_t token = link->lease.token();
+    setReachable(*link, false, error.reason);
+    handleError(id, link->lease.token(), error);
+    link = *m_alive ? find(id) : nullptr;
+    if (link == nullptr)
+        return;
     // The worker may have started again meanwhile.
     link->lease.beginProbe();
-    setReachable(*link, false, error.reason);
-    handleError(id, token, error);
-    if (*m_alive && find(id) != nullptr)
-        schedulePoll(id, wasReachable ? Duration::zero() : PollRetryDelay);
+    schedulePoll(id, wasReachable ? Duration::zero() : PollRetryDelay);
 }
 
 void WorkerLinks::onPollAnswer(const WorkerId &id, const Result<PollResult> &answer)
@@ -247,18 +255,18 @@
     const Instant now = m_clock.now();
     const int64_t expectedMs = link->lease.expectedClockMs(now);
     const int64_t formerStart = link->lease.startedAtMs();
-    const WorkerLease::Report kind = link->lease.reported(
+    const WorkerLease::ReportKind kind = link->lease.onReport(
         answer->report.startedAtMs, answer->workerTimeMs, answer->report.requestedAt, now);
-    if (kind == WorkerLease::Report::NeedsProbe)
+    if (kind == WorkerLease::ReportKind::NeedsProbe)
         return probe(id, "poll");
-    if (kind == WorkerLease::Report::ProbedNew)
+    if (kind == WorkerLease::ReportKind::ProbedNew)
         logInfo("worker_incarnation",
                 "worker=" + id + " started_at_ms=" + std::to_string(answer->report.startedAtMs)
                     + " former=" + std::to_string(formerStart)
                     + " clock_ms=" + std::to_string(answer->workerTimeMs) + " expected_clock_ms="
                     + std::to_string(expectedMs) + " token=" + std::to_string(link->lease.token())
                     + " " + describeLease(link->lease, now));
-    const bool isProbe = kind != WorkerLease::Report::Current;
+    const bool isProbe = kind != WorkerLease::ReportKind::Current;
     link->reconciled = link->reconciled || !answer->report.moreEnded;
     link->lost = link->confirmedLost = link->replaced = false;
     const bool hasFinishedRuns = !answer->report.ended.empty();
@@ -326,7 +334,8 @@
 {
     Link &link = m_links.at(id);
     const WorkerLease &lease = link.lease;
-    // A worker that the registry does not list any more is gone: no other incarnation follows.
+    // A worker that the registry does not list any more counts as gone, so that its tasks do not
+    // wait for an incarnation that nobody has seen.
     const bool mayHaveOthers = link.listed && now <= lease.unansweredExpiry();
     if (now <= lease.expiry())
         return;
@@ -418,8 +427,13 @@
     if (!answer && isFencedByProbe(id, attempt.token, answer.error()))
         out = StartOutcome::Withdrawn;
     const auto clockMs = answer ? answer->workerTimeMs : std::nullopt;
-    if (out == StartOutcome::Started && clockMs && attempt.token == link->lease.token()
-        && !link->lease.clockFits(*clockMs, attempt.sentAt)) {
+    const bool isCurrent = attempt.token == link->lease.token();
+    const bool fits = !clockMs || link->lease.clockFits(*clockMs, attempt.sentAt);
+    const bool mayRunElsewhere = out == StartOutcome::Started && !(isCurrent && fits);
+    if (isFirst)
+        link->lease.startAnswered({attempt.order.task, attempt.order.run}, !mayRunElsewhere,
+                                  m_clock.now());
+    if (mayRunElsewhere && isCurrent) {
         logWarn("start_clock_differs",
                 "task=" + attempt.order.task.toString()
                     + " run=" + std::to_string(attempt.order.run) + " worker=" + id
@@ -429,8 +443,6 @@
         probe(id, "clock");
         return StartOutcome::Unknown;
     }
-    if (isFirst)
-        link->lease.startAnswered({attempt.order.task, attempt.order.run});
     return isFirst || out == StartOutcome::Started ? out : StartOutcome::Unknown;
 }
 
@@ -520,9 +532,15 @@
         expireRuns(id, now);
     for (const WorkerId &id : closable) {
         // Kept while calls are in flight: queued calls still need the link.
-        if (Link &link = m_links.at(id); !link.pollInFlight && link.inFlight == 0)
-            m_links.erase(id);
+        const Link &link = m_links.at(id);
+        if (link.pollInFlight || link.inFlight > 0)
+            continue;
+        // The worker may be listed again, having seen the tokens of these probes.
+        m_closedProbes = std::max(m_closedProbes, link.lease.probes());
+        m_closedLeases.insert_or_assign(id, link.lease);
+        m_links.erase(id);
     }
+    std::erase_if(m_closedLeases, [now](const auto &it) { return it.second.settledAt() < now; });
 }
 
 } // namespace cardamompaddle
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -97,8 +97,8 @@
     std::vector<WorkerId> unreachableSince(Instant time) const;
     // Returns what is known of the leases on a worker that has a link.
     const WorkerLease &lease(const WorkerId &id) const { return m_links.at(id).lease; }
-    // Returns the start of the worker's incarnation that answered last, or else that the registry
-    // shows; 0 if none is known.
+    // Returns the start of the worker's incarnation that has answered the last probe or, before
+    // that, of the one that the registry shows; 0 if none is known.
     int64_t incarnationStart(const WorkerId &id) const;
     // Returns IP:PORT of the worker, or an empty string if there is no link.
     std::string address(const WorkerId &id) const
@@ -178,6 +178,10 @@
     WorkerLinksOptions m_options;
     Callbacks m_callbacks;
     std::map<WorkerId, Link> m_links;
+    // Of closed links, as long as calls sent over them may have effects.
+    std::map<WorkerId, WorkerLease> m_closedLeases;
+    int64_t m_closedProbes = 0; // highest number of probes on a link that was closed
+    int64_t m_lastPoll = 0; // number of the last poll of any worker
     Instant m_lossyUntil = Instant::min(); // until then, calls may lose their answers
     Instant m_tenureHeldAt; // when the last successful append, or the claim, was first sent
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // false: callbacks are dropped
--- a/src/control/worker_links_test.cc
+++ b/src/control/worker_links_test.cc
@@ -42,8 +42,8 @@
             m_unanswered = unanswered;
         };
         callbacks.replaced = [](const WorkerId &) {};
-        callbacks.fenced = [] {};
-        callbacks.busy = [](const WorkerId &) { return true; };
+        callbacks.fenced = [this] { m_fenced = true; };
+        callbacks.busy = [this](const WorkerId &) { return m_busy; };
         callbacks.storedPosition = [](const WorkerId &, int64_t) -> int64_t { return 0; };
         callbacks.leasesPermitted = [](const WorkerId &, int64_t) { return true; };
         callbacks.formerLeases = [](const WorkerId &) { return FormerLeases(); };
@@ -77,6 +77,8 @@
     std::function<bool()> m_wanted = [] { return true; };
     std::function<void(const StartOrder &, StartOutcome)> m_answered;
     std::optional<WorkerLinks> m_links;
+    bool m_busy = true;
+    bool m_fenced = false;
     bool m_lost = false; // with all its runs
     std::set<RunRef> m_unanswered; // left out when the worker was reported as lost
 };
@@ -296,4 +298,67 @@
     EXPECT_LT(waited, Duration(6'600));
 }
 
+// Guards against a tenure that is given up because a worker refuses a call: it was listed again in
+// the same tenure, and has seen the tokens of the probes before.
+TEST_F(WorkerLinksTest, AWorkerThatIsListedAgainIsNotTakenForFenced)
+{
+    m_workers.workers["w"].unresponsive = true;
+    run(Duration(1'500));
+    m_workers.workers["w"].unresponsive = false;
+    run(Duration(1'500));
+    ASSERT_GT(m_workers.workers["w"].token, fencingToken(1, 1)) << "not probed again";
+    m_busy = false;
+    m_workers.workers["w"].unresponsive = true;
+    m_links->markUnlisted("w");
+    for (int i = 0; i < 120 && m_links->contains("w"); ++i) {
+        run(Duration(70));
+        m_links->tick();
+    }
+    ASSERT_FALSE(m_links->contains("w"));
+    m_workers.workers["w"].unresponsive = false;
+    WorkerEntry entry;
+    entry.id = "w";
+    m_links->setEntry(entry, true);
+    run(Duration(100));
+    EXPECT_FALSE(m_fenced);
+    EXPECT_TRUE(m_links->reconciled("w"));
+}
+
+// Guards against a tenure that is given up because a start arrives after a probe of its own
+// scheduler, and against a start that then passes for unknown.
+TEST_F(WorkerLinksTest, ACallThatALaterProbeFencesIsNotCarriedOutAndNoSignOfAnotherScheduler)
+{
+    m_workers.workers["w"].token = fencingToken(1, 2); // seen after the start was sent
+    m_links->start(startOrder(0));
+    WorkerEntry restarted;
+    restarted.id = "w";
+    restarted.startedAtMs = 99;
+    m_links->setEntry(restarted, true);
+    for (int i = 0; i < 50 && !m_outcome; ++i)
+        run(Duration(10));
+    EXPECT_EQ(m_outcome, StartOutcome::Withdrawn);
+    EXPECT_FALSE(m_fenced);
+}
+
+// Guards against two runs of a task at once: a start without an answer may begin in an incarnation
+// that nobody has heard of, while confirmed runs wait for their lease only.
+TEST_F(WorkerLeaseTest, OnlyUnansweredStartsOfASilentWorkerAreWaitedForAfterTheLease)
+{
+    m_workers.workers["w"].unansweredStarts = 3;
+    run(Duration(50));
+    ASSERT_EQ(startOne(), StartOutcome::Unknown);
+    m_workers.workers["w"].unresponsive = true;
+    const Instant silentAt = m_clock.now();
+    while (m_unanswered.empty() && m_clock.now() < silentAt + Duration(7'000)) {
+        m_links->tick();
+        run(Duration(20));
+    }
+    EXPECT_EQ(m_unanswered, (std::set<RunRef>{{startOrder(0).task, 1}}));
+    EXPECT_FALSE(m_lost);
+    EXPECT_LT(m_clock.now() - silentAt, Duration(5'000)) << "the wait for confirmed runs";
+    m_links->markUnlisted("w");
+    m_links->tick();
+    EXPECT_TRUE(m_lost) << "no incarnation follows one that the registry has removed";
+}
+
 } // namespace cardamompaddle
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -2421,8 +2421,8 @@
   this->startedAtMs = val;
 }
 
-void UsedWorker::__set_strayLeasesExpireWithinMs(const int64_t val) {
-  this->strayLeasesExpireWithinMs = val;
+void UsedWorker::__set_staleLeasesExpireWithinMs(const int64_t val) {
+  this->staleLeasesExpireWithinMs = val;
 }
 
 void UsedWorker::__set_unansweredStartsExpireWithinMs(const int64_t val) {
@@ -2498,8 +2498,8 @@
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->strayLeasesExpireWithinMs);
-          this->__isset.strayLeasesExpireWithinMs = true;
+          xfer += iprot->readI64(this->staleLeasesExpireWithinMs);
+          this->__isset.staleLeasesExpireWithinMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2549,8 +2549,8 @@
   xfer += oprot->writeI64(this->startedAtMs);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("strayLeasesExpireWithinMs", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->strayLeasesExpireWithinMs);
+  xfer += oprot->writeFieldBegin("staleLeasesExpireWithinMs", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->staleLeasesExpireWithinMs);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("unansweredStartsExpireWithinMs", ::apache::thrift::protocol::T_I64, 7);
@@ -2569,7 +2569,7 @@
   swap(a.leasesExpireWithinMs, b.leasesExpireWithinMs);
   swap(a.runsRecordedEpoch, b.runsRecordedEpoch);
   swap(a.startedAtMs, b.startedAtMs);
-  swap(a.strayLeasesExpireWithinMs, b.strayLeasesExpireWithinMs);
+  swap(a.staleLeasesExpireWithinMs, b.staleLeasesExpireWithinMs);
   swap(a.unansweredStartsExpireWithinMs, b.unansweredStartsExpireWithinMs);
   swap(a.__isset, b.__isset);
 }
@@ -2580,7 +2580,7 @@
   leasesExpireWithinMs = other109.leasesExpireWithinMs;
   runsRecordedEpoch = other109.runsRecordedEpoch;
   startedAtMs = other109.startedAtMs;
-  strayLeasesExpireWithinMs = other109.strayLeasesExpireWithinMs;
+  staleLeasesExpireWithinMs = other109.staleLeasesExpireWithinMs;
   unansweredStartsExpireWithinMs = other109.unansweredStartsExpireWithinMs;
   __isset = other109.__isset;
 }
@@ -2590,7 +2590,7 @@
   leasesExpireWithinMs = other110.leasesExpireWithinMs;
   runsRecordedEpoch = other110.runsRecordedEpoch;
   startedAtMs = other110.startedAtMs;
-  strayLeasesExpireWithinMs = other110.strayLeasesExpireWithinMs;
+  staleLeasesExpireWithinMs = other110.staleLeasesExpireWithinMs;
   unansweredStartsExpireWithinMs = other110.unansweredStartsExpireWithinMs;
   __isset = other110.__isset;
 }
@@ -2600,7 +2600,7 @@
   leasesExpireWithinMs = other111.leasesExpireWithinMs;
   runsRecordedEpoch = other111.runsRecordedEpoch;
   startedAtMs = other111.startedAtMs;
-  strayLeasesExpireWithinMs = other111.strayLeasesExpireWithinMs;
+  staleLeasesExpireWithinMs = other111.staleLeasesExpireWithinMs;
   unansweredStartsExpireWithinMs = other111.unansweredStartsExpireWithinMs;
   __isset = other111.__isset;
   return *this;
@@ -2611,7 +2611,7 @@
   leasesExpireWithinMs = other112.leasesExpireWithinMs;
   runsRecordedEpoch = other112.runsRecordedEpoch;
   startedAtMs = other112.startedAtMs;
-  strayLeasesExpireWithinMs = other112.strayLeasesExpireWithinMs;
+  staleLeasesExpireWithinMs = other112.staleLeasesExpireWithinMs;
   unansweredStartsExpireWithinMs = other112.unansweredStartsExpireWithinMs;
   __isset = other112.__isset;
   return *this;
@@ -2624,7 +2624,7 @@
   out << ", " << "leasesExpireWithinMs=" << to_string(leasesExpireWithinMs);
   out << ", " << "runsRecordedEpoch=" << to_string(runsRecordedEpoch);
   out << ", " << "startedAtMs=" << to_string(startedAtMs);
-  out << ", " << "strayLeasesExpireWithinMs=" << to_string(strayLeasesExpireWithinMs);
+  out << ", " << "staleLeasesExpireWithinMs=" << to_string(staleLeasesExpireWithinMs);
   out << ", " << "unansweredStartsExpireWithinMs=" << to_string(unansweredStartsExpireWithinMs);
   out << ")";
 }
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -878,13 +878,13 @@
 std::ostream& operator<<(std::ostream& out, const ApprovalAnswer& obj);
 
 typedef struct _UsedWorker__isset {
-  _UsedWorker__isset() : id(false), address(false), leasesExpireWithinMs(false), runsRecordedEpoch(false), startedAtMs(false), strayLeasesExpireWithinMs(false), unansweredStartsExpireWithinMs(false) {}
+  _UsedWorker__isset() : id(false), address(false), leasesExpireWithinMs(false), runsRecordedEpoch(false), startedAtMs(false), staleLeasesExpireWithinMs(false), unansweredStartsExpireWithinMs(false) {}
   bool id :1;
   bool address :1;
   bool leasesExpireWithinMs :1;
   bool runsRecordedEpoch :1;
   bool startedAtMs :1;
-  bool strayLeasesExpireWithinMs :1;
+  bool staleLeasesExpireWithinMs :1;
   bool unansweredStartsExpireWithinMs :1;
 } _UsedWorker__isset;
 
@@ -901,7 +901,7 @@
                leasesExpireWithinMs(0),
                runsRecordedEpoch(0),
                startedAtMs(0),
-               strayLeasesExpireWithinMs(0),
+               staleLeasesExpireWithinMs(0),
                unansweredStartsExpireWithinMs(0) {
   }
 
@@ -911,7 +911,7 @@
   int64_t leasesExpireWithinMs;
   int64_t runsRecordedEpoch;
   int64_t startedAtMs;
-  int64_t strayLeasesExpireWithinMs;
+  int64_t staleLeasesExpireWithinMs;
   int64_t unansweredStartsExpireWithinMs;
 
   _UsedWorker__isset __isset;
@@ -926,7 +926,7 @@
 
   void __set_startedAtMs(const int64_t val);
 
-  void __set_strayLeasesExpireWithinMs(const int64_t val);
+  void __set_staleLeasesExpireWithinMs(const int64_t val);
 
   void __set_unansweredStartsExpireWithinMs(const int64_t val);
 
@@ -942,7 +942,7 @@
       return false;
     if (!(startedAtMs == rhs.startedAtMs))
       return false;
-    if (!(strayLeasesExpireWithinMs == rhs.strayLeasesExpireWithinMs))
+    if (!(staleLeasesExpireWithinMs == rhs.staleLeasesExpireWithinMs))
       return false;
     if (!(unansweredStartsExpireWithinMs == rhs.unansweredStartsExpireWithinMs))
       return false;
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -119,7 +119,7 @@
   5: i64 startedAtMs;
   // Calls that were meant for an earlier incarnation may have extended leases in this one. These expire
   // within this time after the record was stored; 0: there are none.
-  6: i64 strayLeasesExpireWithinMs;
+  6: i64 staleLeasesExpireWithinMs;
   // Starts without an answer may still be carried out in an incarnation that nobody has heard of. Their
   // leases expire within this time after the record was stored; 0: there are no such starts.
   7: i64 unansweredStartsExpireWithinMs;
