Emulator: no timer handler runs after its destruction

The handler held a bare `this`. Destroying the timer does not cancel a wait whose end is already queued with success, so it ran on a destroyed emulator. It now checks a flag that the destructor clears, as the log and worker servers do.

--- a/testing/emulator/platform_emulator.cc
+++ b/testing/emulator/platform_emulator.cc
@@ -41,6 +41,9 @@
                                    [this](const std::string &worker) { return lifeOf(worker); })),
           m_timer(io)
     { }
+    ~Impl() { *m_alive = false; }
+    Impl(const Impl &) = delete;
+    Impl &operator=(const Impl &) = delete;
 
     Result<void> start();
     LogServer &log() { return *m_log; }
@@ -86,6 +89,7 @@
     std::map<std::string, Entry> m_workers; // by id
     int m_workerCount = 0; // ids given so far
     boost::asio::steady_timer m_timer;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // false: handlers do nothing
 };
 
 std::string PlatformEmulator::Impl::newWorkerId()
@@ -161,8 +165,9 @@
     m_log->advance(now);
     m_policy.advance(now);
     m_timer.expires_after(AdvanceInterval);
-    m_timer.async_wait([this](const boost::system::error_code &ec) {
-        if (!ec)
+    // The destructor cannot cancel a wait whose end is already queued.
+    m_timer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+        if (!ec && *alive)
             advance();
     });
 }
--- a/testing/emulator/platform_emulator_test.cc
+++ b/testing/emulator/platform_emulator_test.cc
@@ -1,6 +1,9 @@
 #include "platform_emulator_fixture.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
+#include <thread>
 
 namespace cardamompaddle::emulator {
 
@@ -33,6 +36,21 @@
     EXPECT_THAT(events(), ElementsAre("started ", "ended done", "acknowledged done"));
 }
 
+// Guards against a test process that crashes because the emulator's timer has expired when the
+// emulator is destroyed on its event loop.
+TEST_F(PlatformEmulatorTest, CanBeDestroyedWhileItsTimerHasExpired)
+{
+    constexpr auto LongerThanTheTimer = std::chrono::milliseconds(10);
+    for (int i = 0; i < 20; ++i) {
+        create();
+        std::this_thread::sleep_for(LongerThanTheTimer);
+        boost::asio::post(m_io, [this] { m_platform.reset(); });
+        m_io.restart();
+        m_io.poll();
+        EXPECT_EQ(m_platform, nullptr);
+    }
+}
+
 // Guards against a leaving worker that vanishes unannounced or stays listed.
 TEST_F(PlatformEmulatorTest, AWorkerThatLeavesIsListedUntilItExits)
 {
