Soak: the link proxy's accept handler does nothing after its destruction

The same class as the emulator's timer: a handler that is queued with success when its object is destroyed can't be cancelled. By reading; not seen to fail.

--- a/testing/soak/link_proxy.cc
+++ b/testing/soak/link_proxy.cc
@@ -128,6 +128,7 @@
 
 LinkProxy::~LinkProxy()
 {
+    *m_alive = false;
     reset();
 }
 
@@ -155,14 +156,15 @@
 
 void LinkProxy::accept()
 {
-    m_acceptor.async_accept([this](const boost::system::error_code &ec, tcp::socket socket) {
-        if (ec)
-            return; // the proxy has gone
-        auto connection = std::make_shared<Connection>(*this, std::move(socket));
-        m_connections.insert(connection);
-        connection->start();
-        accept();
-    });
+    m_acceptor.async_accept(
+        [this, alive = m_alive](const boost::system::error_code &ec, tcp::socket socket) {
+            if (ec || !*alive)
+                return; // the proxy has gone
+            auto connection = std::make_shared<Connection>(*this, std::move(socket));
+            m_connections.insert(connection);
+            connection->start();
+            accept();
+        });
 }
 
 bool LinkProxy::passes(bool toServer) const
--- a/testing/soak/link_proxy.h
+++ b/testing/soak/link_proxy.h
@@ -56,6 +56,7 @@
     LinkState m_state = LinkState::Open;
     Duration m_delay{0};
     std::set<std::shared_ptr<Connection>> m_connections;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // false: handlers do nothing
 };
 
 } // namespace cardamompaddle::soak
