--- a/testing/emulator/platform_emulator.h
+++ b/testing/emulator/platform_emulator.h
@@ -140,7 +140,7 @@
     // address.
     void restartWorker(const std::string &worker, bool newId);
     // From now on the worker leaves this share of its orders without an answer and carries them
-    // out after `delay`.
+    // out after `delay`, also if it has crashed and is up again under its id by then.
     void delayOrders(const std::string &worker, double share, Duration delay);
     // The worker announces that it leaves. It goes on serving until removeWorker().
     void drainWorker(const std::string &worker);
--- a/testing/emulator/worker_server.cc
+++ b/testing/emulator/worker_server.cc
@@ -161,13 +161,12 @@
         return respond(carryOutOrder(request));
     m_unanswered.push_back(respond);
     auto timer = std::make_shared<boost::asio::steady_timer>(m_io, m_orderDelay);
-    // An order that was received before a crash is gone with it.
-    const int life = m_model.life();
-    timer->async_wait(
-        [this, timer, alive = m_alive, life, request](const boost::system::error_code &) {
-            if (*alive && m_up && m_model.life() == life)
-                carryOutOrder(request);
-        });
+    // A worker that is back under its id also carries out orders that its former life received.
+    timer->async_wait([this, timer, alive = m_alive, id = m_model.id(),
+                       request](const boost::system::error_code &) {
+        if (*alive && m_up && m_model.id() == id)
+            carryOutOrder(request);
+    });
 }
 
 HttpResponse WorkerServer::carryOutOrder(const HttpRequest &request)
--- a/testing/soak/fault_driver.cc
+++ b/testing/soak/fault_driver.cc
@@ -55,6 +55,7 @@
         {"leave_workers", 2, &FaultDriver::leaveWorkers},
         {"crash_workers", 3, &FaultDriver::crashWorkers},
         {"cut_off_workers", 3, &FaultDriver::cutOffWorkers},
+        {"cut_off_restarted_workers", 3, &FaultDriver::cutOffRestartedWorkers},
         {"delay_orders", 2, &FaultDriver::delayOrders},
         {"change_configuration", 2, &FaultDriver::changeConfiguration},
         {"withdraw_key", 2, &FaultDriver::withdrawKey},
--- a/testing/soak/fault_driver.h
+++ b/testing/soak/fault_driver.h
@@ -74,6 +74,8 @@
     boost::asio::awaitable<void> leaveWorkers();
     boost::asio::awaitable<void> crashWorkers();
     boost::asio::awaitable<void> cutOffWorkers();
+    // Workers crash silently, start again under their ids and are cut off soon after.
+    boost::asio::awaitable<void> cutOffRestartedWorkers();
     boost::asio::awaitable<void> delayOrders();
     boost::asio::awaitable<void> changeConfiguration();
     boost::asio::awaitable<void> withdrawKey();
@@ -89,6 +91,8 @@
     // This share of all workers' orders is carried out late.
     void setOrderDelay(double share, Duration delay);
     std::vector<std::string> drainSome();
+    std::vector<std::string> crashSomeSilently();
+    void setCutOff(const std::vector<std::string> &ids, bool cutOff);
     void removeWorkers(const std::vector<std::string> &ids);
     // Workers that have announced it exit; others take their place.
     boost::asio::awaitable<void> replaceWorkers(std::vector<std::string> leaving);
--- a/testing/soak/worker_faults.cc
+++ b/testing/soak/worker_faults.cc
@@ -80,6 +80,12 @@
     }
 }
 
+void FaultDriver::setCutOff(const std::vector<std::string> &ids, bool cutOff)
+{
+    for (const std::string &id : ids)
+        m_platform.setCutOff(id, cutOff);
+}
+
 asio::awaitable<void> FaultDriver::cutOffWorkers()
 {
     const std::vector<std::string> all = m_platform.workerIds();
@@ -89,15 +95,47 @@
         if (m_random() % 4 == 0)
             cutOff.push_back(id);
     }
-    for (const std::string &id : cutOff)
-        m_platform.setCutOff(id, true);
+    setCutOff(cutOff, true);
     co_await pause(between(0, 1'000));
     // The next scheduler does not know what runs there.
     if (m_random() % 2 == 0)
         m_fleet.kill(m_fleet.scheduler().value_or(randomInstance()));
     co_await pause(between(500, 8'000));
-    for (const std::string &id : cutOff)
-        m_platform.setCutOff(id, false);
+    setCutOff(cutOff, false);
+    m_disturbances.end(WorkersPart, now());
+}
+
+std::vector<std::string> FaultDriver::crashSomeSilently()
+{
+    const std::vector<std::string> all = m_platform.workerIds();
+    std::vector<std::string> out;
+    for (uint64_t i = 2 + m_random() % 4; i > 0; --i) {
+        const std::string &id = all[m_random() % all.size()];
+        if (!m_platform.isUp(id))
+            continue;
+        m_platform.crashWorker(id, emulator::WorkerCrash::Silent);
+        out.push_back(id);
+    }
+    return out;
+}
+
+asio::awaitable<void> FaultDriver::cutOffRestartedWorkers()
+{
+    m_disturbances.begin(WorkersPart, now());
+    const std::vector<std::string> crashed = crashSomeSilently();
+    co_await pause(between(300, 900));
+    for (const std::string &id : crashed)
+        m_platform.restartWorker(id, false);
+    const Duration beforeCut = between(500, 3'000);
+    const Duration beforeKill = between(0, beforeCut.count());
+    co_await pause(beforeKill);
+    // The next scheduler knows only what its predecessor has stored about the new lives.
+    if (m_random() % 2 == 0)
+        m_fleet.kill(m_fleet.scheduler().value_or(randomInstance()));
+    co_await pause(beforeCut - beforeKill);
+    setCutOff(crashed, true);
+    co_await pause(between(2'000, 9'000));
+    setCutOff(crashed, false);
     m_disturbances.end(WorkersPart, now());
 }
 
