Test of worker connections: its worker has a clock that goes on

Its stand-in answered each call with the same ClockMs, which no worker does; a start that is answered 0.2 s later by such a clock now counts as answered by another incarnation.

--- a/src/net/silenced_server_testing.h
+++ b/src/net/silenced_server_testing.h
@@ -6,6 +6,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -18,11 +19,12 @@
 class SilencedServer
 {
 public:
-    // Answers each request with `body`.
-    explicit SilencedServer(boost::asio::io_context &io, const std::string &body = "ok")
+    // Answers each request with what `body` returns.
+    explicit SilencedServer(
+        boost::asio::io_context &io,
+        std::function<std::string()> body = [] { return std::string("ok"); })
         : m_io(io), m_acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0}),
-          m_response("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size())
-                     + "\r\n\r\n" + body)
+          m_body(std::move(body))
     {
         accept();
     }
@@ -70,14 +72,17 @@
                     return;
                 connection->request.clear();
                 boost::system::error_code ignored;
-                boost::asio::write(connection->socket, boost::asio::buffer(m_response), ignored);
+                const std::string body = m_body();
+                const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: "
+                                             + std::to_string(body.size()) + "\r\n\r\n" + body;
+                boost::asio::write(connection->socket, boost::asio::buffer(response), ignored);
                 serve(connection);
             });
     }
 
     boost::asio::io_context &m_io;
     boost::asio::ip::tcp::acceptor m_acceptor;
-    std::string m_response;
+    std::function<std::string()> m_body;
     std::vector<std::shared_ptr<Connection>> m_connections;
 };
 
