Timers of control can wait in virtual time

Change: Timer replaces Asio's timer in src/control. It waits on the event loop, or in the VirtualTimers that a test has installed. VirtualTime runs what is due in the order of its times, so equal seeds give equal plays. InstanceTest runs on it if there is one.

--- a/src/control/fenced_writer.cc
+++ b/src/control/fenced_writer.cc
@@ -89,8 +89,8 @@
     // Retries are safe: the log stores each sequence number once.
     logWarn("store_failed", "records=" + std::to_string(m_request->records.size()) + " reason=\""
                                 + answer.reason + "\"");
-    m_retryTimer.expires_after(AppendRetryDelay);
-    m_retryTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+    m_retryTimer.expireAfter(AppendRetryDelay);
+    m_retryTimer.asyncWait([this, alive = m_alive](const boost::system::error_code &ec) {
         if (!ec && *alive)
             send();
     });
--- a/src/control/fenced_writer.h
+++ b/src/control/fenced_writer.h
@@ -8,10 +8,9 @@
 #pragma once
 
 #include "control/gateways.h"
+#include "control/timer.h"
 #include "platform/worker.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -75,7 +74,7 @@
     AppendRequest::Writer m_writer;
     LogLimits m_limits;
     Callbacks m_callbacks;
-    boost::asio::steady_timer m_retryTimer;
+    Timer m_retryTimer;
     std::optional<AppendRequest> m_request; // the append in flight or to be retried
     size_t m_maxRecords = SIZE_MAX; // in the next append; fewer after the log has rejected one
     std::deque<KeyedRecord> m_waiting; // for the appends that follow
--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -349,8 +349,8 @@
 // Sets the time of the next tick. Replaces an earlier call.
 void Instance::armTick(Duration wait)
 {
-    m_tickTimer.expires_after(wait);
-    m_tickTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+    m_tickTimer.expireAfter(wait);
+    m_tickTimer.asyncWait([this, alive = m_alive](const boost::system::error_code &ec) {
         if (!ec && *alive)
             tick();
     });
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -185,8 +185,8 @@
     // What the stored records of workers tell of their leases; see SchedulerOptions.
     std::map<WorkerId, FormerLeases> m_formerLeases;
     std::map<std::string, std::string> m_zonesOut; // availability zone by record key
-    boost::asio::steady_timer m_tickTimer;
-    boost::asio::steady_timer m_claimTimer;
+    Timer m_tickTimer;
+    Timer m_claimTimer;
     // Last activity of the scheduler: a record in the log, or records or a heartbeat published to
     // this instance.
     Instant m_schedulerActiveAt;
--- a/src/control/instance_tenure.cc
+++ b/src/control/instance_tenure.cc
@@ -165,8 +165,8 @@
 {
     if (m_stopping)
         return;
-    m_claimTimer.expires_after(ReadBackRetryDelay);
-    m_claimTimer.async_wait([this, alive = m_alive, claim](const boost::system::error_code &ec) {
+    m_claimTimer.expireAfter(ReadBackRetryDelay);
+    m_claimTimer.asyncWait([this, alive = m_alive, claim](const boost::system::error_code &ec) {
         if (!ec && *alive)
             readClaimBack(claim);
     });
--- a/src/control/instance_testing.h
+++ b/src/control/instance_testing.h
@@ -1,10 +1,11 @@
-// Test fixture that runs several instances over one fake log and one set of fake workers in real
-// time.
+// Test fixture that runs several instances over one fake log and one set of fake workers, in real
+// time or, with a VirtualTime, in virtual time.
 #pragma once
 
 #include "control/instance.h"
 #include "control/resending_log.h"
 #include "control/testing_platform.h"
+#include "control/virtual_time_testing.h"
 
 #include <gtest/gtest.h>
 
@@ -33,7 +34,11 @@
     out.pool = "p";
     out.availabilityZone = "z";
     out.capacity = {4'000, 4'000, 0, 0, 0};
-    out.draining = record.value == "draining";
+    // "STATE" or "STATE/START": the start of the worker's incarnation.
+    const size_t slash = record.value.find('/');
+    out.draining = record.value.substr(0, slash) == "draining";
+    if (slash != std::string::npos)
+        out.startedAtMs = std::stoll(record.value.substr(slash + 1));
     return out;
 }
 
@@ -98,7 +103,7 @@
                                          m_clock,
                                          [this, name] { return unixMs(name); },
                                          *node.resendingLog,
-                                         m_workers,
+                                         *m_workerGateway,
                                          m_policy,
                                          m_policy,
                                          jobTable,
@@ -135,8 +140,12 @@
     bool runUntil(const std::function<bool()> &done, Duration timeout = Duration(4'000))
     {
         const Instant end = m_clock.now() + timeout;
-        while (!done() && m_clock.now() < end)
-            m_io.run_one_for(std::chrono::milliseconds(5));
+        while (!done() && m_clock.now() < end) {
+            if (m_virtualTime != nullptr)
+                m_virtualTime->step(m_io);
+            else
+                m_io.run_one_for(std::chrono::milliseconds(5));
+        }
         return done();
     }
     void runFor(Duration time)
@@ -234,6 +243,9 @@
         });
     }
 
+    // Null: the test runs in real time.
+    testing::VirtualTime *const m_virtualTime =
+        dynamic_cast<testing::VirtualTime *>(VirtualTimers::installed());
     Duration m_maxLease{1'000};
     int64_t m_cpuMilli = 1'000; // of each task
     LogLimits m_logLimits; // as the instances know them
@@ -246,6 +258,7 @@
     testing::TestClock m_clock;
     testing::LogModel m_model;
     testing::TestWorkers m_workers{m_io};
+    WorkerGateway *m_workerGateway = &m_workers; // of the instances that are added from now on
     testing::TestPolicy m_policy{m_io};
     // Declared before the instances, because calls may be in flight when those are destroyed.
     std::vector<std::unique_ptr<testing::TestLog>> m_logs;
--- a/src/control/job_submitter.cc
+++ b/src/control/job_submitter.cc
@@ -104,8 +104,8 @@
         return;
     m_timerArmed = true;
     m_timerDue = due;
-    m_timer.expires_after(wait);
-    m_timer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+    m_timer.expireAfter(wait);
+    m_timer.asyncWait([this, alive = m_alive](const boost::system::error_code &ec) {
         if (ec || !*alive)
             return;
         m_timerArmed = false;
--- a/src/control/job_submitter.h
+++ b/src/control/job_submitter.h
@@ -7,11 +7,10 @@
 #include "control/gateways.h"
 #include "control/job_table.h"
 #include "control/log_follower.h"
+#include "control/timer.h"
 #include "intake/append_queue.h"
 #include "platform/worker.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <map>
 #include <memory>
@@ -82,7 +81,7 @@
     std::function<LogCondition()> m_condition;
     AppendQueue m_queue;
     std::map<AppendQueue::RecordNumber, Entry> m_entries; // of the records in the queue
-    boost::asio::steady_timer m_timer;
+    Timer m_timer;
     bool m_timerArmed = false;
     Instant m_timerDue;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/control/log_follower.cc
+++ b/src/control/log_follower.cc
@@ -32,8 +32,8 @@
 
 void LogFollower::runAfter(Duration delay, std::function<void()> action)
 {
-    m_timer.expires_after(delay);
-    m_timer.async_wait(
+    m_timer.expireAfter(delay);
+    m_timer.asyncWait(
         [alive = m_alive, action = std::move(action)](const boost::system::error_code &ec) {
             if (!ec && *alive)
                 action();
--- a/src/control/log_follower.h
+++ b/src/control/log_follower.h
@@ -3,10 +3,9 @@
 #pragma once
 
 #include "control/gateways.h"
+#include "control/timer.h"
 #include "platform/worker.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <map>
 #include <memory>
@@ -101,7 +100,7 @@
     KeyedLog &m_log;
     LogFollowerOptions m_options;
     Callbacks m_callbacks;
-    boost::asio::steady_timer m_timer;
+    Timer m_timer;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // false: callbacks are dropped
     std::map<std::string, KnownRecord> m_known; // the newest known record of each key
     std::set<std::string> m_loadedKeys;
--- a/src/control/peer_probe.cc
+++ b/src/control/peer_probe.cc
@@ -30,8 +30,8 @@
     m_done = std::move(done);
     work::StoredRecords heartbeat;
     heartbeat.topic = m_topic;
-    m_timer.expires_after(m_candidates.empty() ? Duration::zero() : ProbeTimeout);
-    m_timer.async_wait([this, alive = m_alive, round](const boost::system::error_code &ec) {
+    m_timer.expireAfter(m_candidates.empty() ? Duration::zero() : ProbeTimeout);
+    m_timer.asyncWait([this, alive = m_alive, round](const boost::system::error_code &ec) {
         if (!ec && *alive && round == m_round)
             finishIfDecided(true);
     });
--- a/src/control/peer_probe.h
+++ b/src/control/peer_probe.h
@@ -4,8 +4,7 @@
 #pragma once
 
 #include "control/gateways.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "control/timer.h"
 
 #include <functional>
 #include <memory>
@@ -38,7 +37,7 @@
 
     PeerGateway &m_peers;
     std::string m_topic;
-    boost::asio::steady_timer m_timer;
+    Timer m_timer;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // false: callbacks are dropped
     int m_round = 0; // answers to an earlier round are ignored
     std::vector<work::Member> m_candidates;
--- a/src/control/remote_worker_gateway.cc
+++ b/src/control/remote_worker_gateway.cc
@@ -174,9 +174,9 @@
 {
     if (link.messageInFlight || std::exchange(link.flushArmed, true))
         return;
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, BatchingDelay);
-    timer->async_wait([this, alive = m_alive, timer, name,
-                       link = m_links.at(name)](const boost::system::error_code &ec) {
+    auto timer = std::make_shared<Timer>(m_io, BatchingDelay);
+    timer->asyncWait([this, alive = m_alive, timer, name,
+                      link = m_links.at(name)](const boost::system::error_code &ec) {
         if (ec || !*alive)
             return;
         link->flushArmed = false;
@@ -331,8 +331,8 @@
     if (idle || std::exchange(m_sweepArmed, true))
         return;
     m_sweepDue = m_clock.now() + SweepInterval;
-    m_sweepTimer.expires_after(SweepInterval);
-    m_sweepTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+    m_sweepTimer.expireAfter(SweepInterval);
+    m_sweepTimer.asyncWait([this, alive = m_alive](const boost::system::error_code &ec) {
         if (ec || !*alive)
             return;
         m_sweepArmed = false;
--- a/src/control/remote_worker_gateway.h
+++ b/src/control/remote_worker_gateway.h
@@ -15,10 +15,9 @@
 
 #include "control/gateways.h"
 #include "control/link_selector.h"
+#include "control/timer.h"
 #include "platform/worker.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <map>
 #include <memory>
@@ -126,7 +125,7 @@
     std::map<WorkerId, Instant> m_bypassUntil;
     std::vector<std::string> m_loggedSelection;
     int64_t m_lastId = 0;
-    boost::asio::steady_timer m_sweepTimer;
+    Timer m_sweepTimer;
     bool m_sweepArmed = false;
     Instant m_sweepDue;
     // Recent lateness of this process's own timers. It is no fault of the links.
--- a/src/control/request_forwarder.cc
+++ b/src/control/request_forwarder.cc
@@ -1,9 +1,8 @@
 #include "control/request_forwarder.h"
 
+#include "control/timer.h"
 #include "logging/event_log.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -152,8 +151,8 @@
             errorResponse(StatusOutcomeUnknown,
                           {ErrorCode::OutcomeUnknown, "the request may have been carried out"},
                           Executed::Unknown));
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, RepeatDelay);
-    timer->async_wait([this, timer, alive = m_alive, exchange](const boost::system::error_code &) {
+    auto timer = std::make_shared<Timer>(m_io, RepeatDelay);
+    timer->asyncWait([this, timer, alive = m_alive, exchange](const boost::system::error_code &) {
         if (*alive)
             beginRound(exchange);
     });
--- a/src/control/resending_log.cc
+++ b/src/control/resending_log.cc
@@ -227,8 +227,8 @@
     if (m_timerDue && *m_timerDue <= due)
         return;
     m_timerDue = due;
-    m_timer.expires_after(std::max(Duration::zero(), due - m_clock.now()));
-    m_timer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+    m_timer.expireAfter(std::max(Duration::zero(), due - m_clock.now()));
+    m_timer.asyncWait([this, alive = m_alive](const boost::system::error_code &ec) {
         if (!ec && *alive)
             onTimer();
     });
--- a/src/control/resending_log.h
+++ b/src/control/resending_log.h
@@ -13,10 +13,9 @@
 
 #include "control/gateways.h"
 #include "control/resend_policy.h"
+#include "control/timer.h"
 #include "platform/worker.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -104,7 +103,7 @@
     std::map<CallNumber, Call> m_calls;
     CallNumber m_nextCall = 1;
     Instant m_renewedAt = Instant::min(); // last useNewConnections()
-    boost::asio::steady_timer m_timer;
+    Timer m_timer;
     std::optional<Instant> m_timerDue; // empty: not armed
     bool m_checkRepeated = false; // the last check was late and is being repeated
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // false: callbacks are dropped
--- a/src/control/resending_log_test.cc
+++ b/src/control/resending_log_test.cc
@@ -70,8 +70,8 @@
     bool chance(uint32_t in) { return m_random() % in == 0; }
     void later(Duration wait, std::function<void()> action)
     {
-        auto timer = std::make_shared<boost::asio::steady_timer>(m_io, wait);
-        timer->async_wait([timer, action = std::move(action)](const auto &) { action(); });
+        auto timer = std::make_shared<Timer>(m_io, wait);
+        timer->asyncWait([timer, action = std::move(action)](const auto &) { action(); });
     }
 
     boost::asio::io_context &m_io;
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -401,8 +401,8 @@
     if (m_passArmed || m_onReleased)
         return;
     m_passArmed = true;
-    m_passTimer.expires_after(m_passDelay);
-    m_passTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+    m_passTimer.expireAfter(m_passDelay);
+    m_passTimer.asyncWait([this, alive = m_alive](const boost::system::error_code &ec) {
         if (!ec && *alive)
             runPass();
     });
@@ -444,8 +444,8 @@
     const auto next = m_dispatcher.nextEvent(now, m_context.unixClock());
     if (!next)
         return;
-    m_eventTimer.expires_after(*next - now);
-    m_eventTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+    m_eventTimer.expireAfter(*next - now);
+    m_eventTimer.asyncWait([this, alive = m_alive](const boost::system::error_code &ec) {
         if (!ec && *alive)
             schedulePass();
     });
@@ -513,8 +513,8 @@
 void Scheduler::armTickTimer()
 {
     m_tickDue = m_context.clock.now() + TickInterval;
-    m_tickTimer.expires_after(TickInterval);
-    m_tickTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+    m_tickTimer.expireAfter(TickInterval);
+    m_tickTimer.asyncWait([this, alive = m_alive](const boost::system::error_code &ec) {
         if (ec || !*alive)
             return;
         const Duration late = std::max(Duration::zero(), m_context.clock.now() - m_tickDue);
@@ -548,8 +548,8 @@
     logInfo("tenure_releasing",
             "epoch=" + std::to_string(m_options.tenure.epoch) + " successor=" + successor);
     scheduleFlush(Duration::zero());
-    m_releaseTimer.expires_after(maxWait);
-    m_releaseTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+    m_releaseTimer.expireAfter(maxWait);
+    m_releaseTimer.asyncWait([this, alive = m_alive](const boost::system::error_code &ec) {
         if (!ec && *alive)
             finishRelease();
     });
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -15,11 +15,10 @@
 #include "control/log_follower.h"
 #include "control/remote_worker_gateway.h"
 #include "control/tenure_clock.h"
+#include "control/timer.h"
 #include "control/worker_links.h"
 #include "dispatch/dispatcher.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <map>
 #include <memory>
@@ -202,14 +201,14 @@
     };
     std::map<WorkerId, StoredPosition> m_storedPositions;
 
-    boost::asio::steady_timer m_passTimer;
+    Timer m_passTimer;
     Duration m_passDelay; // before the next pass
     bool m_passArmed = false;
-    boost::asio::steady_timer m_eventTimer;
-    boost::asio::steady_timer m_flushTimer;
+    Timer m_eventTimer;
+    Timer m_flushTimer;
     bool m_flushArmed = false;
     Instant m_flushDue;
-    boost::asio::steady_timer m_tickTimer;
+    Timer m_tickTimer;
     Instant m_tickDue;
     double m_averageLagMs = 0; // lateness of ticks, as an exponential moving average
     LoadMeter m_load;
@@ -237,7 +236,7 @@
 
     std::function<void()> m_onReleased; // set once release() was called
     bool m_releaseInBatch = false; // the append in flight holds the released tenure
-    boost::asio::steady_timer m_releaseTimer;
+    Timer m_releaseTimer;
 };
 
 } // namespace cardamompaddle
--- a/src/control/scheduler_records.cc
+++ b/src/control/scheduler_records.cc
@@ -77,8 +77,8 @@
         return;
     m_flushArmed = true;
     m_flushDue = due;
-    m_flushTimer.expires_after(wait);
-    m_flushTimer.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+    m_flushTimer.expireAfter(wait);
+    m_flushTimer.asyncWait([this, alive = m_alive](const boost::system::error_code &ec) {
         if (ec || !*alive)
             return;
         m_flushArmed = false;
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -4,11 +4,11 @@
 #pragma once
 
 #include "control/instance.h"
+#include "control/timer.h"
 #include "control/worker_lease.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -24,12 +24,14 @@
 
 namespace cardamompaddle::testing {
 
-// Monotonic clock of the machine.
+// Monotonic clock of the machine, or the virtual time of the test.
 class TestClock : public Clock
 {
 public:
     Instant now() const override
     {
+        if (const VirtualTimers *timers = VirtualTimers::installed())
+            return timers->now();
         const auto since = std::chrono::steady_clock::now().time_since_epoch();
         return Instant(std::chrono::duration_cast<Duration>(since));
     }
@@ -230,8 +232,8 @@
     }
     void later(Duration wait, std::function<void()> action)
     {
-        auto timer = std::make_shared<boost::asio::steady_timer>(m_io, wait);
-        timer->async_wait([timer, action = std::move(action)](const auto &) { action(); });
+        auto timer = std::make_shared<Timer>(m_io, wait);
+        timer->asyncWait([timer, action = std::move(action)](const auto &) { action(); });
     }
 
     boost::asio::io_context &m_io;
@@ -453,8 +455,8 @@
     }
     void later(Duration wait, std::function<void()> action)
     {
-        auto timer = std::make_shared<boost::asio::steady_timer>(m_io, wait);
-        timer->async_wait([timer, action = std::move(action)](const auto &) { action(); });
+        auto timer = std::make_shared<Timer>(m_io, wait);
+        timer->asyncWait([timer, action = std::move(action)](const auto &) { action(); });
     }
 
     boost::asio::io_context &m_io;
@@ -485,8 +487,8 @@
                        std::function<void(Result<void>)> done) override
     {
         if (unresponsivePeers.contains(address)) {
-            auto timer = std::make_shared<boost::asio::steady_timer>(m_io, Duration(600));
-            return timer->async_wait([timer, done = std::move(done)](const auto &) {
+            auto timer = std::make_shared<Timer>(m_io, Duration(600));
+            return timer->asyncWait([timer, done = std::move(done)](const auto &) {
                 done(Error{ErrorCode::OutcomeUnknown, "no answer"});
             });
         }
@@ -506,9 +508,8 @@
         forwardedVersion = request.configurationVersion;
         if (forwardFails)
             return boost::asio::post(m_io, [done = std::move(done)] { done(noSuchPeer()); });
-        auto timer = std::make_shared<boost::asio::steady_timer>(m_io, forwardResponse ? Duration(1)
-                                                                                       : timeout);
-        timer->async_wait([timer, answer = forwardResponse, done = std::move(done)](const auto &) {
+        auto timer = std::make_shared<Timer>(m_io, forwardResponse ? Duration(1) : timeout);
+        timer->asyncWait([timer, answer = forwardResponse, done = std::move(done)](const auto &) {
             done(answer ? Result<work::CallerResponse>(*answer)
                         : Error{ErrorCode::OutcomeUnknown, "no answer"});
         });
--- a/src/control/worker_call_server.cc
+++ b/src/control/worker_call_server.cc
@@ -209,8 +209,8 @@
 
 void WorkerCallServer::scheduleAnswers(const std::string &session, Duration delay)
 {
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, delay);
-    timer->async_wait([this, alive = m_alive, timer, session](const boost::system::error_code &ec) {
+    auto timer = std::make_shared<Timer>(m_io, delay);
+    timer->asyncWait([this, alive = m_alive, timer, session](const boost::system::error_code &ec) {
         if (!ec && *alive)
             sendAnswers(session);
     });
@@ -262,9 +262,9 @@
                                   const std::shared_ptr<const work::WorkerAnswers> &message,
                                   int attempt)
 {
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, AnswerRetryDelay);
-    timer->async_wait([this, alive = m_alive, timer, session, message,
-                       attempt](const boost::system::error_code &ec) {
+    auto timer = std::make_shared<Timer>(m_io, AnswerRetryDelay);
+    timer->asyncWait([this, alive = m_alive, timer, session, message,
+                      attempt](const boost::system::error_code &ec) {
         if (!ec && *alive)
             transmit(session, message, attempt);
     });
--- a/src/control/worker_call_server.h
+++ b/src/control/worker_call_server.h
@@ -10,10 +10,9 @@
 #pragma once
 
 #include "control/gateways.h"
+#include "control/timer.h"
 #include "platform/worker.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <deque>
 #include <map>
 #include <memory>
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -115,7 +115,7 @@
     link.lease.keepUntil(now + FirstPollTime);
     link.entry = entry;
     link.unreachableSince = now;
-    link.timer = std::make_shared<boost::asio::steady_timer>(m_io);
+    link.timer = std::make_shared<Timer>(m_io);
     m_links.emplace(entry.id, std::move(link));
 }
 
@@ -179,8 +179,8 @@
 void WorkerLinks::schedulePoll(const WorkerId &id, Duration delay)
 {
     Link *link = find(id);
-    link->timer->expires_after(delay);
-    link->timer->async_wait([this, alive = m_alive, id](const boost::system::error_code &ec) {
+    link->timer->expireAfter(delay);
+    link->timer->asyncWait([this, alive = m_alive, id](const boost::system::error_code &ec) {
         if (!ec && *alive)
             poll(id);
     });
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -6,11 +6,10 @@
 #pragma once
 
 #include "control/gateways.h"
+#include "control/timer.h"
 #include "control/worker_lease.h"
 #include "platform/worker.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <deque>
 #include <functional>
 #include <map>
@@ -124,7 +123,7 @@
         bool replaced = false; // reported as replaced
         bool reachable = false;
         Instant unreachableSince; // while it is not reachable
-        std::shared_ptr<boost::asio::steady_timer> timer; // of the next poll
+        std::shared_ptr<Timer> timer; // of the next poll
         std::deque<std::function<void()>> queue; // calls over the concurrency limit
         bool queueRunning = false; // runQueue() is active for the link
         int inFlight = 0;
