--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -67,6 +67,9 @@
                     [this](const std::string &id) {
                         const JobEntry *entry = m_context.jobTable.find(id);
                         return entry == nullptr ? nullptr : entry->submission;
+                    },
+                    [this](const TaskRef &task) {
+                        return m_links ? m_links->lateStartWorkers(task) : nullptr;
                     }},
                    [](const DispatchEvent &event) {
                        logInfo(event.name,
--- a/src/control/worker_lease.h
+++ b/src/control/worker_lease.h
@@ -114,6 +114,7 @@
     Instant staleExpiry() const { return m_staleExpiry; }
     // Runs that may be in another incarnation than the known one.
     std::set<RunRef> unansweredRuns() const;
+    bool hasUnansweredRuns() const { return !m_unanswered.empty(); }
     // Leases of such runs have expired by then. Of an earlier scheduler's starts it is not known
     // which had no answer, so until the first probe this may hold for all runs.
     Instant unansweredExpiry() const;
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -90,6 +90,7 @@
     if (listed)
         link.entry = entry;
     link.listed = link.listed || listed;
+    updateLateStarts(link);
     const bool restarted = listed && link.lease.onRegistryEntry(entry.startedAtMs);
     if (added)
         poll(entry.id);
@@ -130,8 +131,34 @@
 
 void WorkerLinks::markUnlisted(const WorkerId &id)
 {
-    if (Link *link = find(id))
-        link->listed = false;
+    Link *link = find(id);
+    if (link == nullptr)
+        return;
+    link->listed = false;
+    updateLateStarts(*link);
+}
+
+void WorkerLinks::updateLateStarts(Link &link)
+{
+    const bool mayStartLate = link.listed && !link.lost && link.lease.hasUnansweredRuns();
+    if (!mayStartLate && link.lateStarts.empty())
+        return;
+    std::set<TaskRef> present;
+    if (mayStartLate) {
+        for (const RunRef &run : link.lease.unansweredRuns())
+            present.insert(run.task);
+    }
+    for (const TaskRef &task : link.lateStarts) {
+        if (present.contains(task))
+            continue;
+        const auto it = m_lateStarts.find(task);
+        it->second.erase(link.entry.id);
+        if (it->second.empty())
+            m_lateStarts.erase(it);
+    }
+    for (const TaskRef &task : present)
+        m_lateStarts[task].insert(link.entry.id);
+    link.lateStarts = std::move(present);
 }
 
 bool WorkerLinks::reconciled(const WorkerId &id) const
@@ -269,6 +296,7 @@
     const bool isProbe = kind != WorkerLease::ReportKind::Current;
     link->reconciled = link->reconciled || !answer->report.moreEnded;
     link->lost = link->confirmedLost = link->replaced = false;
+    updateLateStarts(*link);
     const bool hasFinishedRuns = !answer->report.ended.empty();
     m_callbacks.report(id, answer->report);
     if (!*m_alive)
@@ -326,6 +354,7 @@
     if (link == nullptr || link->replaced)
         return;
     link->replaced = link->lost = true;
+    updateLateStarts(*link);
     logInfo("worker_lost", "worker=" + id + " reason=\"another worker has its address\"");
     m_callbacks.replaced(id);
 }
@@ -345,6 +374,7 @@
         return;
     link.confirmedLost = true;
     link.lost = !mayHaveOthers;
+    updateLateStarts(link);
     const size_t left = mayHaveOthers ? unanswered.size() : 0;
     logInfo("worker_lost", "worker=" + id + " reason=\"its leases have lapsed\" unanswered_starts="
                                + std::to_string(left)
@@ -420,8 +450,11 @@
     Link *link = find(id);
     const bool unanswered = !answer && answer.error().code == ErrorCode::OutcomeUnknown;
     // An unanswered attempt may still be carried out, even if a later one was refused.
-    if (unanswered || link == nullptr)
+    if (unanswered || link == nullptr) {
+        if (link != nullptr)
+            updateLateStarts(*link);
         return StartOutcome::Unknown;
+    }
     const bool isFirst = attempt.priorAttempts == 0;
     StartOutcome out = answer ? answer->outcome : StartOutcome::WorkerUnavailable;
     if (!answer && isFencedByProbe(id, attempt.token, answer.error()))
@@ -433,6 +466,7 @@
     if (isFirst)
         link->lease.startAnswered({attempt.order.task, attempt.order.run}, !mayRunElsewhere,
                                   m_clock.now());
+    updateLateStarts(*link);
     if (mayRunElsewhere && isCurrent) {
         logWarn("start_clock_differs",
                 "task=" + attempt.order.task.toString()
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -96,6 +96,14 @@
     std::vector<WorkerId> unreachableSince(Instant time) const;
     // Returns what is known of the leases on a worker that has a link.
     const WorkerLease &lease(const WorkerId &id) const { return m_links.at(id).lease; }
+    // Returns the workers on which an earlier start of the task may still be carried out, because
+    // an attempt got no answer; null if there are none. A worker refuses it while it knows a later
+    // run or fencing token, but not if it starts again under its ID.
+    const std::set<WorkerId> *lateStartWorkers(const TaskRef &task) const
+    {
+        const auto it = m_lateStarts.find(task);
+        return it == m_lateStarts.end() ? nullptr : &it->second;
+    }
     // Returns the start of the worker's incarnation that has answered the last probe or, before
     // that, of the one that the registry shows; 0 if none is known.
     int64_t incarnationStart(const WorkerId &id) const;
@@ -121,6 +129,7 @@
         bool lost = false; // reported as lost: no run can be active there
         bool confirmedLost = false; // reported as lost, but for runs whose starts got no answer
         bool replaced = false; // reported as replaced
+        std::set<TaskRef> lateStarts; // tasks of m_lateStarts that name the worker
         bool reachable = false;
         Instant unreachableSince; // while it is not reachable
         std::shared_ptr<Timer> timer; // of the next poll
@@ -160,6 +169,8 @@
     void onStartAnswer(const StartAttempt &attempt, const Result<StartAnswer> &answer);
     // Returns the outcome of the order after its last attempt, and books a confirmed start.
     StartOutcome outcomeOf(const StartAttempt &attempt, const Result<StartAnswer> &answer);
+    // Brings m_lateStarts up to date with what is known of the worker's starts.
+    void updateLateStarts(Link &link);
     // Whether a call with this token was refused because a later probe of the same tenure fences
     // it, and not by another scheduler.
     bool isFencedByProbe(const WorkerId &id, int64_t token, const Error &error) const;
@@ -177,6 +188,8 @@
     WorkerLinksOptions m_options;
     Callbacks m_callbacks;
     std::map<WorkerId, Link> m_links;
+    // See lateStartWorkers(). Of workers that are listed, and not lost.
+    std::map<TaskRef, std::set<WorkerId>> m_lateStarts;
     // Of closed links, as long as calls sent over them may have effects.
     std::map<WorkerId, WorkerLease> m_closedLeases;
     int64_t m_closedProbes = 0; // highest number of probes on a link that was closed
--- a/src/control/worker_links_test.cc
+++ b/src/control/worker_links_test.cc
@@ -361,4 +361,25 @@
     EXPECT_TRUE(m_lost) << "no incarnation follows one that the registry has removed";
 }
 
+// Guards against a task that starts on another worker although one of its starts may still be
+// carried out, and against one that waits for a worker which the registry has removed.
+TEST_F(WorkerLinksTest, TellsWhereAStartWithoutAnAnswerMayStillBeCarriedOut)
+{
+    const TaskRef task = startOrder(0).task;
+    ASSERT_EQ(startOne(), StartOutcome::Started);
+    EXPECT_EQ(m_links->lateStartWorkers(task), nullptr);
+    m_workers.workers["w"].unansweredStarts = 3;
+    m_outcome.reset();
+    ASSERT_EQ(startOne(), StartOutcome::Unknown);
+    run(Duration(1'500)); // the worker answers polls
+    ASSERT_NE(m_links->lateStartWorkers(task), nullptr);
+    EXPECT_EQ(*m_links->lateStartWorkers(task), std::set<WorkerId>{"w"});
+    m_links->markUnlisted("w");
+    EXPECT_EQ(m_links->lateStartWorkers(task), nullptr);
+    WorkerEntry entry;
+    entry.id = "w";
+    m_links->setEntry(entry, true);
+    EXPECT_NE(m_links->lateStartWorkers(task), nullptr);
+}
+
 } // namespace cardamompaddle
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -36,6 +36,10 @@
     // last runs are counted until they have finished. Returns null if there is none. May be null.
     std::function<std::shared_ptr<const work::Submission>(const std::string &id)> findSubmission =
         nullptr;
+    // Returns the workers on which an earlier start of the task may still be carried out if they
+    // start again, or null if there are none. The task runs on no other worker meanwhile: a run on
+    // the only one of them ends with the incarnation that refuses the earlier start. May be null.
+    std::function<const std::set<WorkerId> *(const TaskRef &)> lateStartWorkers = nullptr;
 };
 
 // A call to the policy service that a step needs before it can start.
--- a/src/dispatch/dispatcher_overdue.cc
+++ b/src/dispatch/dispatcher_overdue.cc
@@ -216,6 +216,8 @@
         out += count("active", step.active) + count("stopping", step.stopping);
     if (mayBeRunningUnreported(task))
         out += " may_run_on=" + task.previousWorker;
+    if (const std::set<WorkerId> *workers = lateStartWorkers(step, task))
+        out += " may_start_late_on=" + *workers->begin();
     return out + count("backoff_ms", std::max<int64_t>(0, (task.notBefore - now).count()));
 }
 
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -133,15 +133,29 @@
     return out;
 }
 
+const std::set<WorkerId> *Dispatcher::Impl::lateStartWorkers(const Step &step,
+                                                             const Task &task) const
+{
+    // A task that has never been started has no such workers.
+    if (!m_options.lateStartWorkers || task.lastRun == 0)
+        return nullptr;
+    const auto index = static_cast<int32_t>(&task - step.tasks.data());
+    return m_options.lateStartWorkers({{step.job->spec->id, step.occurrence, step.number}, index});
+}
+
 // Returns the best of the candidates for one task, or null if none has room.
 Worker *Dispatcher::Impl::chooseWorker(const Step &step, const Task &task,
                                        const std::vector<Worker *> &candidates, Instant now) const
 {
     Worker *best = nullptr;
     double bestScore = 0;
+    const std::set<WorkerId> *only = lateStartWorkers(step, task);
+    if (only != nullptr && only->size() > 1)
+        return nullptr;
     for (Worker *worker : candidates) {
         if (!hasRoom(*worker, step) || reachedMaxPerWorker(*worker, step)
-            || mustStartApart(*worker, task, now))
+            || mustStartApart(*worker, task, now)
+            || (only != nullptr && !only->contains(worker->entry.id)))
             continue;
         const double score = placementScore(*worker, step, task, now);
         if (best == nullptr || score < bestScore) {
@@ -214,6 +228,7 @@
                                         int64_t unixMs, Orders &out)
 {
     std::optional<std::vector<Worker *>> candidates; // set by the first task that needs them
+    WaitReason reason = WaitReason::None;
     for (size_t i = 0; i < step.tasks.size() && step.waiting > 0; ++i) {
         const Task &task = step.tasks[i];
         if (task.state != TaskState::Waiting || task.notBefore > now
@@ -229,11 +244,16 @@
         if (!candidates)
             candidates = candidatesFor(step, route, now);
         Worker *worker = chooseWorker(step, task, *candidates, now);
-        if (worker == nullptr)
-            return setWaitReason(step, reasonForNoWorker(step, route, now));
+        if (worker == nullptr) {
+            reason = reasonForNoWorker(step, route, now);
+            // The other tasks of the step may start elsewhere.
+            if (lateStartWorkers(step, task) != nullptr)
+                continue;
+            break;
+        }
         startRun(step, static_cast<int32_t>(i), nextRunNumber(task.lastRun), *worker, now, out);
     }
-    setWaitReason(step, WaitReason::None);
+    setWaitReason(step, reason);
 }
 
 WaitReason Dispatcher::Impl::reasonForNoWorker(const Step &step, const WorkRoute &route,
--- a/src/dispatch/dispatcher_runs_test.cc
+++ b/src/dispatch/dispatcher_runs_test.cc
@@ -121,6 +121,36 @@
     EXPECT_EQ(startAll().size(), 1U);
 }
 
+// Guards against two runs of a task at once: a start without an answer is carried out when its
+// worker starts again, while the task runs on another one. The other tasks must not wait.
+TEST_F(DispatcherTest, ATaskWhoseEarlierStartMayStillBeCarriedOutRunsOnlyThere)
+{
+    join(entry("a", 1'000));
+    add("job", {step(2)});
+    const auto starts = decide().starts;
+    ASSERT_EQ(starts.size(), 1U);
+    m_lateStarts[starts[0].task] = {"a"};
+    m_dispatcher.startAnswered(starts[0], StartOutcome::Unknown, m_now);
+    m_dispatcher.stopAnswered({"a", starts[0].task, starts[0].run}, m_now);
+    m_now += Duration(10);
+    m_dispatcher.setReachable("a", false);
+    report("a", {});
+    join(entry("b"));
+    const auto others = startAll();
+    ASSERT_EQ(others.size(), 1U);
+    EXPECT_NE(others[0].task, starts[0].task);
+    m_dispatcher.setReachable("a", true);
+    const auto again = startAll();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].worker, "a");
+    // It is in doubt on two workers.
+    m_lateStarts[starts[0].task] = {"a", "c"};
+    report("a", {}, {ended(again[0], RunOutcome::Stopped)});
+    EXPECT_TRUE(startAll().empty());
+    m_lateStarts.clear();
+    EXPECT_EQ(startAll().size(), 1U);
+}
+
 // Guards against a start order that is sent although its job was cancelled while the order waited
 // for its log record to be stored.
 TEST_F(DispatcherTest, WithdrawsAnUnsentStartOfACancelledJob)
--- a/src/dispatch/dispatcher_testing.h
+++ b/src/dispatch/dispatcher_testing.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -134,7 +135,12 @@
     Resources m_limit;
     Instant m_now = instantFromMs(100'000);
     std::vector<DispatchEvent> m_events;
-    Dispatcher m_dispatcher{{1, 2.0},
+    std::map<TaskRef, std::set<WorkerId>> m_lateStarts; // DispatchOptions::lateStartWorkers
+    Dispatcher m_dispatcher{{1, 2.0, nullptr,
+                             [this](const TaskRef &task) {
+                                 const auto it = m_lateStarts.find(task);
+                                 return it == m_lateStarts.end() ? nullptr : &it->second;
+                             }},
                             [this](const DispatchEvent &event) { m_events.push_back(event); }};
     std::map<WorkerId, int64_t> m_positions;
     std::map<std::string, work::JobState::type> m_states;
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -147,6 +147,8 @@
     std::vector<Worker *> candidatesFor(const Step &step, const WorkRoute &route, Instant now);
     Worker *chooseWorker(const Step &step, const Task &task,
                          const std::vector<Worker *> &candidates, Instant now) const;
+    // See DispatchOptions::lateStartWorkers.
+    const std::set<WorkerId> *lateStartWorkers(const Step &step, const Task &task) const;
     double placementScore(const Worker &worker, const Step &step, const Task &task,
                           Instant now) const;
     dispatch::WaitReason reasonForNoWorker(const Step &step, const WorkRoute &route,
