--- a/src/control/instance_testing.h
+++ b/src/control/instance_testing.h
@@ -201,6 +201,7 @@
     {
         work::Submission job;
         job.id = id;
+        job.team = m_team;
         job.route = "r";
         job.acceptedAtMs = 1'000'000;
         work::StepSpec step;
@@ -225,11 +226,12 @@
         const bool answered = runUntil([&] { return m_outcomes.contains(id); });
         return answered ? std::optional(m_outcomes[id]) : std::nullopt;
     }
-    std::optional<SubmitOutcome> cancel(Node &node, const std::string &id)
+    std::optional<SubmitOutcome> cancel(Node &node, const std::string &id,
+                                        const std::string &team = "")
     {
         std::optional<SubmitOutcome> outcome;
         node.instance->submitter().cancel(
-            id, m_clock.now() + Duration(2'000),
+            id, team, m_clock.now() + Duration(2'000),
             [&outcome](SubmitOutcome it, const std::string &) { outcome = it; });
         runUntil([&] { return outcome.has_value(); });
         return outcome;
@@ -250,6 +252,7 @@
     int64_t m_cpuMilli = 1'000; // of each task
     LogLimits m_logLimits; // as the instances know them
     Duration m_terminalRetention{120'000};
+    std::string m_team; // of submitted jobs
     int64_t m_unixMs = 1'000'000; // true time of day; accepted jobs are of that time
     // By how much the time of day of an instance's machine differs from the true one, by name.
     std::map<std::string, int64_t> m_unixOffsetsMs;
--- a/src/control/job_garbage_collector.cc
+++ b/src/control/job_garbage_collector.cc
@@ -1,7 +1,9 @@
 #include "control/job_garbage_collector.h"
 
+#include "control/job_submitter.h"
 #include "logging/event_log.h"
 
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -12,6 +14,7 @@
 constexpr Duration CollectInterval{2'000};
 constexpr Duration AppendTimeout{900};
 constexpr size_t MaxJobsPerRun = 200;
+constexpr size_t MaxCancellationsPerRun = 500;
 constexpr size_t MaxRecordsPerRun = 1'000; // of the work topic, before the last job
 
 struct ForgottenJob
@@ -70,6 +73,7 @@
         for (const work::Progress *part : entry.progressParts())
             work.records.push_back({work_key::progress(id, part->part), "", true, 0});
     }
+    collectCancellations(heldMs, jobs.records);
     if (jobs.records.empty())
         return;
     // Remove the submission before the progress: a submission without progress would look like a
@@ -79,9 +83,29 @@
                      if (!isStored(answer) || !*alive)
                          return;
                      logForgotten(forgotten, heldMs);
+                     if (work.records.empty())
+                         return;
                      m_log.append(work, AppendTimeout,
                                   [](const AppendResult &result) { isStored(result); });
                  });
 }
 
+void JobGarbageCollector::collectCancellations(int64_t heldMs, std::vector<KeyedRecord> &out)
+{
+    const std::set<std::string> &idle = m_jobTable.idleCancellations();
+    std::erase_if(m_idleSinceHeldMs, [&idle](const auto &it) { return !idle.contains(it.first); });
+    size_t removed = 0;
+    for (const std::string &id : idle) {
+        const int64_t since = m_idleSinceHeldMs.try_emplace(id, heldMs).first->second;
+        if (heldMs - since < AdvanceCancellationRetention.count())
+            continue;
+        out.push_back({work_key::cancel(id), "", true, 0});
+        if (++removed >= MaxCancellationsPerRun)
+            break;
+    }
+    if (removed > 0)
+        logInfo("cancellations_forgotten", "count=" + std::to_string(removed)
+                                               + " left=" + std::to_string(idle.size() - removed));
+}
+
 } // namespace cardamompaddle
--- a/src/control/job_garbage_collector.h
+++ b/src/control/job_garbage_collector.h
@@ -1,4 +1,5 @@
-// Removes the records of terminal jobs from the log after their retention time.
+// Removes the records of terminal jobs from the log after their retention time, and cancellations
+// that act on no job.
 //
 // Not thread-safe: use it only on the event loop's thread.
 #pragma once
@@ -6,8 +7,11 @@
 #include "control/gateways.h"
 #include "control/job_table.h"
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cardamompaddle {
 
@@ -24,14 +28,20 @@
     // Removes jobs that ended more than `retention` before the held time `heldMs`, and logs each of
     // them. Must be called periodically: each run is limited in size, and a failed removal is
     // repeated by a later run. A call that comes too soon after the previous run does nothing.
+    // Cancellations that have acted on no job for AdvanceCancellationRetention, counted from when
+    // this collector first saw them, are removed too.
     void collect(Instant now, int64_t heldMs, Duration retention);
 
 private:
+    // Adds the records that remove idle cancellations to `out`.
+    void collectCancellations(int64_t heldMs, std::vector<KeyedRecord> &out);
+
     KeyedLog &m_log;
     const JobTable &m_jobTable;
     std::string m_jobsTopic;
     std::string m_workTopic;
     Instant m_collectedAt;
+    std::map<std::string, int64_t> m_idleSinceHeldMs; // cancellations that act on no job, by job
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/control/job_submitter.cc
+++ b/src/control/job_submitter.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace cardamompaddle {
@@ -14,6 +15,8 @@
 
 constexpr Duration BatchDelay{4}; // batches requests into one append
 
+// The log may carry out an append without an answer this much later.
+constexpr Duration LatestAppend{12'000};
 // An append that took this long is logged.
 constexpr Duration LateAppendTime{200};
 
@@ -58,20 +61,57 @@
     enqueue({std::move(record), job.id, std::move(done)}, deadline);
 }
 
-void JobSubmitter::cancel(const std::string &id, Instant deadline, Done done)
+void JobSubmitter::cancel(const std::string &id, const std::string &team, Instant deadline,
+                          Done done)
 {
-    find(id, [this, id, deadline, done = std::move(done)](const JobEntry *entry, bool current) {
+    const auto found = [this, id, team, deadline, done = std::move(done)](const JobEntry *entry,
+                                                                          bool current) {
+        if (entry == nullptr && !current)
+            return done(SubmitOutcome::Unknown, "the log does not answer");
         if (entry == nullptr)
-            return done(current ? SubmitOutcome::NotFound : SubmitOutcome::Unknown,
-                        current ? "no such job" : "the log does not answer");
+            return cancelInAdvance(id, team, deadline, done);
         if (entry->state() >= work::JobState::Completed)
             return done(SubmitOutcome::Accepted, "final");
         // An empty value would remove the key.
         enqueue({{work_key::cancel(id), "1", false, 0}, id, done}, deadline);
-    });
+    };
+    refresh(id, found);
 }
 
-void JobSubmitter::find(const std::string &id, FindDone done)
+void JobSubmitter::cancelInAdvance(const std::string &id, const std::string &team, Instant deadline,
+                                   Done done)
+{
+    std::set<std::string> teams;
+    if (const JobCancellation *stored = m_jobTable.advanceCancellation(id)) {
+        if (stored->ofAnyTeam || stored->teams.contains(team))
+            return done(SubmitOutcome::NotFound, "no such job, cancelled in advance before");
+        teams = stored->teams;
+    }
+    teams.insert(team);
+    const auto pending = m_pendingAdvanceCancellations.find(team);
+    const int64_t count = m_jobTable.advanceCancellationCount(team)
+                          + (pending == m_pendingAdvanceCancellations.end() ? 0 : pending->second);
+    if (count >= MaxAdvanceCancellations || teams.size() > MaxTeamsPerCancellation)
+        return done(SubmitOutcome::LimitReached, "too many cancellations of unknown jobs");
+    work::AdvanceCancellation cancellation;
+    cancellation.teams.assign(teams.begin(), teams.end());
+    ++m_pendingAdvanceCancellations[team];
+    const auto settled = [this, id, team, done = std::move(done)](SubmitOutcome outcome,
+                                                                  const std::string &reason) {
+        if (--m_pendingAdvanceCancellations[team] == 0)
+            m_pendingAdvanceCancellations.erase(team);
+        if (outcome != SubmitOutcome::Accepted)
+            return done(outcome, reason);
+        // The job may have been stored meanwhile.
+        const JobEntry *entry = m_jobTable.find(id);
+        const bool cancelled = entry != nullptr && entry->isCancelled();
+        done(cancelled ? SubmitOutcome::Accepted : SubmitOutcome::NotFound,
+             cancelled ? reason : "no such job, cancelled in advance");
+    };
+    enqueue({{work_key::cancel(id), encodeRecord(cancellation), false, 0}, id, settled}, deadline);
+}
+
+void JobSubmitter::refresh(const std::string &id, FindDone done)
 {
     if (const JobEntry *entry = m_jobTable.find(id))
         return done(entry, true);
@@ -79,8 +119,26 @@
         [this, id, done = std::move(done)](bool current) { done(m_jobTable.find(id), current); });
 }
 
+void JobSubmitter::find(const std::string &id, FindDone done)
+{
+    refresh(id, [this, id, done = std::move(done)](const JobEntry *entry, bool current) {
+        done(entry, current && (entry != nullptr || !isInDoubt(id)));
+    });
+}
+
+bool JobSubmitter::isInDoubt(const std::string &id) const
+{
+    const auto it = m_inDoubtUntil.find(id);
+    if (it != m_inDoubtUntil.end() && m_clock.now() < it->second)
+        return true;
+    const std::string key = work_key::job(id);
+    return std::ranges::any_of(
+        m_entries, [&key](const auto &entry) { return entry.second.record.key == key; });
+}
+
 void JobSubmitter::jobRead(const std::string &id)
 {
+    m_inDoubtUntil.erase(id);
     const std::string key = work_key::job(id);
     for (const auto &[number, entry] : m_entries) {
         if (entry.record.key != key)
@@ -92,7 +150,9 @@
 
 void JobSubmitter::enqueue(Entry entry, Instant deadline)
 {
-    const auto number = m_queue.add(deadline, m_clock.now(), storedBytes(entry.record));
+    const Instant now = m_clock.now();
+    const auto number =
+        m_queue.add(std::min(deadline, now + MaxSubmitTime), now, storedBytes(entry.record));
     m_entries.emplace(number, std::move(entry));
     armTimer(BatchDelay);
 }
@@ -163,8 +223,13 @@
 {
     auto node = m_entries.extract(settled.record);
     const Entry &entry = node.mapped();
-    const bool inJobTable =
-        m_jobTable.find(entry.id) != nullptr && entry.record.key == work_key::job(entry.id);
+    const bool isJob = entry.record.key == work_key::job(entry.id);
+    const bool inJobTable = isJob && m_jobTable.find(entry.id) != nullptr;
+    if (isJob && !inJobTable && settled.outcome == SubmitOutcome::Unknown) {
+        const Instant now = m_clock.now();
+        std::erase_if(m_inDoubtUntil, [now](const auto &it) { return it.second <= now; });
+        m_inDoubtUntil[entry.id] = now + LatestAppend;
+    }
     entry.done(inJobTable ? SubmitOutcome::Accepted : settled.outcome, settled.reason);
 }
 
--- a/src/control/job_submitter.h
+++ b/src/control/job_submitter.h
@@ -19,6 +19,16 @@
 
 namespace cardamompaddle {
 
+// How many cancellations of unknown jobs a client account may have stored at a time, and of how
+// many accounts one id may have one.
+inline constexpr int64_t MaxAdvanceCancellations = 500;
+inline constexpr size_t MaxTeamsPerCancellation = 8;
+// How long, in held time of the tenure, a cancellation is kept that acts on no job. Covers that an
+// instance hands a job on to another one just before MaxSubmitTime has passed, which tries as long
+// again, that its last append then waits for its timeout, and that the log carries it out up to 12
+// s later.
+inline constexpr Duration AdvanceCancellationRetention = 2 * MaxSubmitTime + Duration(20'000);
+
 class JobSubmitter
 {
 public:
@@ -42,11 +52,14 @@
     // sent. A job that is too large for the log is Invalid.
     void submit(const work::Submission &job, Instant deadline, Done done);
     // Stores the cancellation of a job, with the same rules. Accepted without effect if the job is
-    // in a terminal state.
-    void cancel(const std::string &id, Instant deadline, Done done);
+    // in a terminal state. If the job is not known, an append of it may still be carried out, so a
+    // cancellation in advance is stored that acts on a job of this team only; the outcome is then
+    // NotFound, or LimitReached if the team has too many of them.
+    void cancel(const std::string &id, const std::string &team, Instant deadline, Done done);
     // Looks a job up, and reads the log first if it is not in the job table, as another instance
     // may just have accepted it. `entry` is null if the job was not found; if `current` is false,
-    // the log did not answer and the job may exist nevertheless.
+    // the log did not answer, or an append of this instance is in doubt, and the job may exist
+    // nevertheless.
     using FindDone = std::function<void(const JobEntry *entry, bool current)>;
     void find(const std::string &id, FindDone done);
     // Must be called when a job that was read from the log has been added to the job table.
@@ -62,6 +75,11 @@
         Done done;
     };
 
+    void refresh(const std::string &id, FindDone done);
+    void cancelInAdvance(const std::string &id, const std::string &team, Instant deadline,
+                         Done done);
+    // Whether this instance is storing the job, or has got no answer and the log may still do it.
+    bool isInDoubt(const std::string &id) const;
     void enqueue(Entry entry, Instant deadline);
     // Has update() run after `wait`, unless it is due earlier.
     void armTimer(Duration wait);
@@ -81,6 +99,10 @@
     std::function<LogCondition()> m_condition;
     AppendQueue m_queue;
     std::map<AppendQueue::RecordNumber, Entry> m_entries; // of the records in the queue
+    // Jobs that this instance has got no answer for, and until when the log may still store them.
+    std::map<std::string, Instant> m_inDoubtUntil;
+    // Number of cancellations in advance that are being stored, by team.
+    std::map<std::string, int64_t> m_pendingAdvanceCancellations;
     Timer m_timer;
     bool m_timerArmed = false;
     Instant m_timerDue;
--- a/src/control/job_table.cc
+++ b/src/control/job_table.cc
@@ -118,6 +118,27 @@
     return progress;
 }
 
+// A value that is no AdvanceCancellation acts on any job.
+JobCancellation decodeCancellation(const std::string &value)
+{
+    JobCancellation out;
+    const auto decoded = decodeRecord<work::AdvanceCancellation>(value);
+    out.ofAnyTeam = !decoded || decoded->teams.empty();
+    if (decoded)
+        out.teams.insert(decoded->teams.begin(), decoded->teams.end());
+    return out;
+}
+
+// Adds a cancellation to the stored one. Two accounts may cancel the same id at the same time, and
+// then the later record does not name the earlier account.
+void addCancellation(JobEntry &entry, JobCancellation added)
+{
+    if (!entry.cancellation)
+        entry.cancellation = std::make_unique<JobCancellation>();
+    entry.cancellation->ofAnyTeam = entry.cancellation->ofAnyTeam || added.ofAnyTeam;
+    entry.cancellation->teams.merge(added.teams);
+}
+
 bool isWaiting(const JobEntry &entry)
 {
     return entry.submission && entry.submission->repetitions == 0
@@ -126,11 +147,17 @@
 
 } // namespace
 
+bool JobEntry::isCancelled() const
+{
+    return cancellation && submission
+           && (cancellation->ofAnyTeam || cancellation->teams.contains(submission->team));
+}
+
 work::JobState::type JobEntry::state() const
 {
     const auto stored = progress ? progress->state : work::JobState::Queued;
     // A cancellation after the job has ended has no effect.
-    return cancelled && stored < work::JobState::Completed ? work::JobState::Cancelled : stored;
+    return isCancelled() && stored < work::JobState::Completed ? work::JobState::Cancelled : stored;
 }
 
 std::vector<const work::Progress *> JobEntry::progressParts() const
@@ -193,7 +220,7 @@
     if (kind == "job") {
         entry.submission.reset();
     } else if (kind == "cancel") {
-        entry.cancelled = false;
+        entry.cancellation.reset();
     } else if (part == 0) {
         entry.progress.reset();
     } else if (entry.laterParts) {
@@ -212,21 +239,21 @@
         if (it == m_entries.end())
             return Change::None;
         JobEntry &entry = it->second;
-        updateWaitingCount(entry, -1);
+        removeFromCounts(id, entry);
         removePart(entry, kind, part);
         const bool empty =
-            !entry.submission && !entry.cancelled && !entry.progress && !entry.laterParts;
+            !entry.submission && !entry.cancellation && !entry.progress && !entry.laterParts;
         if (empty)
             m_entries.erase(it);
         else
-            updateWaitingCount(entry, 1);
+            addToCounts(id, entry);
         return Change::None;
     }
     JobEntry &entry = m_entries[id];
-    updateWaitingCount(entry, -1);
+    removeFromCounts(id, entry);
     Result<Change> change = Error{ErrorCode::InvalidArgument, "unknown key " + record.key};
     if (kind == "cancel") {
-        entry.cancelled = true;
+        addCancellation(entry, decodeCancellation(record.value));
         change = Change::Cancelled;
     } else if (kind == "progress" || kind == "part") {
         auto progress = decodeProgress(record.value, part);
@@ -243,14 +270,23 @@
         }
         change = submission ? Result<Change>(Change::Submitted) : submission.error();
     }
-    updateWaitingCount(entry, 1);
+    addToCounts(id, entry);
     return change;
 }
 
-void JobTable::updateWaitingCount(const JobEntry &entry, int64_t delta)
+void JobTable::count(const std::string &id, const JobEntry &entry, int64_t delta)
 {
     if (isWaiting(entry))
         m_waitingCounts[entry.submission->route] += delta;
+    if (!entry.cancellation || entry.isCancelled())
+        return;
+    delta > 0 ? (void)m_idleCancellations.insert(id) : (void)m_idleCancellations.erase(id);
+    for (const std::string &team : entry.cancellation->teams) {
+        const auto it = m_advanceCancellationCounts.try_emplace(team, 0).first;
+        it->second += delta;
+        if (it->second == 0)
+            m_advanceCancellationCounts.erase(it);
+    }
 }
 
 const JobEntry *JobTable::find(const std::string &id) const
@@ -259,6 +295,18 @@
     return it == m_entries.end() || !it->second.submission ? nullptr : &it->second;
 }
 
+const JobCancellation *JobTable::advanceCancellation(const std::string &id) const
+{
+    const auto it = m_entries.find(id);
+    return it == m_entries.end() || it->second.submission ? nullptr : it->second.cancellation.get();
+}
+
+int64_t JobTable::advanceCancellationCount(const std::string &team) const
+{
+    const auto it = m_advanceCancellationCounts.find(team);
+    return it == m_advanceCancellationCounts.end() ? 0 : it->second;
+}
+
 int64_t JobTable::waitingCount(const std::string &route) const
 {
     const auto it = m_waitingCounts.find(route);
--- a/src/control/job_table.h
+++ b/src/control/job_table.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,15 +34,24 @@
 inline constexpr const char *Tenure = "tenure";
 } // namespace work_key
 
+// The stored cancellation of a job.
+struct JobCancellation
+{
+    bool ofAnyTeam = false; // acts on whatever job has the id
+    std::set<std::string> teams; // otherwise on a job of these client accounts
+};
+
 struct JobEntry
 {
     std::shared_ptr<const work::Submission> submission; // null if not read yet, or removed
-    bool cancelled = false;
+    std::unique_ptr<JobCancellation> cancellation; // null if none is stored
     std::unique_ptr<work::Progress> progress; // part 0; null if none is stored
     // The other parts by number; null if there are none.
     std::unique_ptr<std::map<int32_t, work::Progress>> laterParts;
     int64_t offset = 0; // of the submission in the jobs topic
 
+    // Whether there is a cancellation and it acts on the job.
+    bool isCancelled() const;
     work::JobState::type state() const;
     // Held time of the tenure at which the job ended; 0 if the log does not tell, also of a
     // cancelled job whose final record is not stored yet.
@@ -63,6 +73,12 @@
     const JobEntry *find(const std::string &id) const;
     // Number of queued jobs of the route: no task has started and the job does not repeat.
     int64_t waitingCount(const std::string &route) const;
+    // Returns the cancellation of a job that is not known; null if there is none.
+    const JobCancellation *advanceCancellation(const std::string &id) const;
+    // Number of cancellations that the client account has stored in advance and that act on no job.
+    int64_t advanceCancellationCount(const std::string &team) const;
+    // Ids of the cancellations that act on no job.
+    const std::set<std::string> &idleCancellations() const { return m_idleCancellations; }
     const boost::unordered_flat_map<std::string, JobEntry> &entries() const { return m_entries; }
     const work::Tenure &tenure() const { return m_tenure; } // epoch 0 if none is stored
     const std::map<std::string, work::Member> &members() const { return m_members; }
@@ -77,11 +93,15 @@
     static void setPart(JobEntry &entry, work::Progress progress);
     // Removes the part of the entry that a record of this kind and part number holds.
     static void removePart(JobEntry &entry, const std::string &kind, int32_t part);
-    // Adds `delta` to the count of the entry's route if the entry counts as waiting.
-    void updateWaitingCount(const JobEntry &entry, int64_t delta);
+    // Adds the entry to the counts, or takes it out of them.
+    void addToCounts(const std::string &id, const JobEntry &entry) { count(id, entry, 1); }
+    void removeFromCounts(const std::string &id, const JobEntry &entry) { count(id, entry, -1); }
+    void count(const std::string &id, const JobEntry &entry, int64_t delta);
 
     boost::unordered_flat_map<std::string, JobEntry> m_entries;
     std::map<std::string, int64_t> m_waitingCounts; // by route
+    std::set<std::string> m_idleCancellations;
+    std::map<std::string, int64_t> m_advanceCancellationCounts; // by team
     work::Tenure m_tenure;
     std::map<std::string, work::Member> m_members;
     std::map<std::string, work::UsedWorker> m_usedWorkers;
--- a/src/control/job_table_test.cc
+++ b/src/control/job_table_test.cc
@@ -74,6 +74,39 @@
     EXPECT_EQ(m_jobTable.waitingCount("r"), 0);
 }
 
+// Guards against a cancellation in advance that acts on the job of another account, that a later
+// record of the same id takes back, or that is counted for good.
+TEST_F(JobTableTest, ACancellationInAdvanceActsForItsAccountsOnly)
+{
+    const auto putAdvance = [this](const std::string &id, std::vector<std::string> teams) {
+        work::AdvanceCancellation record;
+        record.teams = std::move(teams);
+        put(work_key::cancel(id), encodeRecord(record));
+    };
+    putAdvance("a", {"t"});
+    putAdvance("a", {"u"});
+    EXPECT_EQ(m_jobTable.advanceCancellation("a")->teams, (std::set<std::string>{"t", "u"}));
+    putAdvance("b", {""});
+    EXPECT_EQ(m_jobTable.advanceCancellationCount("t"), 1);
+    EXPECT_EQ(m_jobTable.advanceCancellationCount(""), 1);
+    putJob("a"); // of team ""
+    EXPECT_EQ(m_jobTable.find("a")->state(), work::JobState::Queued);
+    EXPECT_EQ(m_jobTable.waitingCount("r"), 1);
+    EXPECT_EQ(m_jobTable.advanceCancellation("a"), nullptr) << "the job is known";
+    putJob("b");
+    EXPECT_EQ(m_jobTable.find("b")->state(), work::JobState::Cancelled);
+    EXPECT_EQ(m_jobTable.idleCancellations(), std::set<std::string>{"a"});
+    put(work_key::cancel("a"), "1");
+    EXPECT_EQ(m_jobTable.find("a")->state(), work::JobState::Cancelled);
+    EXPECT_TRUE(m_jobTable.idleCancellations().empty());
+    for (const char *id : {"a", "b"}) {
+        put(work_key::cancel(id), "");
+        put(work_key::job(id), "");
+    }
+    EXPECT_EQ(m_jobTable.advanceCancellationCount("t"), 0);
+    EXPECT_TRUE(m_jobTable.entries().empty());
+}
+
 TEST_F(JobTableTest, UndecodableRecordsChangeNothing)
 {
     std::string id;
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -192,7 +192,7 @@
         // The last record of a job that has ended names the workers of all runs that it had left.
         const bool ended = entry->progress && entry->progress->state >= work::JobState::Completed;
         m_dispatcher.addJob(entry->submission, entry->progressParts(), mayBeRunning && !ended);
-        if (entry->cancelled)
+        if (entry->isCancelled())
             m_dispatcher.cancelJob(entry->submission->id);
     }
     m_dispatcher.setRecordedWorkers(m_recordedWorkers);
@@ -233,12 +233,12 @@
                                   && now - m_startedAt < FormerSchedulerFencingTime;
         m_dispatcher.addJob(entry->submission, entry->progressParts(), mayBeRunning);
         // The cancellation may have been read first.
-        if (entry->cancelled)
+        if (entry->isCancelled())
             m_dispatcher.cancelJob(id);
         schedulePass();
         if (m_dispatcher.hasProgress())
             scheduleFlush(FlushDelay);
-    } else if (change == JobTable::Change::Cancelled) {
+    } else if (change == JobTable::Change::Cancelled && entry->isCancelled()) {
         m_dispatcher.cancelJob(id);
         schedulePass();
         scheduleFlush(FlushDelay);
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -134,6 +134,10 @@
         }
         if (refuses || request.topic == refusedTopic)
             return later(Duration(1), [done] { done({AppendOutcome::NotStored, "refused"}); });
+        if (lateAppendDelay && request.topic == lateTopic) {
+            later(*lateAppendDelay, [this, request] { m_model.append(request); });
+            return later(timeout, [done] { done({AppendOutcome::Unknown, "no answer"}); });
+        }
         later(appendTime, [this, request, timeout, done, connection = m_connections] {
             if (isSilent(connection))
                 return timeOut(timeout, [done] { done({AppendOutcome::Unknown, "no answer"}); });
@@ -179,6 +183,9 @@
     std::string unreadableTopic; // reads of this topic fail
     std::string silentTopic; // reads of this topic that wait for records get no answer
     std::string refusedTopic; // appends to this topic fail and are not stored
+    // If set, appends to this topic get no answer and are carried out this much later.
+    std::optional<Duration> lateAppendDelay;
+    std::string lateTopic;
     bool claimsFail = false; // appends that claim the tenure fail and are not stored
     int appendCalls = 0;
     int claimCalls = 0; // appends that claim the tenure
--- a/src/intake/append_queue.h
+++ b/src/intake/append_queue.h
@@ -28,6 +28,7 @@
     Unknown, // may have been stored, or may still be
     NotFound, // the job to cancel does not exist
     Invalid, // certainly not stored, and never will be: the log does not take such a record
+    LimitReached, // certainly not stored: the client account has too many such records
 };
 // Returns the stable lower-case name, for example "not_found".
 std::string_view submitOutcomeName(SubmitOutcome outcome);
@@ -40,6 +41,10 @@
     Rejected, // certainly not stored: the log does not take at least one of the records
 };
 
+// An instance tries to store what a caller hands in for this long at most, however long the caller
+// waits. Other instances rely on it.
+inline constexpr Duration MaxSubmitTime{120'000};
+
 // From this average duration of an append on, a log is slow.
 inline constexpr Duration SlowAppendTime{40};
 
--- a/src/work/codec.cc
+++ b/src/work/codec.cc
@@ -41,6 +41,7 @@
     template std::string encodeRecord(const work::Type &); \
     template Result<work::Type> decodeRecord(std::string_view);
 CP_RECORD(Submission)
+CP_RECORD(AdvanceCancellation)
 CP_RECORD(Progress)
 CP_RECORD(Tenure)
 CP_RECORD(Member)
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -5058,4 +5058,125 @@
   out << ")";
 }
 
+
+AdvanceCancellation::~AdvanceCancellation() noexcept {
+}
+
+
+void AdvanceCancellation::__set_teams(const std::vector<std::string> & val) {
+  this->teams = val;
+}
+std::ostream& operator<<(std::ostream& out, const AdvanceCancellation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AdvanceCancellation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->teams.clear();
+            uint32_t _size212;
+            ::apache::thrift::protocol::TType _etype215;
+            xfer += iprot->readListBegin(_etype215, _size212);
+            this->teams.resize(_size212);
+            uint32_t _i216;
+            for (_i216 = 0; _i216 < _size212; ++_i216)
+            {
+              xfer += iprot->readString(this->teams[_i216]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.teams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AdvanceCancellation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AdvanceCancellation");
+
+  xfer += oprot->writeFieldBegin("teams", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->teams.size()));
+    std::vector<std::string> ::const_iterator _iter217;
+    for (_iter217 = this->teams.begin(); _iter217 != this->teams.end(); ++_iter217)
+    {
+      xfer += oprot->writeString((*_iter217));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AdvanceCancellation &a, AdvanceCancellation &b) {
+  using ::std::swap;
+  swap(a.teams, b.teams);
+  swap(a.__isset, b.__isset);
+}
+
+AdvanceCancellation::AdvanceCancellation(const AdvanceCancellation& other218) {
+  teams = other218.teams;
+  __isset = other218.__isset;
+}
+AdvanceCancellation::AdvanceCancellation(AdvanceCancellation&& other219) noexcept {
+  teams = std::move(other219.teams);
+  __isset = other219.__isset;
+}
+AdvanceCancellation& AdvanceCancellation::operator=(const AdvanceCancellation& other220) {
+  teams = other220.teams;
+  __isset = other220.__isset;
+  return *this;
+}
+AdvanceCancellation& AdvanceCancellation::operator=(AdvanceCancellation&& other221) noexcept {
+  teams = std::move(other221.teams);
+  __isset = other221.__isset;
+  return *this;
+}
+void AdvanceCancellation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AdvanceCancellation(";
+  out << "teams=" << to_string(teams);
+  out << ")";
+}
+
 }} // namespace
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -127,6 +127,8 @@
 
 class WorkerAnswers;
 
+class AdvanceCancellation;
+
 typedef struct _StepSpec__isset {
   _StepSpec__isset() : tasks(false), cpuMilli(false), memoryMb(false), accelerators(false), estimatedMs(false), after(false), checkpointing(false), gang(false), sameRack(false), requiredLabel(false), preferredRack(false), maxPerWorker(false), copiesAllowed(false), longRunning(false), image(false), latencyObjectiveMs(false), usesIdleCpu(false), mayBeAway(false) {}
   bool tasks :1;
@@ -1827,6 +1829,50 @@
 
 std::ostream& operator<<(std::ostream& out, const WorkerAnswers& obj);
 
+typedef struct _AdvanceCancellation__isset {
+  _AdvanceCancellation__isset() : teams(false) {}
+  bool teams :1;
+} _AdvanceCancellation__isset;
+
+class AdvanceCancellation : public virtual ::apache::thrift::TBase {
+ public:
+
+  AdvanceCancellation(const AdvanceCancellation&);
+  AdvanceCancellation(AdvanceCancellation&&) noexcept;
+  AdvanceCancellation& operator=(const AdvanceCancellation&);
+  AdvanceCancellation& operator=(AdvanceCancellation&&) noexcept;
+  AdvanceCancellation() noexcept {
+  }
+
+  virtual ~AdvanceCancellation() noexcept;
+  std::vector<std::string>  teams;
+
+  _AdvanceCancellation__isset __isset;
+
+  void __set_teams(const std::vector<std::string> & val);
+
+  bool operator == (const AdvanceCancellation & rhs) const
+  {
+    if (!(teams == rhs.teams))
+      return false;
+    return true;
+  }
+  bool operator != (const AdvanceCancellation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AdvanceCancellation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AdvanceCancellation &a, AdvanceCancellation &b);
+
+std::ostream& operator<<(std::ostream& out, const AdvanceCancellation& obj);
+
 }} // namespace
 
 #endif
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -210,3 +210,9 @@
   9: bool moreFinished;        // Poll: the worker holds finished runs that it has not listed
 }
 struct WorkerAnswers { 1: string session; 2: list<WorkerAnswer> answers; }
+
+// A cancellation of a job that was not known when it was sent: an append of the job may still be carried
+// out. It acts only on a job of these client accounts (empty: a job that was submitted without a key).
+// The cancellation of a known job is stored as the text "1", which acts on whatever job has the id; so
+// does any value in versions before 2026-12-07.
+struct AdvanceCancellation { 1: list<string> teams; }
