Soak: callers cancel jobs that they got no answer for, and nothing may start after

Change: of the callers that get no answer to a hand-in, three of ten cancel the job in place of handing it in again, and all that give up do. The oracle's promise cancel-holds: in calm, no task starts later than 3 s after its job's cancellation was answered with success or 410. OracleTest.NothingStartsLongAfterACancellationWasAnswered covers it.

--- a/testing/soak/caller.cc
+++ b/testing/soak/caller.cc
@@ -37,6 +37,7 @@
 constexpr int MaxPipelined = 3;
 constexpr Duration MaxThinkTime{120};
 constexpr size_t RememberedJobs = 400;
+constexpr double CancelInDoubtShare = 0.3;
 
 Instant now()
 {
@@ -240,9 +241,12 @@
             co_return m_context.oracle.refused(request.job);
         if (!accepted)
             co_await pause(RetryDelay);
+        // Some callers give the job up, though it may have been stored or may still be.
+        if (!accepted && chance(CancelInDoubtShare))
+            co_return co_await cancelJob(request.job);
     }
     if (!accepted)
-        co_return;
+        co_return co_await cancelJob(request.job);
     ++m_counters.accepted;
     m_jobs.push_back(request.job);
     if (m_jobs.size() > RememberedJobs)
@@ -278,6 +282,11 @@
 {
     const std::string job = randomJob();
     std::erase(m_jobs, job);
+    co_await cancelJob(job);
+}
+
+asio::awaitable<void> Caller::cancelJob(std::string job)
+{
     m_context.oracle.cancelling(job);
     for (int i = 0; i < MaxTries; ++i) {
         std::vector<Request> requests{{CallKind::Cancel, job, m_context.key(m_random()), ""}};
--- a/testing/soak/caller.h
+++ b/testing/soak/caller.h
@@ -81,6 +81,8 @@
     boost::asio::awaitable<std::vector<CallRecord>> exchange(std::vector<Request> requests);
     boost::asio::awaitable<void> submit();
     boost::asio::awaitable<void> cancel();
+    // Cancels the job, again while there is no answer.
+    boost::asio::awaitable<void> cancelJob(std::string job);
     boost::asio::awaitable<void> askSeveral();
     boost::asio::awaitable<void> pause(Duration wait);
     std::string message(const Request &request) const;
--- a/testing/soak/oracle.cc
+++ b/testing/soak/oracle.cc
@@ -23,9 +23,9 @@
 
 std::string_view promiseName(Promise promise)
 {
-    static constexpr std::array<std::string_view, 9> Names = {
-        "known",  "completed", "true-state",    "runs-once", "starts",
-        "placed", "answered",  "key-withdrawn", "stays-up"};
+    static constexpr std::array<std::string_view, 10> Names = {
+        "known",  "completed", "true-state",    "runs-once",    "starts",
+        "placed", "answered",  "key-withdrawn", "cancel-holds", "stays-up"};
     return Names[static_cast<size_t>(promise)];
 }
 
@@ -109,6 +109,9 @@
     const bool succeeded = record.status >= 200 && record.status < 300;
     if (record.kind == CallKind::Submit && succeeded && !job.acceptedAt)
         job.acceptedAt = record.endedAt;
+    const bool cancelled = record.kind == CallKind::Cancel && (succeeded || record.status == 410);
+    if (cancelled && !job.cancelledAt)
+        job.cancelledAt = record.endedAt;
     if (record.kind == CallKind::State && succeeded)
         checkState(record, job);
     if (record.kind == CallKind::State && (succeeded || record.status == 410))
@@ -222,6 +225,19 @@
                  what + " beside " + std::to_string(beside) + " tasks of its step");
 }
 
+// Holds also for a job that was unknown when it was cancelled.
+void Oracle::checkCancelled(const Job &job, const std::string &what, Instant at)
+{
+    const Instant from = at - m_options.contactTime;
+    if (!job.cancelledAt || !m_disturbances.allCalm(from, at))
+        return;
+    count(Promise::CancelHolds);
+    if (at - *job.cancelledAt > m_options.cancelDelay)
+        violatedBound(Promise::CancelHolds, from, at,
+                      what + ", " + std::to_string((at - *job.cancelledAt).count())
+                          + " ms after the cancellation of its job was answered");
+}
+
 void Oracle::ran(const emulator::RunEvent &event)
 {
     const auto found = m_jobs.find(jobOf(event.task));
@@ -241,6 +257,7 @@
         if (task.acknowledged)
             violated(Promise::RunsOnce, event.at, where + " after its end was acknowledged");
         checkPlaced(job, task, worker, where, event.at);
+        checkCancelled(job, where, event.at);
         ++task.running;
         task.runsOn = worker;
         return;
--- a/testing/soak/oracle.h
+++ b/testing/soak/oracle.h
@@ -28,6 +28,7 @@
     Placed, // a step starts after the earlier ones, and not too often on one worker
     Answered, // a stop cuts no request that has been on its way for longer than a moment
     KeyWithdrawn, // a withdrawn key admits nothing
+    CancelHolds, // nothing of a job starts long after its cancellation was answered
     StaysUp, // a process ends only if it is told to, and soon enough
 };
 std::string_view promiseName(Promise promise);
@@ -47,6 +48,7 @@
     Duration answerSlack{200}; // a request sent no longer ago may be cut by a stop
     Duration visibleDelay{3'000}; // after its acceptance a job is known everywhere
     Duration drainTime{2'000}; // after which a worker that leaves gets no more starts
+    Duration cancelDelay{3'000}; // in which a cancelled job may still start tasks
     Duration restartDelay{6'000}; // in which a long-running task runs again
     Duration startDelay{3'000}; // in which a ready step starts that has room twice over
     Duration startCalmTime{4'000}; // after a disturbance the bound on starts holds again
@@ -143,6 +145,7 @@
         std::map<std::string, Task> tasks;
         std::optional<Instant> acceptedAt;
         bool cancelSent = false;
+        std::optional<Instant> cancelledAt; // when it was first answered with success or "unknown"
         bool refused = false;
         std::optional<Instant> lastDoneAt; // when its last task has ended
     };
@@ -168,6 +171,7 @@
     void checkKey(const CallRecord &record);
     void checkPlaced(const Job &job, const Task &task, const std::string &worker,
                      const std::string &what, Instant at);
+    void checkCancelled(const Job &job, const std::string &what, Instant at);
     static bool isDone(const Job &job);
 
     OracleOptions m_options;
--- a/testing/soak/oracle_test.cc
+++ b/testing/soak/oracle_test.cc
@@ -76,6 +76,24 @@
     EXPECT_THAT(broken(), IsEmpty());
 }
 
+// Guards against an oracle that misses tasks of a job which its caller was told not to exist.
+TEST_F(OracleTest, NothingStartsLongAfterACancellationWasAnswered)
+{
+    m_oracle.cancelling("job");
+    call(record(CallKind::Cancel, "job", 503));
+    pass(Options.cancelDelay * 2);
+    started(Task);
+    EXPECT_THAT(broken(), IsEmpty()) << "it was not answered";
+    call(record(CallKind::Cancel, "job", 410));
+    pass(Options.cancelDelay);
+    started(OtherTask);
+    EXPECT_THAT(broken(), IsEmpty());
+    ended(OtherTask, "failed");
+    pass(Duration(100));
+    started(OtherTask, 2);
+    EXPECT_THAT(broken(), ElementsAre("cancel-holds"));
+}
+
 TEST_F(OracleTest, AnAcceptedJobWithoutAnyAnswerIsLost)
 {
     submit("job");
