--- a/src/control/timer.h
+++ b/src/control/timer.h
@@ -31,11 +31,11 @@
     virtual void cancel(Number number) = 0;
 
     // Null: timers wait on the event loop. Set it while no timer exists.
-    static VirtualTimers *installed() { return s_installed; }
-    static void install(VirtualTimers *timers) { s_installed = timers; }
+    static VirtualTimers *installed() { return installedTimers; }
+    static void install(VirtualTimers *timers) { installedTimers = timers; }
 
 private:
-    static inline VirtualTimers *s_installed = nullptr;
+    static inline VirtualTimers *installedTimers = nullptr;
 };
 
 class Timer
