--- a/testing/soak/fault_driver.cc
+++ b/testing/soak/fault_driver.cc
@@ -50,6 +50,7 @@
         {"busy_log", 1, &FaultDriver::busyLog},
         {"slow_log", 1, &FaultDriver::slowLog},
         {"lossy_log", 1, &FaultDriver::lossyLog},
+        {"late_appends", 1, &FaultDriver::lateAppends},
         {"forget_history", 1, &FaultDriver::forgetHistory},
         {"silence_log_links", 3, &FaultDriver::silenceLogLinks},
         {"leave_workers", 2, &FaultDriver::leaveWorkers},
@@ -312,6 +313,19 @@
         length);
 }
 
+// No append is answered, for about as long as callers wait, and all are carried out later.
+asio::awaitable<void> FaultDriver::lateAppends()
+{
+    const Duration late = between(3'000, 6'000);
+    const Duration length = between(2'000, 3'200);
+    co_await disturbLog(
+        [late](emulator::LogFaults &it, bool on) {
+            it.lostAnswerShare = on ? 1 : 0;
+            it.lostAppendDelay = late;
+        },
+        length);
+}
+
 asio::awaitable<void> FaultDriver::silenceLogLinks()
 {
     constexpr uint64_t SilentOfTen = 7;
--- a/testing/soak/fault_driver.h
+++ b/testing/soak/fault_driver.h
@@ -67,6 +67,7 @@
     boost::asio::awaitable<void> busyLog();
     boost::asio::awaitable<void> slowLog();
     boost::asio::awaitable<void> lossyLog();
+    boost::asio::awaitable<void> lateAppends();
     boost::asio::awaitable<void> forgetHistory();
     // The open connections of most instances to the log go silent for good, beside a takeover,
     // leaving workers and a new configuration.
