--- a/testing/emulator/modelled_workers.cc
+++ b/testing/emulator/modelled_workers.cc
@@ -23,12 +23,12 @@
 
 RunOutcome outcomeOf(const std::string &how)
 {
-    static const std::map<std::string, RunOutcome> Outcomes = {
+    static const std::map<std::string, RunOutcome> outcomes = {
         {"done", RunOutcome::Succeeded},    {"failed", RunOutcome::Failed},
         {"stopped", RunOutcome::Stopped},   {"lapsed", RunOutcome::LeaseLapsed},
         {"broken", RunOutcome::GangBroken}, {"alone", RunOutcome::GangIncomplete},
     };
-    return Outcomes.at(how);
+    return outcomes.at(how);
 }
 
 StartOutcome outcomeOf(StartReply reply)
