--- a/testing/emulator/restarted_worker_simulation_test.cc
+++ b/testing/emulator/restarted_worker_simulation_test.cc
@@ -175,11 +175,6 @@
     return given == nullptr ? Default : std::strtoull(given, nullptr, 10);
 }
 
-std::string seedName(const ::testing::TestParamInfo<uint64_t> &info)
-{
-    return "Seed" + std::to_string(info.param);
-}
-
 class RestartedWorkerSimulationTest : public RestartedWorkerSimulation,
                                       public ::testing::WithParamInterface<uint64_t>
 {
@@ -252,12 +247,12 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Drawn, RestartedWorkerSimulationTest,
-                         ::testing::Range<uint64_t>(1, seedCount() + 1), seedName);
+                         ::testing::Range<uint64_t>(1, seedCount() + 1));
 INSTANTIATE_TEST_SUITE_P(Drawn, LateOrderSimulationTest,
-                         ::testing::Range<uint64_t>(1, seedCount() + 1), seedName);
+                         ::testing::Range<uint64_t>(1, seedCount() + 1));
 INSTANTIATE_TEST_SUITE_P(Drawn, LateOrderAcknowledgementTest,
-                         ::testing::Range<uint64_t>(1, seedCount() + 1), seedName);
+                         ::testing::Range<uint64_t>(1, seedCount() + 1));
 INSTANTIATE_TEST_SUITE_P(Drawn, LateOrderTakeoverTest,
-                         ::testing::Range<uint64_t>(1, seedCount() + 1), seedName);
+                         ::testing::Range<uint64_t>(1, seedCount() + 1));
 
 } // namespace cardamompaddle::emulator
