Settings of the optional scheduling policies; interrupted services get calls first

Change: steps with interrupted long-running tasks go first among the overdue steps, without the wait of 1 s, and first in the order of work.

--- a/src/control/instance_tenure.cc
+++ b/src/control/instance_tenure.cc
@@ -182,6 +182,7 @@
     options.offRackFactor = m_options.offRackFactor;
     options.terminalRetention = m_options.terminalRetention;
     options.formerLeases = m_formerLeases;
+    options.policies = m_options.policies;
     m_jobs->setPollInterval(SchedulerPollInterval);
     m_hasHeldTenure = true;
     updateClaimWait();
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -70,7 +70,8 @@
                     },
                     [this](const TaskRef &task) {
                         return m_links ? m_links->lateStartWorkers(task) : nullptr;
-                    }},
+                    },
+                    m_options.policies},
                    [](const DispatchEvent &event) {
                        logInfo(event.name,
                                (event.job.empty() ? "" : "job=" + event.job + " ") + event.detail);
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -138,24 +138,32 @@
     };
     ApprovalOrder out;
     out.others = stepsByUrgency(now, unixMs, needsApproval);
-    std::vector<std::pair<Instant, Step *>> waits; // since when it has waited for a call
+    struct Wait
+    {
+        bool interrupted;
+        Instant since; // when the wait for a call began
+        Step *step;
+    };
+    std::vector<Wait> waits;
     std::erase_if(out.others, [&](Step *step) {
         const auto since = waitsForCallSince(*step, now, unixMs);
-        if (!since || now - *since < MaxCallWait)
+        const bool interrupted = isInterrupted(*step);
+        if (!since || (!interrupted && now - *since < MaxCallWait))
             return false;
-        waits.emplace_back(*since, step);
+        waits.push_back({interrupted, *since, step});
         return true;
     });
-    std::stable_sort(waits.begin(), waits.end(),
-                     [](const auto &a, const auto &b) { return a.first < b.first; });
+    std::stable_sort(waits.begin(), waits.end(), [](const Wait &a, const Wait &b) {
+        return std::pair(!a.interrupted, a.since) < std::pair(!b.interrupted, b.since);
+    });
     const auto turnOf = [this](const Step *step) {
         return approvalTurn(*step, mayHaveUnrecordedRuns(*step->job));
     };
     std::stable_sort(out.others.begin(), out.others.end(),
                      [&](const Step *a, const Step *b) { return turnOf(a) < turnOf(b); });
     out.overdue.reserve(waits.size());
-    for (const auto &[since, step] : waits)
-        out.overdue.push_back(step);
+    for (const Wait &wait : waits)
+        out.overdue.push_back(wait.step);
     return out;
 }
 
--- a/src/dispatch/dispatcher_approvals_test.cc
+++ b/src/dispatch/dispatcher_approvals_test.cc
@@ -503,5 +503,42 @@
     EXPECT_EQ(decide().starts.size(), 1U);
 }
 
+// Load: more steps than callers can ask for, for many seconds. Guards against a long-running task
+// that waits behind all of them once its run has failed, while its users are without it.
+TEST_F(ApprovalsTest, AnInterruptedLongRunningTaskGetsTheNextCall)
+{
+    joinWorkers(40);
+    work::StepSpec service = step(1, WorkerCpuMilli);
+    service.longRunning = true;
+    m_jobRoute = "batch";
+    add("service", {service});
+    const auto first = next();
+    m_dispatcher.approvalRequested(*first);
+    answer(*first, m_now, 1);
+    const auto starts = startAll();
+    ASSERT_EQ(starts.size(), 1U);
+    m_jobRoute = "r";
+    for (int i = 0; i < 20; ++i)
+        add("quick" + std::to_string(i), {step(4, 1'000)});
+    decide();
+    m_now += Duration(5'000); // all of them are overdue
+    report(starts[0].worker, {}, {ended(starts[0], RunOutcome::Failed)});
+    m_now += Duration(50); // the backoff after the failure
+    decide();
+    const auto calls = [this] {
+        std::vector<std::string> out;
+        for (int i = 0; i < 2; ++i) {
+            const auto pending = next();
+            if (!pending)
+                break;
+            m_dispatcher.approvalRequested(*pending);
+            out.push_back(pending->step.job);
+        }
+        return out;
+    }();
+    EXPECT_NE(std::find(calls.begin(), calls.end(), "service"), calls.end())
+        << "neither of the next two calls is for the interrupted task";
+}
+
 } // namespace
 } // namespace cardamompaddle
--- a/src/dispatch/dispatcher_order.cc
+++ b/src/dispatch/dispatcher_order.cc
@@ -69,6 +69,17 @@
     return !task.previousWorker.empty() && m_unreconciled.contains(task.previousWorker);
 }
 
+// Returns whether a long-running task of the step has run and does not run any more. Its users are
+// without it until it is started again, so such steps go before all other work.
+bool Dispatcher::Impl::isInterrupted(const Step &step)
+{
+    return step.spec->longRunning
+           && std::any_of(step.tasks.begin(), step.tasks.end(), [](const Task &task) {
+                  return task.state == TaskState::Waiting
+                         && (task.lastRun > 0 || !task.previousWorker.empty());
+              });
+}
+
 // Returns whether the step is a gang that has waited long enough to go before the other work of its
 // priority.
 bool Dispatcher::Impl::hasPrecedence(const Step &step, Instant now)
@@ -88,7 +99,7 @@
 Dispatcher::Impl::stepsByUrgency(Instant now, int64_t unixMs,
                                  const std::function<bool(const Step &)> &accepts)
 {
-    using Key = std::tuple<int32_t, Instant, UrgencyClass, int64_t, int64_t, uint64_t>;
+    using Key = std::tuple<bool, int32_t, Instant, UrgencyClass, int64_t, int64_t, uint64_t>;
     std::vector<std::pair<Key, Step *>> keyed;
     for (const auto &[id, job] : m_jobs) {
         const WorkRoute *route = job->isTerminal() ? nullptr : routeOf(*job);
@@ -103,8 +114,8 @@
             const double weight = team == m_catalog->teams.end() ? 1 : team->second.weight;
             const int64_t share = dominantShareMillionths(*job->teamUse, m_total);
             const auto weightedShare = static_cast<int64_t>(static_cast<double>(share) / weight);
-            keyed.push_back({{route->priority, precedenceOf(*step, now), urgency, weightedShare,
-                              slack, job->sequence},
+            keyed.push_back({{!isInterrupted(*step), route->priority, precedenceOf(*step, now),
+                              urgency, weightedShare, slack, job->sequence},
                              step.get()});
         }
     }
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -131,6 +131,7 @@
     static bool hasTasksToStart(const Step &step);
     bool mayStartNow(const Step &step) const;
     bool mayBeRunningUnreported(const Task &task) const;
+    static bool isInterrupted(const Step &step);
     static bool hasPrecedence(const Step &step, Instant now);
     static Instant precedenceOf(const Step &step, Instant now);
     std::vector<Step *> stepsByUrgency(Instant now, int64_t unixMs,
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -137,7 +137,8 @@
 // Steps that may need approvals, in the order in which they get calls.
 struct ApprovalOrder
 {
-    std::vector<Step *> overdue; // ready steps that have waited too long for a call
+    // Ready steps with interrupted long-running tasks, and those that have waited too long.
+    std::vector<Step *> overdue;
     std::vector<Step *> others;
 };
 
