--- a/src/control/approval_requester.cc
+++ b/src/control/approval_requester.cc
@@ -20,8 +20,8 @@
 constexpr int MaxBackoffDoublings = 5;
 // After a failure while no other caller was answered either.
 constexpr Duration OutageBackoff{300};
-// One caller in this many makes only short calls, so that short calls do not queue behind long
-// ones. Applies only while a route has short calls.
+// With ApprovalStrategy::Fixed, one caller in this many makes only short calls, so that short calls
+// do not queue behind long ones. Applies only while a route has short calls.
 constexpr size_t CallersPerShortCaller = 3;
 // A call that repeats a late one is sent through two callers at once, and through twice as many for
 // each further late call, as the next ones may be cut off as well. Of the callers, one in
@@ -41,9 +41,11 @@
 
 ApprovalRequester::ApprovalRequester(const Clock &clock, PolicyGateway &policy, PeerGateway &peers,
                                      Dispatcher &dispatcher, std::string self,
-                                     std::function<void()> answered, ApprovalObserver observer)
+                                     std::function<void()> answered, ApprovalObserver observer,
+                                     ApprovalStrategy strategy)
     : m_clock(clock), m_policy(policy), m_peers(peers), m_dispatcher(dispatcher),
-      m_self(std::move(self)), m_answered(std::move(answered)), m_observer(std::move(observer))
+      m_self(std::move(self)), m_answered(std::move(answered)), m_observer(std::move(observer)),
+      m_strategy(strategy)
 { }
 
 ApprovalRequester::~ApprovalRequester()
@@ -68,6 +70,22 @@
     m_dispatcher.setApprovalCallers({members.size() - idle.size(), members.size()});
 }
 
+size_t ApprovalRequester::shortCallsInProgress() const
+{
+    return static_cast<size_t>(
+        std::count_if(m_callers.begin(), m_callers.end(), [](const auto &it) {
+            return it.second.call && it.second.call->pending.decisionTime <= MaxShortCall;
+        }));
+}
+
+// Returns whether the caller at this position among the available ones makes only short calls.
+bool ApprovalRequester::makesOnlyShortCalls(size_t position, size_t callers, Instant now) const
+{
+    if (m_strategy == ApprovalStrategy::Fixed)
+        return position % CallersPerShortCaller == 0;
+    return position < m_reserve.size(callers, now);
+}
+
 ApprovalRequester::IdleCallers
 ApprovalRequester::idleCallers(const std::map<std::string, work::Member> &members, Instant now)
 {
@@ -78,12 +96,13 @@
             available.push_back(&member);
     }
     const bool hasShortCalls = m_dispatcher.hasApprovalsWithin(MaxShortCall);
+    m_reserve.observe(shortCallsInProgress(), now);
     IdleCallers out;
     for (size_t i = 0; i < available.size(); ++i) {
         if (m_callers[available[i]->name].call)
             continue;
         const bool shortOnly =
-            hasShortCalls && available.size() > 1 && i % CallersPerShortCaller == 0;
+            hasShortCalls && available.size() > 1 && makesOnlyShortCalls(i, available.size(), now);
         out.push_back({available[i], shortOnly ? MaxShortCall : Duration::max()});
     }
     return out;
--- a/src/control/approval_requester.h
+++ b/src/control/approval_requester.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "control/gateways.h"
+#include "control/short_call_reserve.h"
 #include "dispatch/dispatcher.h"
 #include "platform/worker.h"
 
@@ -45,7 +46,8 @@
     // requester.
     ApprovalRequester(const Clock &clock, PolicyGateway &policy, PeerGateway &peers,
                       Dispatcher &dispatcher, std::string self, std::function<void()> answered,
-                      ApprovalObserver observer = nullptr);
+                      ApprovalObserver observer = nullptr,
+                      ApprovalStrategy strategy = ApprovalStrategy::Fixed);
     ~ApprovalRequester();
     ApprovalRequester(const ApprovalRequester &) = delete;
     ApprovalRequester &operator=(const ApprovalRequester &) = delete;
@@ -88,6 +90,8 @@
     using IdleCallers = std::vector<IdleCaller>;
 
     void reportLateCalls(Instant now);
+    bool makesOnlyShortCalls(size_t position, size_t callers, Instant now) const;
+    size_t shortCallsInProgress() const;
     IdleCallers idleCallers(const std::map<std::string, work::Member> &members, Instant now);
     // Sends the calls that steps wait for. Removes the callers that it uses, and returns the calls
     // that repeat late ones.
@@ -113,6 +117,8 @@
     std::string m_self;
     std::function<void()> m_answered;
     ApprovalObserver m_observer;
+    ApprovalStrategy m_strategy;
+    ShortCallReserve m_reserve;
     std::map<std::string, Caller> m_callers;
     Instant m_answeredAt = Instant::min(); // when a call last succeeded
     std::string m_answeredCaller; // the caller of that call
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -151,7 +151,7 @@
                                             std::move(links));
     m_approvalRequester = std::make_unique<ApprovalRequester>(
         m_context.clock, m_context.policy, m_context.peers, m_dispatcher, m_options.tenure.holder,
-        [this] { schedulePass(); }, m_context.approvalObserver);
+        [this] { schedulePass(); }, m_context.approvalObserver, m_options.policies.approvals);
     LogFollower::Callbacks registry;
     registry.record = [this](const KeyedRecord &record) { onWorkerRecord(record); };
     registry.loaded = [this](const std::set<std::string> &ids) { onRegistryLoaded(ids); };
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -20,6 +20,9 @@
 constexpr size_t MaxWorkersPerCall = 100;
 // A policy service that takes at least SlowPerWorkerMs for each worker gets smaller calls.
 constexpr size_t MaxWorkersPerSlowCall = 30;
+// With ApprovalStrategy::Adaptive: the base time of a call is paid once for twice as many workers,
+// while the approvals stay valid for longer than the call takes.
+constexpr size_t MaxWorkersPerLargeSlowCall = 60;
 constexpr double SlowPerWorkerMs = 1;
 // Approvals are requested before a step becomes ready, by the expected time of the call plus this
 // margin, but only for steps that become ready within MaxApprovalLead.
@@ -106,9 +109,12 @@
                        [&id](const auto &it) { return it.second.workers.contains(id); });
 }
 
-size_t Dispatcher::Impl::maxWorkersPerCall(const ApprovalPolicy &policy)
+size_t Dispatcher::Impl::maxWorkersPerCall(const ApprovalPolicy &policy) const
 {
-    return policy.perWorkerMs >= SlowPerWorkerMs ? MaxWorkersPerSlowCall : MaxWorkersPerCall;
+    if (policy.perWorkerMs < SlowPerWorkerMs)
+        return MaxWorkersPerCall;
+    return m_options.policies.approvals == ApprovalStrategy::Adaptive ? MaxWorkersPerLargeSlowCall
+                                                                      : MaxWorkersPerSlowCall;
 }
 
 Duration Dispatcher::Impl::expectedCallTime(const ApprovalPolicy &policy, size_t workers)
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -203,7 +203,7 @@
     static int64_t placesWanted(const Step &step);
     static bool hasCall(const Step &step);
     static bool isRequested(const Step &step, const WorkerId &id);
-    static size_t maxWorkersPerCall(const ApprovalPolicy &policy);
+    size_t maxWorkersPerCall(const ApprovalPolicy &policy) const;
     static Duration expectedCallTime(const ApprovalPolicy &policy, size_t workers);
     static Duration approvalLead(const ApprovalPolicy &policy);
     double approvedShareOf(const std::string &route) const;
--- a/src/dispatch/scheduling_policies.h
+++ b/src/dispatch/scheduling_policies.h
@@ -38,6 +38,13 @@
 };
 inline constexpr std::array<std::string_view, 2> PreemptionScopeNames = {"account", "pool"};
 
+// How the calls to the policy service are sized and spread over the callers.
+enum class ApprovalStrategy : uint8_t {
+    Fixed, // a fixed part of the callers makes only short calls; long calls name few workers
+    Adaptive, // the part follows the need, and long calls name more workers
+};
+inline constexpr std::array<std::string_view, 2> ApprovalStrategyNames = {"fixed", "adaptive"};
+
 struct SchedulingPolicies
 {
     std::optional<FairShareOptions> fairShare;
@@ -45,6 +52,7 @@
     EstimateStrategy estimates = EstimateStrategy::Declared;
     double maxCopyShare = 0; // of a pool's processors that copies of runs may use; 0 to 1
     PreemptionScope preemption = PreemptionScope::Account;
+    ApprovalStrategy approvals = ApprovalStrategy::Fixed;
 };
 
 } // namespace cardamompaddle
