--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -51,7 +51,7 @@
     Duration terminalRetention{120'000};
     int64_t cpuMilli = 0; // processor of the machine in thousandths of a core; 0: unknown
     std::string availabilityZone;
-    SchedulingPolicies policies;
+    SchedulingPolicies policies = {};
 };
 
 class Instance
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -68,7 +68,7 @@
     // What the stored records of workers tell of their leases. `expiry` is set if the record
     // promises that nobody extends them.
     std::map<WorkerId, FormerLeases> formerLeases;
-    SchedulingPolicies policies;
+    SchedulingPolicies policies = {};
 };
 
 class Scheduler
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -41,7 +41,7 @@
     // start again, or null if there are none. The task runs on no other worker meanwhile: a run on
     // the only one of them ends with the incarnation that refuses the earlier start. May be null.
     std::function<const std::set<WorkerId> *(const TaskRef &)> lateStartWorkers = nullptr;
-    SchedulingPolicies policies;
+    SchedulingPolicies policies = {};
 };
 
 // A call to the policy service that a step needs before it can start.
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -147,20 +147,27 @@
     struct Wait
     {
         bool interrupted;
+        UrgencyClass urgency; // taken into account with ExpiredWorkOrder::Last
         Instant since; // when the wait for a call began
         Step *step;
     };
+    const bool byUrgency = m_options.policies.expiredWork == ExpiredWorkOrder::Last;
     std::vector<Wait> waits;
     std::erase_if(out.others, [&](Step *step) {
         const auto since = waitsForCallSince(*step, now, unixMs);
         const bool interrupted = isInterrupted(*step);
         if (!since || (!interrupted && now - *since < MaxCallWait))
             return false;
-        waits.push_back({interrupted, *since, step});
+        const WorkRoute &route = *routeOf(*step->job);
+        const UrgencyClass urgency =
+            byUrgency ? urgencyClass(*step, route, slackMs(*step, route, unixMs), unixMs)
+                      : UrgencyClass::InTime;
+        waits.push_back({interrupted, urgency, *since, step});
         return true;
     });
     std::stable_sort(waits.begin(), waits.end(), [](const Wait &a, const Wait &b) {
-        return std::pair(!a.interrupted, a.since) < std::pair(!b.interrupted, b.since);
+        return std::tuple(!a.interrupted, a.urgency, a.since)
+               < std::tuple(!b.interrupted, b.urgency, b.since);
     });
     const auto turnOf = [this](const Step *step) {
         return approvalTurn(*step, mayHaveUnrecordedRuns(*step->job));
--- a/src/dispatch/dispatcher_order.cc
+++ b/src/dispatch/dispatcher_order.cc
@@ -99,7 +99,8 @@
 Dispatcher::Impl::stepsByUrgency(Instant now, int64_t unixMs,
                                  const std::function<bool(const Step &)> &accepts)
 {
-    using Key = std::tuple<bool, int32_t, Instant, UrgencyClass, int64_t, int64_t, uint64_t>;
+    using Key = std::tuple<bool, bool, int32_t, Instant, UrgencyClass, int64_t, int64_t, uint64_t>;
+    const bool expiredLast = m_options.policies.expiredWork == ExpiredWorkOrder::Last;
     std::vector<std::pair<Key, Step *>> keyed;
     for (const auto &[id, job] : m_jobs) {
         const WorkRoute *route = job->isTerminal() ? nullptr : routeOf(*job);
@@ -114,9 +115,11 @@
             const double weight = team == m_catalog->teams.end() ? 1 : team->second.weight;
             const int64_t share = dominantShareMillionths(*job->teamUse, m_total);
             const auto weightedShare = static_cast<int64_t>(static_cast<double>(share) / weight);
-            keyed.push_back({{!isInterrupted(*step), route->priority, precedenceOf(*step, now),
-                              urgency, weightedShare, slack, job->sequence},
-                             step.get()});
+            const bool yields = expiredLast && urgency == UrgencyClass::Expired;
+            keyed.push_back(
+                {{!isInterrupted(*step), yields, route->priority, precedenceOf(*step, now), urgency,
+                  weightedShare, slack, job->sequence},
+                 step.get()});
         }
     }
     std::sort(keyed.begin(), keyed.end(),
--- a/src/dispatch/scheduling_policies.h
+++ b/src/dispatch/scheduling_policies.h
@@ -45,6 +45,13 @@
 };
 inline constexpr std::array<std::string_view, 2> ApprovalStrategyNames = {"fixed", "adaptive"};
 
+// The place of work whose job is so late that its completion has little value left.
+enum class ExpiredWorkOrder : uint8_t {
+    ByPriority, // after the other work of its priority
+    Last, // after the other work of all priorities
+};
+inline constexpr std::array<std::string_view, 2> ExpiredWorkOrderNames = {"by_priority", "last"};
+
 struct SchedulingPolicies
 {
     std::optional<FairShareOptions> fairShare;
@@ -53,6 +60,7 @@
     double maxCopyShare = 0; // of a pool's processors that copies of runs may use; 0 to 1
     PreemptionScope preemption = PreemptionScope::Account;
     ApprovalStrategy approvals = ApprovalStrategy::Fixed;
+    ExpiredWorkOrder expiredWork = ExpiredWorkOrder::ByPriority;
 };
 
 } // namespace cardamompaddle
