Preemption for room: runs of less urgent priority are stopped for a step without room

Quick steps wait 1 to 4 s for room on approved workers while the fleet is nine tenths full of batch runs with seconds of slack.

--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -51,7 +51,8 @@
 
 bool Dispatcher::Impl::hasRoom(const Worker &worker, const Step &step) const
 {
-    return (worker.used + worker.held + step.taskResources).fitsIn(worker.entry.capacity);
+    return (worker.used + worker.held + step.taskResources).fitsIn(worker.entry.capacity)
+           && hasRoomBesideReservations(worker, step);
 }
 
 bool Dispatcher::Impl::acceptsStarts(const Worker &worker, const WorkRoute &route) const
@@ -201,6 +202,7 @@
                                 Orders &out)
 {
     const Attempt &attempt = createAttempt(step, index, run, worker, now);
+    usePlace(step, worker);
     const auto approval = step.approvals.find(worker.entry.id);
     out.starts.push_back({worker.entry.id, taskRefOf(attempt), run, step.job->spec,
                           checkpointForStart(step, index),
@@ -254,6 +256,8 @@
         startRun(step, static_cast<int32_t>(i), nextRunNumber(task.lastRun), *worker, now, out);
     }
     setWaitReason(step, reason);
+    if (reason == WaitReason::Room)
+        preemptForRoom(step, route, now, unixMs);
 }
 
 WaitReason Dispatcher::Impl::reasonForNoWorker(const Step &step, const WorkRoute &route,
@@ -358,6 +362,7 @@
     resetHolds();
     updateUnreportedUse(unixMs);
     updateDemand(now, unixMs);
+    beginRoomSearch(now);
     const auto mayStart = [this, unixMs](const Step &step) {
         return mayStartNow(step) && isReady(step, unixMs);
     };
@@ -383,11 +388,20 @@
         at(attempt->stopSentAt + StopRetryInterval);
     for (const auto &[id, worker] : m_workers)
         at(worker->avoidUntil);
+    for (const WorkerId &id : m_reservedWorkers) {
+        const auto worker = m_workers.find(id);
+        if (worker == m_workers.end())
+            continue;
+        for (const RoomReservation &it : worker->second->reservations)
+            at(it.expires);
+    }
     for (const auto &[id, job] : m_jobs) {
         for (const auto &step : job->steps) {
             if (step->waiting == 0 || job->isTerminal())
                 continue;
             const work::Submission &spec = *job->spec;
+            if (step->waitReason == WaitReason::Room)
+                at(step->roomSearchAt);
             const int64_t due = spec.firstDueMs + step->occurrence * spec.intervalMs;
             if (spec.repetitions > 0 && due > unixMs)
                 at(now + Duration(due - unixMs));
--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -133,6 +133,7 @@
     worker.idleCpuTasks -= step.spec->usesIdleCpu ? 1 : 0;
     *step.job->teamUse -= step.taskResources;
     m_pendingStops.erase(&attempt);
+    m_roomStops.erase(&attempt);
     if (task.state == TaskState::Active) {
         task.state = TaskState::Waiting;
         ++step.waiting;
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -2,6 +2,7 @@
 // functions names the source file that defines it.
 #pragma once
 
+#include "dispatch/internal/room_search.h"
 #include "dispatch/internal/state.h"
 
 #include <functional>
@@ -237,6 +238,32 @@
     Resources reserveForUrgentWork(const Job &job, const WorkRoute &route) const;
     void preemptLessUrgent(const Step &step, const WorkRoute &route, int64_t unixMs);
 
+    // dispatcher_preemption.cc
+    void beginRoomSearch(Instant now);
+    void releaseRoomStops(Instant now);
+    void updateReservations(Instant now);
+    static Resources reservedForOthers(const Worker &worker, const Step &step);
+    Resources beingFreed(const Worker &worker) const;
+    bool hasRoomBesideReservations(const Worker &worker, const Step &step) const;
+    // Gives back the place that a start uses, and places that the step no longer needs.
+    void usePlace(const Step &step, Worker &worker);
+    void trimReservations(const Step &step);
+    void preemptForRoom(Step &step, const WorkRoute &route, Instant now, int64_t unixMs);
+    Instant wantsRoomSince(const Step &step, const WorkRoute &route, Instant now,
+                           int64_t unixMs) const;
+    int64_t tasksWithoutRoom(const Step &step, Instant now) const;
+    std::vector<Worker *> workersForRoom(const Step &step, const WorkRoute &route,
+                                         Instant now) const;
+    dispatch::WorkerOutlook &outlookOf(const Worker &worker, Instant now, int64_t unixMs);
+    static int64_t timeLeftMs(const Attempt &attempt, Instant now);
+    bool isPreemptibleForRoom(const Attempt &attempt, const WorkRoute &route, Instant now,
+                              int64_t unixMs) const;
+    void countAccounts();
+    void countPool(const std::string &pool);
+    void freeRoom(Step &step, const std::vector<dispatch::RoomOffer> &offers, int64_t missing,
+                  Instant now, int64_t unixMs);
+    void stopForRoom(Attempt &attempt, const Step &step, Instant now, int64_t unixMs);
+
     DispatchOptions m_options;
     EventSink m_events;
     std::shared_ptr<const Catalog> m_catalog = std::make_shared<Catalog>();
@@ -278,6 +305,11 @@
     std::vector<ThrottleOrder> m_throttles;
     dispatch::AttemptSet m_pendingStops; // stops are repeated until confirmed
     uint64_t m_nextAttemptSerial = 0;
+    // Runs that were stopped to make room, until they end or RoomHoldTime has passed.
+    dispatch::AttemptSet m_roomStops;
+    std::set<WorkerId> m_reservedWorkers; // with reservations; some may have gone
+    Instant m_nextRoomSearchAt = Instant::min();
+    dispatch::RoomSearch m_roomSearch;
 };
 
 } // namespace cardamompaddle
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -61,6 +61,8 @@
     bool started = false; // the worker has confirmed the start or listed the run
     bool survived = false; // too old to be blamed for a crash of its worker
     bool suspect = false; // its task had crashes on record when it was ordered
+    // When it was stopped to make room for another step; see Dispatcher::Impl::m_roomStops.
+    std::optional<Instant> roomStopAt;
 };
 
 // A run that had started shortly before its worker stopped answering.
@@ -94,6 +96,7 @@
     WorkerId lastFailedOn; // worker of the last failed run; avoided if another fits
     WorkerId previousWorker; // worker that an earlier scheduler placed it on; may be empty
     std::unique_ptr<Attempt> attempt; // set while Active
+    std::optional<Instant> preemptedAt; // when a run of it was last stopped to make room
 };
 
 // Compares records by a number instead of by address, so that equal calls give equal decisions.
@@ -176,6 +179,9 @@
     // has seen it.
     std::optional<Instant> readySince;
     Instant reportedAt = Instant::min(); // when reportOverdueTasks() last reported the step
+    // When it next asks for runs to be stopped for its room; see dispatcher_preemption.cc. Counts
+    // only while it waits for room.
+    Instant roomSearchAt = Instant::min();
     bool gangBroken = false; // remaining members must finish before the gang starts again
     Resources taskResources; // required by one task
     // Estimated run time of the longest chain from this step to the job's end.
@@ -233,6 +239,23 @@
 
 using JobSet = std::set<Job *, CompareByMember<&Job::sequence>>;
 
+// Places for tasks of a step on a worker where runs were stopped for it.
+struct RoomReservation
+{
+    StepRef step;
+    std::string team;
+    Resources taskResources;
+    int32_t places = 0;
+    Instant expires;
+
+    bool isFor(const Step &other) const
+    {
+        return step.step == other.number && step.occurrence == other.occurrence
+               && step.job == other.job->spec->id;
+    }
+    Resources amount() const { return taskResources * places; }
+};
+
 struct Worker
 {
     WorkerEntry entry;
@@ -244,6 +267,7 @@
     std::vector<std::pair<Resources *, Resources>> orphanedUse;
     Resources used;
     Resources held; // for a gang that waits; see dispatcher_holds.cc
+    std::vector<RoomReservation> reservations; // see dispatcher_preemption.cc
     std::optional<int64_t> incarnationStartedAtMs; // from the last report; Unix time
     Instant restartedAt = Instant::min(); // when a report first showed the present incarnation
     Instant knownSince = Instant::max(); // the first report
