Preemption for room: recorded decisions with the switch off, and a benchmark of a quick burst

A random sequence gives the same orders as while the scope is account (checksum on both). dispatcher_bench: quickBurst doubles the quick route on a full fleet for 4 s, with and without preemption, and counts the jobs in time; steadyLoad is unchanged (equal checksums at 48 and 350 workers).

--- a/src/bench/dispatcher_bench.cc
+++ b/src/bench/dispatcher_bench.cc
@@ -21,6 +21,13 @@
 constexpr Duration FlushInterval{24};
 constexpr Duration WarmUp{4'000};
 constexpr Duration Measured{4'000};
+// A burst of the quick route on a fleet that the steady load has filled to nine tenths.
+constexpr Duration BurstWarmUp{12'000};
+constexpr double BurstLoad = 1.5;
+constexpr double BurstQuickFactor = 2;
+constexpr Duration AfterBurst{8'000}; // in which jobs of the burst may still complete
+constexpr Duration StopTime{400}; // from a stop order to the end of the run
+constexpr Duration ResumeTime{425}; // lost by a run that resumes from a checkpoint
 constexpr int WorkersPerRack = 12;
 constexpr int BaseWorkers = 350; // the arrival rates below are for this many workers
 constexpr double QuickPerSecond = 28;
@@ -60,13 +67,28 @@
     double progress = 0;
 };
 
+struct JobCounts
+{
+    int64_t arrived = 0;
+    int64_t inTime = 0; // completed within the objective
+
+    double inTimePercent() const
+    {
+        return arrived == 0 ? 0
+                            : 100.0 * static_cast<double>(inTime) / static_cast<double>(arrived);
+    }
+};
+
 // A fleet with generated work. `load` scales the arrival rates. Not thread-safe.
 class Fleet
 {
 public:
-    Fleet(int workers, double load) : m_workers(static_cast<size_t>(workers)), m_load(load)
+    Fleet(int workers, double load, const SchedulingPolicies &policies = {})
+        : m_workers(static_cast<size_t>(workers)), m_load(load),
+          m_dispatcher(optionsWith(policies), nullptr)
     {
-        m_dispatcher.setCatalog(makeCatalog());
+        m_catalog = makeCatalog();
+        m_dispatcher.setCatalog(m_catalog);
         for (int i = 0; i < workers; ++i) {
             m_dispatcher.setWorker(makeWorker(i));
             report(i);
@@ -83,11 +105,39 @@
             advance();
     }
 
+    // Sets the objectives of customer A of contention.md.
+    void setObjectives()
+    {
+        auto catalog = std::make_shared<Catalog>(*makeCatalog());
+        catalog->routes["quick"].slowdownFactor = 1.5;
+        catalog->routes["quick"].latencyTarget = Duration(250);
+        catalog->routes["saved"].slowdownFactor = 2.2;
+        catalog->routes["saved"].latencyTarget = Duration(1'200);
+        m_catalog = catalog;
+        m_dispatcher.setCatalog(catalog);
+    }
+
     Costs costs;
+    JobCounts quick;
+    JobCounts saved;
+    bool countsJobs = false; // whether jobs that arrive are counted
+    int callsPerStep = 1; // of the policy service
+    double quickFactor = 1; // multiplies the arrival rate of the quick route
     int64_t starts = 0;
+    int64_t stops = 0;
     // Of all starts in their order; equal for versions that decide equally.
     uint32_t checksum = 0;
     size_t openJobs() const { return m_openJobs; }
+    // Returns the share of the processors that runs use now.
+    double usedPercent() const
+    {
+        int64_t used = 0;
+        for (const SimulatedWorker &worker : m_workers) {
+            for (const Run &run : worker.running)
+                used += run.cpuMilli;
+        }
+        return 100.0 * static_cast<double>(used) / static_cast<double>(m_cpuMilli);
+    }
 
 private:
     struct Run
@@ -96,6 +146,13 @@
         int64_t run = 0;
         Instant startedAt;
         Duration length{0}; // 0: runs on
+        int64_t cpuMilli = 0;
+        Instant stopsAt = Instant::max(); // once a stop was ordered
+    };
+    struct Due
+    {
+        JobCounts *counts = nullptr;
+        Instant at;
     };
     struct SimulatedWorker
     {
@@ -103,6 +160,13 @@
         int64_t lastPosition = 0;
     };
 
+    static DispatchOptions optionsWith(const SchedulingPolicies &policies)
+    {
+        DispatchOptions out;
+        out.offRackFactor = 2.0;
+        out.policies = policies;
+        return out;
+    }
     static std::string workerId(int number) { return "w" + std::to_string(number); }
     static std::shared_ptr<const Catalog> makeCatalog()
     {
@@ -140,6 +204,7 @@
         out.labels = {"kind-a", "rack" + std::to_string(number / WorkersPerRack)};
         const int64_t quarters = std::vector<int64_t>{4, 4, 2, 8}[m_random() % 4];
         out.capacity = {8'000 * quarters, 16'384 * quarters, 0, 0, 0};
+        m_cpuMilli += out.capacity.cpuMilli;
         return out;
     }
     static work::StepSpec makeStep(int32_t tasks, int64_t cpuMilli, int64_t memoryMb,
@@ -167,12 +232,21 @@
         }
         m_dispatcher.addJob(job, {}, false);
         ++m_openJobs;
+        if (!countsJobs || step.longRunning)
+            return;
+        const WorkRoute &row = m_catalog->routes.at(route);
+        const int64_t chainMs = step.estimatedMs * static_cast<int64_t>(job->steps.size());
+        JobCounts &counts = route == "quick" ? quick : saved;
+        ++counts.arrived;
+        m_due[job->id] = {&counts, m_now + row.latencyTarget
+                                       + Duration(static_cast<int64_t>(
+                                           row.slowdownFactor * static_cast<double>(chainMs)))};
     }
     void addArrivals()
     {
         const double seconds = static_cast<double>(Step.count()) / 1e3 * m_load
                                * static_cast<double>(m_workers.size()) / BaseWorkers;
-        m_quickDue += QuickPerSecond * seconds;
+        m_quickDue += QuickPerSecond * quickFactor * seconds;
         m_savedDue += SavedPerSecond * seconds;
         for (; m_quickDue >= 1; --m_quickDue)
             add("quick", makeStep(between(2, 18), between(2'000, 7'000), 7'800, 1'000),
@@ -204,17 +278,26 @@
                 report(static_cast<int>(i));
         }
         decide();
-        askApprovals();
+        for (int i = 0; i < callsPerStep; ++i)
+            askApprovals();
         if (m_now - m_flushedAt >= FlushInterval) {
             m_flushedAt = m_now;
             const CpuTimer timer(costs.progress);
-            for (const work::Progress &it : m_dispatcher.takeProgress(unixMs()))
-                m_openJobs -= it.state >= work::JobState::Completed ? 1 : 0;
+            for (const work::Progress &it : m_dispatcher.takeProgress(unixMs())) {
+                if (it.state < work::JobState::Completed)
+                    continue;
+                --m_openJobs;
+                if (const auto due = m_due.find(it.id); due != m_due.end()) {
+                    due->second.counts->inTime += m_now <= due->second.at ? 1 : 0;
+                    m_due.erase(due);
+                }
+            }
         }
     }
     bool isOver(const Run &run) const
     {
-        return run.length > Duration::zero() && m_now - run.startedAt >= run.length;
+        return m_now >= run.stopsAt
+               || (run.length > Duration::zero() && m_now - run.startedAt >= run.length);
     }
     void report(int number)
     {
@@ -224,8 +307,10 @@
         out.startedAtMs = 1;
         for (const Run &run : worker.running) {
             if (isOver(run)) {
-                out.ended.push_back(
-                    {++worker.lastPosition, run.task, run.run, RunOutcome::Succeeded, ""});
+                const bool stopped = m_now >= run.stopsAt;
+                out.ended.push_back({++worker.lastPosition, run.task, run.run,
+                                     stopped ? RunOutcome::Stopped : RunOutcome::Succeeded,
+                                     stopped ? "saved" : ""});
                 continue;
             }
             const int64_t percent =
@@ -248,18 +333,35 @@
             benchmark::DoNotOptimize(m_dispatcher.nextEvent(m_now, unixMs()));
         }
         starts += static_cast<int64_t>(orders.starts.size());
+        for (const StopOrder &order : orders.stops)
+            stop(order);
         for (const StartOrder &order : orders.starts) {
             for (const char it : order.worker + order.task.toString())
                 checksum = checksum * 31 + static_cast<unsigned char>(it);
-            const Duration mean(
-                order.job->steps[static_cast<size_t>(order.task.step.step)].estimatedMs);
+            const work::StepSpec &spec =
+                order.job->steps[static_cast<size_t>(order.task.step.step)];
             const auto number = static_cast<size_t>(std::stoi(order.worker.substr(1)));
-            m_workers[number].running.push_back({order.task, order.run, m_now, mean});
+            Duration length(spec.estimatedMs);
+            if (const auto saved = m_saved.find(order.task); saved != m_saved.end())
+                length = std::max(ResumeTime, length - saved->second + ResumeTime);
+            m_workers[number].running.push_back(
+                {order.task, order.run, m_now, length, spec.cpuMilli});
             const CpuTimer timer(costs.reports);
             m_dispatcher.startAnswered(order, StartOutcome::Started, m_now);
         }
     }
-    // Answers one call of the policy service in each simulated step. It approves 7 of 10 workers.
+    void stop(const StopOrder &order)
+    {
+        m_dispatcher.stopAnswered(order, m_now);
+        for (Run &run : m_workers[static_cast<size_t>(std::stoi(order.worker.substr(1)))].running) {
+            if (run.task != order.task || run.run != order.run || run.stopsAt != Instant::max())
+                continue;
+            run.stopsAt = m_now + StopTime;
+            m_saved[run.task] += m_now - run.startedAt;
+            ++stops;
+        }
+    }
+    // Answers one call of the policy service. It approves 7 of 10 workers.
     void askApprovals()
     {
         const CpuTimer timer(costs.approvals);
@@ -283,41 +385,47 @@
     double m_load = 1;
     double m_quickDue = 0;
     double m_savedDue = 0;
+    std::shared_ptr<const Catalog> m_catalog;
+    std::map<std::string, Due> m_due; // of the counted jobs, by ID
+    std::map<TaskRef, Duration> m_saved; // what stopped runs had done, by task
     int64_t m_jobCount = 0;
+    int64_t m_cpuMilli = 0; // of all workers
     size_t m_openJobs = 0;
     Instant m_now = instantFromMs(100'000);
     Instant m_flushedAt = m_now;
-    Dispatcher m_dispatcher{{1, 2.0}, nullptr};
+    Dispatcher m_dispatcher;
 };
 
+// Plays the load to the fleet once, and reports what it cost from `warmUp` on.
+void measure(benchmark::State &state, Fleet &fleet, Duration warmUp, double quickFactor)
+{
+    fleet.run(warmUp);
+    fleet.costs = {};
+    fleet.starts = 0;
+    fleet.stops = 0;
+    fleet.quickFactor = quickFactor;
+    fleet.countsJobs = true;
+    fleet.run(Measured);
+    const double seconds = static_cast<double>(Measured.count()) / 1e3;
+    state.counters["decide_ms_per_s"] = fleet.costs.decide / seconds;
+    state.counters["next_event_ms_per_s"] = fleet.costs.nextEvent / seconds;
+    state.counters["approvals_ms_per_s"] = fleet.costs.approvals / seconds;
+    state.counters["reports_ms_per_s"] = fleet.costs.reports / seconds;
+    state.counters["progress_ms_per_s"] = fleet.costs.progress / seconds;
+    state.counters["starts_per_s"] = static_cast<double>(fleet.starts) / seconds;
+    state.counters["stops_per_s"] = static_cast<double>(fleet.stops) / seconds;
+    state.counters["used_percent"] = fleet.usedPercent();
+    state.counters["checksum"] = fleet.checksum;
+    state.counters["open_jobs"] = static_cast<double>(fleet.openJobs());
+}
+
 // Arguments: workers, and load in percent of the steady arrival rates.
 void steadyLoad(benchmark::State &state)
 {
-    Costs costs;
-    double seconds = 0;
-    int64_t starts = 0;
-    size_t openJobs = 0;
-    uint32_t checksum = 0;
     while (state.KeepRunning()) {
         Fleet fleet(static_cast<int>(state.range(0)), static_cast<double>(state.range(1)) / 100);
-        fleet.run(WarmUp);
-        fleet.costs = {};
-        fleet.starts = 0;
-        fleet.run(Measured);
-        costs = fleet.costs;
-        starts = fleet.starts;
-        openJobs = fleet.openJobs();
-        checksum = fleet.checksum;
-        seconds = static_cast<double>(Measured.count()) / 1e3;
+        measure(state, fleet, WarmUp, 1);
     }
-    state.counters["decide_ms_per_s"] = costs.decide / seconds;
-    state.counters["next_event_ms_per_s"] = costs.nextEvent / seconds;
-    state.counters["approvals_ms_per_s"] = costs.approvals / seconds;
-    state.counters["reports_ms_per_s"] = costs.reports / seconds;
-    state.counters["progress_ms_per_s"] = costs.progress / seconds;
-    state.counters["starts_per_s"] = static_cast<double>(starts) / seconds;
-    state.counters["checksum"] = checksum;
-    state.counters["open_jobs"] = static_cast<double>(openJobs);
 }
 BENCHMARK(steadyLoad)
     ->ArgNames({"workers", "load"})
@@ -325,6 +433,30 @@
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
 
+// Arguments: workers, and whether runs may be preempted for room.
+void quickBurst(benchmark::State &state)
+{
+    SchedulingPolicies policies;
+    if (state.range(1) != 0)
+        policies.preemption = PreemptionScope::Pool;
+    while (state.KeepRunning()) {
+        Fleet fleet(static_cast<int>(state.range(0)), BurstLoad, policies);
+        fleet.setObjectives();
+        fleet.callsPerStep = std::max(1, static_cast<int>(state.range(0)) / BaseWorkers);
+        measure(state, fleet, BurstWarmUp, BurstQuickFactor);
+        fleet.countsJobs = false;
+        fleet.quickFactor = 1;
+        fleet.run(AfterBurst);
+        state.counters["quick_in_time_percent"] = fleet.quick.inTimePercent();
+        state.counters["saved_in_time_percent"] = fleet.saved.inTimePercent();
+    }
+}
+BENCHMARK(quickBurst)
+    ->ArgNames({"workers", "preemption"})
+    ->ArgsProduct({{350, 2'000}, {0, 1}})
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
 } // namespace
 } // namespace cardamompaddle
 
--- a/src/dispatch/dispatcher_preemption_test.cc
+++ b/src/dispatch/dispatcher_preemption_test.cc
@@ -18,6 +18,7 @@
 constexpr int64_t QuickCpuMilli = 4'500;
 constexpr int64_t WorkerCpuMilli = 3 * BatchCpuMilli;
 constexpr int Workers = 60; // a tenth of them has the processors of 18 batch runs
+constexpr int RandomWorkers = 20;
 constexpr Duration BatchTime{3'800};
 
 SchedulingPolicies policiesWith(PreemptionScope scope)
@@ -101,8 +102,10 @@
             m_running.push_back(order);
             m_startedAt[{order.task, order.run}] = m_now;
         }
-        for (const StopOrder &order : orders.stops)
+        for (const StopOrder &order : orders.stops) {
             m_dispatcher.stopAnswered(order, m_now);
+            m_stopping.insert({order.task, order.run});
+        }
         return orders;
     }
     // Fills all workers with batch runs that have run for `ran` and are at 30 percent.
@@ -155,7 +158,40 @@
             return isOver;
         });
         for (const auto &[id, runs] : active)
-            report(id, runs, over[id]);
+            report(id, runs, over[id], 1 + m_restarts[id]);
+    }
+    bool chance(int percent) { return static_cast<int>(m_random() % 100) < percent; }
+    // Submits and cancels jobs; those of step `i` of a sequence.
+    void submitRandomly(int i)
+    {
+        work::StepSpec batch = batchStep(6);
+        batch.estimatedMs = 8'000;
+        if (i % 11 == 0) // nearly fills the workers
+            submit("b" + std::to_string(i), "batch", batch, chance(50) ? "t" : "u");
+        if (chance(i % 100 < 25 ? 60 : 10)) // a burst in each fourth part of the time
+            submit("q" + std::to_string(i), "quick", quickStep(6), chance(30) ? "t" : "v");
+        if (chance(5))
+            m_dispatcher.cancelJob("q" + std::to_string(m_random() % (i + 1)));
+    }
+    // Ends runs that are done, and some that are being stopped; restarts workers.
+    void passTimeRandomly()
+    {
+        m_now += Duration(20 + m_random() % 80);
+        std::vector<StopOrder> stopped;
+        std::vector<StopOrder> succeeded;
+        for (const StartOrder &it : m_running) {
+            if (m_stopping.contains({it.task, it.run}) && chance(20))
+                stopped.push_back({it.worker, it.task, it.run});
+            else if (percentOf(it) == 100 && chance(50))
+                succeeded.push_back({it.worker, it.task, it.run});
+        }
+        endRuns(stopped, RunOutcome::Stopped, -1);
+        endRuns(succeeded, RunOutcome::Succeeded, -1);
+        if (chance(97))
+            return;
+        const WorkerId id = "w" + std::to_string(100 + m_random() % RandomWorkers);
+        std::erase_if(m_running, [&id](const StartOrder &it) { return it.worker == id; });
+        report(id, {}, {}, 1 + ++m_restarts[id]);
     }
     static int64_t startsOf(const std::string &job, const Orders &orders)
     {
@@ -167,6 +203,9 @@
     const Instant m_beganAt = m_now;
     std::vector<StartOrder> m_running;
     std::map<RunRef, Instant> m_startedAt;
+    std::set<RunRef> m_stopping;
+    std::map<WorkerId, int64_t> m_restarts;
+    std::mt19937_64 m_random;
     int m_reports = 0;
 };
 
@@ -209,6 +248,28 @@
     EXPECT_FALSE(m_dispatcher.nextEvent(m_now, unixMs()));
 }
 
+// Guards against a change of decisions while the switch is off: compares the orders of a random
+// sequence with those that the version before the switch gave.
+TEST_F(AccountScopeTest, DecidesAsRecordedBeforeTheSwitch)
+{
+    constexpr uint32_t Recorded = 3'711'272'499;
+    joinWorkers(RandomWorkers);
+    uint32_t checksum = 0;
+    for (int i = 0; i < 300; ++i) {
+        submitRandomly(i);
+        const Orders orders = pass();
+        std::string text;
+        for (const StartOrder &it : orders.starts)
+            text += "+" + it.worker + it.task.toString();
+        for (const StopOrder &it : orders.stops)
+            text += "-" + it.worker + it.task.toString();
+        for (const char it : text)
+            checksum = checksum * 31 + static_cast<unsigned char>(it);
+        passTimeRandomly();
+    }
+    EXPECT_EQ(checksum, Recorded);
+}
+
 // Guards against freed room that another step takes before the step it was freed for.
 TEST_F(RoomPreemptionDispatchTest, KeepsTheFreedRoomForTheStep)
 {
@@ -488,7 +549,7 @@
                                  public ::testing::WithParamInterface<int>
 {
 protected:
-    bool chance(int percent) { return static_cast<int>(m_random() % 100) < percent; }
+    RandomRoomPreemptionTest() { m_random.seed(static_cast<uint64_t>(GetParam())); }
 
     void checkWorkers()
     {
@@ -514,10 +575,7 @@
         ASSERT_LE(std::ssize(m_freeing), RandomWorkers * 3 / 10);
     }
 
-    static constexpr int RandomWorkers = 20;
-    std::mt19937_64 m_random{static_cast<uint64_t>(GetParam())};
     std::map<std::string, Instant> m_freeing; // since when, by task and run
-    std::set<RunRef> m_stopping;
     size_t m_eventsSeen = 0;
 };
 
@@ -529,32 +587,13 @@
 {
     joinWorkers(RandomWorkers);
     for (int i = 0; i < 400; ++i) {
-        work::StepSpec batch = batchStep(6);
-        batch.estimatedMs = 8'000;
-        if (i % 11 == 0) // nearly fills the workers
-            submit("b" + std::to_string(i), "batch", batch, chance(50) ? "t" : "u");
-        if (chance(i % 100 < 25 ? 60 : 10)) // a burst in each fourth part of the time
-            submit("q" + std::to_string(i), "quick", quickStep(6), chance(30) ? "t" : "v");
-        if (chance(5))
-            m_dispatcher.cancelJob("q" + std::to_string(m_random() % (i + 1)));
-        const Orders orders = pass();
-        for (const StopOrder &it : orders.stops)
-            m_stopping.insert({it.task, it.run});
+        submitRandomly(i);
+        pass();
         checkWorkers();
         checkBound();
         if (HasFatalFailure())
             return;
-        m_now += Duration(20 + m_random() % 80);
-        std::vector<StopOrder> stopped;
-        std::vector<StopOrder> succeeded;
-        for (const StartOrder &it : m_running) {
-            if (m_stopping.contains({it.task, it.run}) && chance(20))
-                stopped.push_back({it.worker, it.task, it.run});
-            else if (percentOf(it) == 100 && chance(50))
-                succeeded.push_back({it.worker, it.task, it.run});
-        }
-        endRuns(stopped, RunOutcome::Stopped, -1);
-        endRuns(succeeded, RunOutcome::Succeeded, -1);
+        passTimeRandomly();
     }
     EXPECT_GT(eventDetails("run_preempted_for_room").size(), 10U);
     // Once all jobs but one are cancelled and all runs have ended, that one may use every worker.
