--- a/src/dispatch/dispatcher_preemption_test.cc
+++ b/src/dispatch/dispatcher_preemption_test.cc
@@ -301,6 +301,24 @@
     EXPECT_EQ(startsOf("batch", pass()), 1) << "the stopped run resumes in its former room";
 }
 
+// Guards against places that stay reserved for tasks which have started elsewhere.
+TEST_F(RoomPreemptionDispatchTest, GivesUpThePlacesOfTheTasksThatStartElsewhere)
+{
+    fill(Workers, Duration(1'200), batchStep(3));
+    const auto stops = stopsForQuick(4);
+    ASSERT_EQ(stops.size(), 2U);
+    ASSERT_EQ(stops[0].worker, stops[1].worker);
+    const auto elsewhere =
+        std::find_if(m_running.begin(), m_running.end(),
+                     [&stops](const StartOrder &it) { return it.worker != stops[0].worker; });
+    endRuns({{elsewhere->worker, elsewhere->task, elsewhere->run}}, RunOutcome::Succeeded);
+    EXPECT_EQ(startsOf("quick", pass()), 2);
+    endRuns(stops);
+    const Orders orders = pass();
+    EXPECT_EQ(startsOf("quick", orders), 2);
+    EXPECT_EQ(startsOf("batch", orders), 1) << "the other half of the room";
+}
+
 // Guards against room that stays unused after the job was cancelled.
 TEST_F(RoomPreemptionDispatchTest, GivesUpTheRoomWhenTheJobIsCancelled)
 {
@@ -482,7 +500,8 @@
     fill();
     size_t stopped = 0;
     for (int i = 0; i < 20; ++i) {
-        submit("quick" + std::to_string(i), "quick", quickStep(10));
+        for (int job = 0; job < 4; ++job)
+            submit("quick" + std::to_string(4 * i + job), "quick", quickStep(10));
         const auto stops = pass().stops;
         EXPECT_LE(stops.size(), 9U) << "half of a tenth of 180 runs in one decision";
         stopped += stops.size();
