--- a/src/dispatch/room_preemption_test.cc
+++ b/src/dispatch/room_preemption_test.cc
@@ -31,7 +31,7 @@
     return out;
 }
 
-PreemptionWorker workerWith(std::vector<int64_t> progressMs)
+PreemptionWorker workerWith(const std::vector<int64_t> &progressMs)
 {
     PreemptionWorker out;
     out.room = {1'000, 10'000, 0, 0, 0};
