Preemption for room: approvals of full workers where runs may be stopped

A step was asked for only on workers with room, so on a full pool it got no approval and no run was stopped for it, also for an interrupted long-running task.

--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -258,13 +258,15 @@
     if (settled || !isApprovalDue(step, now, unixMs))
         return std::nullopt;
     ApprovalCandidates candidates = approvalCandidates(step, now);
+    addFullWorkers(candidates, step, now, unixMs);
     const auto approvedPlaces = static_cast<double>(candidates.approvedPlaces);
     const bool enough = candidates.approvedPlaces >= step.waiting
                         || approvedPlaces + placesRequested(step) >= needed;
     const auto placeable = [&] {
         return !step.spec->gang || hasCall(step) || hasPlacement(step, now);
     };
-    if ((enough && placeable()) || (candidates.expired.empty() && candidates.unknown.empty()))
+    if ((enough && placeable())
+        || (candidates.expired.empty() && candidates.unknown.empty() && candidates.full.empty()))
         return std::nullopt;
     return callFor(step, std::move(candidates));
 }
@@ -308,6 +310,7 @@
     };
     consider(candidates.expired, 1);
     consider(candidates.unknown, approvedShareOf(step.job->spec->route));
+    consider(candidates.full, approvedShareOf(step.job->spec->route));
     // The tasks of a gang start together, so each further call would hold up all of them.
     if (!step.spec->gang) {
         const int64_t missing = placesWanted(step) - candidates.approvedPlaces;
@@ -315,7 +318,9 @@
     }
     for (size_t i = 0; i < out.workers.size(); ++i)
         out.expectedPlaces += static_cast<double>(chances[i].places) * chances[i].probability;
-    out.namesAll = out.workers.size() == candidates.expired.size() + candidates.unknown.size();
+    out.namesAll =
+        out.workers.size()
+        == candidates.expired.size() + candidates.unknown.size() + candidates.full.size();
     out.expectedCallTime = expectedCallTime(policy, out.workers.size());
     return out;
 }
--- a/src/dispatch/dispatcher_preemption.cc
+++ b/src/dispatch/dispatcher_preemption.cc
@@ -7,10 +7,12 @@
 // is temporary, so a stop that is never carried out keeps room from nobody for long. Reservations
 // change nothing but which step starts where: no task starts without free capacity.
 
+#include "base/hash.h"
 #include "dispatch/internal/impl.h"
 
 #include <algorithm>
 #include <cstdlib>
+#include <iterator>
 #include <utility>
 
 namespace cardamompaddle {
@@ -25,6 +27,8 @@
 // A step for which nothing could be stopped searches again after this time.
 constexpr Duration FailedSearchInterval{200};
 constexpr int32_t MaxSearchesPerDecision = 16;
+// Workers without room that are considered for an approval call.
+constexpr size_t MaxFullWorkersTried = 100;
 // Time that a worker takes to write a checkpoint and to end a run. Room that becomes free within
 // this time anyway is worth no stop.
 constexpr Duration StopTime{400};
@@ -295,6 +299,64 @@
     return out;
 }
 
+// Returns how many tasks of the step would fit if all runs were stopped there that may be.
+int64_t Dispatcher::Impl::placesByPreemption(const Worker &worker, const Step &step,
+                                             const WorkRoute &route, Instant now,
+                                             int64_t unixMs) const
+{
+    Resources room = worker.entry.capacity - worker.used;
+    for (const Attempt *attempt : worker.attempts) {
+        const WorkRoute *other = routeOf(*attempt->step->job);
+        if (other != nullptr && other->priority > route.priority
+            && isPreemptibleForRoom(*attempt, *other, now, unixMs))
+            room += attempt->step->taskResources;
+    }
+    const int64_t limit = step.spec->maxPerWorker > 0 ? step.spec->maxPerWorker : INT32_MAX;
+    return countFitting(room, step.taskResources, limit);
+}
+
+// Adds workers without room where runs could be stopped for the step, if those with room are too
+// few. Otherwise a step on a full pool would get no approvals, and hence no runs stopped for it.
+void Dispatcher::Impl::addFullWorkers(ApprovalCandidates &candidates, const Step &step, Instant now,
+                                      int64_t unixMs) const
+{
+    const WorkRoute &route = *routeOf(*step.job);
+    const Instant since = m_options.policies.preemption == PreemptionScope::Pool
+                              ? wantsRoomSince(step, route, now, unixMs)
+                              : Instant::max();
+    if (since > now + approvalLead(*route.approval))
+        return;
+    const double share = approvedShareOf(step.job->spec->route);
+    const auto placesOf = [](const ApprovalCandidates::List &list) {
+        int64_t out = 0;
+        for (const auto &[places, id] : list)
+            out += places;
+        return static_cast<double>(out);
+    };
+    double missing = static_cast<double>(step.waiting - candidates.approvedPlaces)
+                     - placesOf(candidates.expired) - share * placesOf(candidates.unknown);
+    // Steps begin at different workers, so that they do not all ask for the same ones.
+    const size_t skipped =
+        m_workers.empty() ? 0 : stableHash(step.job->spec->id, 0) % m_workers.size();
+    auto it = std::next(m_workers.begin(), static_cast<ptrdiff_t>(skipped));
+    for (size_t i = 0; i < m_workers.size() && i < MaxFullWorkersTried && missing > 0; ++i, ++it) {
+        if (it == m_workers.end())
+            it = m_workers.begin();
+        const Worker &worker = *it->second;
+        if (fittingTasks(worker, step) > 0 || step.deniedWorkers.contains(it->first)
+            || !isEligible(worker, step, route, now))
+            continue;
+        const auto places =
+            static_cast<double>(placesByPreemption(worker, step, route, now, unixMs));
+        const auto approval = step.approvals.find(it->first);
+        const bool approved = approval != step.approvals.end()
+                              && approval->second.expires >= now + StopTime + ApprovalMargin;
+        missing -= places * (approved ? 1 : share);
+        if (places > 0 && !approved && !isRequested(step, it->first))
+            candidates.full.emplace_back(static_cast<int64_t>(places), it->first);
+    }
+}
+
 // Numbers the accounts with work. What is being stopped for room no longer counts as their use,
 // what is reserved for them does.
 void Dispatcher::Impl::countAccounts()
--- a/src/dispatch/dispatcher_preemption_test.cc
+++ b/src/dispatch/dispatcher_preemption_test.cc
@@ -561,6 +561,29 @@
     EXPECT_EQ(stops[0].worker, "w102");
 }
 
+// Guards against a step that gets no approval, and hence no runs stopped for it, because no worker
+// has room when it asks.
+TEST_F(RoomPreemptionDispatchTest, AsksForApprovalsOfFullWorkersWhereRunsMayBeStopped)
+{
+    fill();
+    m_route.approval = ApprovalPolicy{Duration(27), 0.39, Duration(2'500)};
+    configure();
+    submit("quick", "quick", quickStep(2));
+    EXPECT_TRUE(pass().stops.empty());
+    const auto call = m_dispatcher.nextPendingApproval(m_now, unixMs(), Duration::max());
+    ASSERT_TRUE(call);
+    std::vector<work::Approval> answer;
+    for (const WorkerId &id : call->workers)
+        answer.emplace_back().worker = id;
+    m_dispatcher.approvalRequested(*call);
+    m_dispatcher.approvalAnswered(*call, &answer, m_now, m_now);
+    EXPECT_EQ(pass().stops.size(), 1U);
+    m_dispatcher.cancelJob("quick");
+    submit("low", "batch", batchStep(2));
+    EXPECT_FALSE(m_dispatcher.nextPendingApproval(m_now, unixMs(), Duration::max()))
+        << "nothing is less urgent";
+}
+
 namespace {
 
 // Random sequences of quick and batch jobs, ends, lost and late stops, restarts and cancellations.
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -258,6 +258,10 @@
     static int64_t timeLeftMs(const Attempt &attempt, Instant now);
     bool isPreemptibleForRoom(const Attempt &attempt, const WorkRoute &route, Instant now,
                               int64_t unixMs) const;
+    int64_t placesByPreemption(const Worker &worker, const Step &step, const WorkRoute &route,
+                               Instant now, int64_t unixMs) const;
+    void addFullWorkers(dispatch::ApprovalCandidates &candidates, const Step &step, Instant now,
+                        int64_t unixMs) const;
     void countAccounts();
     void countPool(const std::string &pool);
     void freeRoom(Step &step, const std::vector<dispatch::RoomOffer> &offers, int64_t missing,
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -153,6 +153,7 @@
     int64_t approvedPlaces = 0; // tasks that fit on workers with a valid approval
     List expired; // approved before
     List unknown; // not known to be approved or denied
+    List full; // the same, without room, where runs could be stopped for the step
 };
 
 // One step of one occurrence of a job.
