Dispatcher: expected run times under the strategy "learned"

With estimates.strategy = learned, the dispatcher learns from whole runs that succeed and uses the model for remaining chains and objectives, for placement (little slack to fast workers, much slack to slow ones), for slow workers and for steps that are due soon. A table of member functions holds what differs between the strategies; the former formulas are those of "declared".

--- a/src/dispatch/dispatcher_jobs.cc
+++ b/src/dispatch/dispatcher_jobs.cc
@@ -83,26 +83,39 @@
     checkCompleted(job);
 }
 
-// Computes the estimated run time of the longest chain from each step to the job's end. Steps
-// depend only on steps with lower numbers, so a pass in reverse order visits the dependents of a
-// step first.
-void Dispatcher::Impl::computeRemainingChains(Job &job)
+// Computes the expected run time of each step's tasks and of the longest chain from each step to
+// the job's end. Steps depend only on steps with lower numbers, so a pass in reverse order visits
+// the dependents of a step first.
+void Dispatcher::Impl::computeRemainingChains(Job &job) const
 {
     const std::vector<work::StepSpec> &specs = job.spec->steps;
-    std::vector<int64_t> remainingMs(specs.size(), 0);
-    for (size_t number = specs.size(); number-- > 0;) {
-        // So far the entry holds the longest chain of the step's dependents.
-        remainingMs[number] += specs[number].estimatedMs;
-        job.chainMs = std::max(job.chainMs, remainingMs[number]);
-        for (const int32_t before : specs[number].after) {
-            if (before >= 0 && before < static_cast<int32_t>(number)) {
-                int64_t &remaining = remainingMs[static_cast<size_t>(before)];
-                remaining = std::max(remaining, remainingMs[number]);
+    std::vector<int64_t> remainingMs(specs.size());
+    // Expected run times by step number, the same in each occurrence that has not begun.
+    std::vector<std::optional<int64_t>> initialMs(specs.size());
+    for (int32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
+        std::fill(remainingMs.begin(), remainingMs.end(), 0);
+        job.chainMs = 0; // in the end, that of the last occurrence
+        for (size_t number = specs.size(); number-- > 0;) {
+            Step &step = *job.step(occurrence, static_cast<int32_t>(number));
+            const bool begun = step.runTimes.weight > 0;
+            if (begun || !initialMs[number])
+                step.expectedMs = (this->*m_estimates.taskMs)(step);
+            else
+                step.expectedMs = *initialMs[number];
+            if (!begun)
+                initialMs[number] = step.expectedMs;
+            // So far the entry holds the longest chain of the step's dependents.
+            remainingMs[number] += step.expectedMs;
+            step.remainingChainMs = remainingMs[number];
+            job.chainMs = std::max(job.chainMs, remainingMs[number]);
+            for (const int32_t before : specs[number].after) {
+                if (before >= 0 && before < static_cast<int32_t>(number)) {
+                    int64_t &remaining = remainingMs[static_cast<size_t>(before)];
+                    remaining = std::max(remaining, remainingMs[number]);
+                }
             }
         }
     }
-    for (const auto &step : job.steps)
-        step->remainingChainMs = remainingMs[static_cast<size_t>(step->number)];
 }
 
 void Dispatcher::Impl::cancelJob(const std::string &id)
--- a/src/dispatch/dispatcher_order.cc
+++ b/src/dispatch/dispatcher_order.cc
@@ -42,7 +42,7 @@
             const double done = std::clamp(task.attempt->percent / 100.0, 0.0, 1.0);
             const double left = done > MinProgressForEstimate
                                     ? ran * (1 - done) / done
-                                    : static_cast<double>(dependency->spec->estimatedMs) - ran;
+                                    : (this->*m_estimates.attemptMs)(*task.attempt) - ran;
             if (left > static_cast<double>(lead.count()))
                 return false;
         }
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -174,7 +174,8 @@
     const Resources left = capacity - worker.used - step.taskResources;
     const double freeShare =
         fraction(left.cpuMilli, capacity.cpuMilli) + fraction(left.memoryMb, capacity.memoryMb);
-    double score = worker.slowdown * (1 + FreeShareWeight * freeShare);
+    double score =
+        (this->*m_estimates.placementFactor)(worker, step) * (1 + FreeShareWeight * freeShare);
     if (worker.slowUntil > now)
         score += SlowWorkerPenalty;
     const std::string &preferredRack = step.spec->preferredRack;
@@ -200,11 +201,12 @@
 void Dispatcher::Impl::startRun(Step &step, int32_t index, int64_t run, Worker &worker, Instant now,
                                 Orders &out)
 {
-    const Attempt &attempt = createAttempt(step, index, run, worker, now);
+    Attempt &attempt = createAttempt(step, index, run, worker, now);
     const auto approval = step.approvals.find(worker.entry.id);
     out.starts.push_back({worker.entry.id, taskRefOf(attempt), run, step.job->spec,
                           checkpointForStart(step, index),
                           approval == step.approvals.end() ? "" : approval->second.ticket});
+    attempt.resumed = !out.starts.back().checkpoint.empty();
     emitEvent("run_started", step.job->spec->id,
               "task=" + out.starts.back().task.toString() + " run=" + std::to_string(run)
                   + " worker=" + worker.entry.id
@@ -357,6 +359,7 @@
     Orders out;
     resetHolds();
     updateUnreportedUse(unixMs);
+    (this->*m_estimates.refresh)(now);
     updateDemand(now, unixMs);
     const auto mayStart = [this, unixMs](const Step &step) {
         return mayStartNow(step) && isReady(step, unixMs);
@@ -364,6 +367,7 @@
     for (Step *step : stepsByUrgency(now, unixMs, mayStart)) {
         const WorkRoute &route = *routeOf(*step->job);
         step->waitingSince = step->waitingSince.value_or(now);
+        step->speedPreference = (this->*m_estimates.speedPreference)(*step, route, unixMs);
         step->spec->gang ? placeGang(*step, route, now, unixMs, out)
                          : placeIndependent(*step, route, now, unixMs, out);
     }
--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -13,11 +13,6 @@
 // Run numbers to skip after a worker rejected a start because it has seen a higher number than this
 // scheduler knows.
 constexpr int64_t StaleRunSkip = 20;
-// Smoothing factor of a worker's slowdown: the weight of the latest run.
-constexpr double SlowdownWeight = 0.1;
-// Bounds of one run's ratio of run time to estimate, so that a wrong estimate has limited effect.
-constexpr double MinSlowdownSample = 0.25;
-constexpr double MaxSlowdownSample = 6;
 
 bool hasLatencyTarget(const Step &step)
 {
@@ -181,9 +176,7 @@
     if (step.spec->estimatedMs > 0 && outcome == RunOutcome::Succeeded
         && attempt.phase != AttemptPhase::Ordered) {
         const double ran = static_cast<double>((now - attempt.orderedAt).count());
-        const double ratio = std::clamp(ran / static_cast<double>(step.spec->estimatedMs),
-                                        MinSlowdownSample, MaxSlowdownSample);
-        worker.slowdown += SlowdownWeight * (ratio - worker.slowdown);
+        (this->*m_estimates.learnRun)(attempt, ran);
         step.longestRunMs = std::max(step.longestRunMs, static_cast<int64_t>(ran));
     }
     const std::string job = step.job->spec->id;
@@ -251,6 +244,7 @@
         }
         known->percentReported = true;
         updateFromReport(*known, run);
+        (this->*m_estimates.learnProgress)(*known, now);
         return known;
     }
     const Attempt *known = task != nullptr ? task->attempt.get() : nullptr;
@@ -328,6 +322,7 @@
             // run time counts from the answer.
             attempt->phase = AttemptPhase::Running;
             attempt->orderedAt = attempt->lastProgressAt = now;
+            attempt->startAnswered = true;
         }
         return;
     }
--- a/src/dispatch/dispatcher_testing.h
+++ b/src/dispatch/dispatcher_testing.h
@@ -32,10 +32,14 @@
 class DispatcherTest : public ::testing::Test
 {
 protected:
-    DispatcherTest() { setCatalog(); }
+    explicit DispatcherTest(SchedulingPolicies policies = {}) : m_policies(policies)
+    {
+        setCatalog();
+    }
 
     // Applies m_route and m_limit.
-    void setCatalog()
+    void setCatalog() { m_dispatcher.setCatalog(catalog()); }
+    std::shared_ptr<const Catalog> catalog() const
     {
         auto catalog = std::make_shared<Catalog>();
         WorkRoute route = m_route;
@@ -50,7 +54,7 @@
         team.name = "t";
         team.limit = m_limit;
         catalog->teams["t"] = team;
-        m_dispatcher.setCatalog(catalog);
+        return catalog;
     }
     WorkerEntry entry(const WorkerId &id, int64_t cpuMilli = 8'000)
     {
@@ -136,11 +140,13 @@
     Instant m_now = instantFromMs(100'000);
     std::vector<DispatchEvent> m_events;
     std::map<TaskRef, std::set<WorkerId>> m_lateStarts; // DispatchOptions::lateStartWorkers
+    SchedulingPolicies m_policies;
     Dispatcher m_dispatcher{{1, 2.0, nullptr,
                              [this](const TaskRef &task) {
                                  const auto it = m_lateStarts.find(task);
                                  return it == m_lateStarts.end() ? nullptr : &it->second;
-                             }},
+                             },
+                             m_policies},
                             [this](const DispatchEvent &event) { m_events.push_back(event); }};
     std::map<WorkerId, int64_t> m_positions;
     std::map<std::string, work::JobState::type> m_states;
--- a/src/dispatch/dispatcher_urgency.cc
+++ b/src/dispatch/dispatcher_urgency.cc
@@ -83,17 +83,23 @@
     return slackMs < 0 ? UrgencyClass::Late : UrgencyClass::InTime;
 }
 
+// Returns whether the team uses half of its limit or more.
+bool Dispatcher::Impl::usesHalfOfLimit(const Job &job) const
+{
+    const Resources *limit = limitOf(job);
+    const Resources &use = *job.teamUse;
+    const auto halfUsed = [](int64_t used, int64_t most) { return most > 0 && 2 * used >= most; };
+    return limit != nullptr
+           && (halfUsed(use.cpuMilli, limit->cpuMilli) || halfUsed(use.memoryMb, limit->memoryMb)
+               || halfUsed(use.accelerators, limit->accelerators));
+}
+
 // Returns whether the step has enough slack to let more urgent work of its team go first.
 bool Dispatcher::Impl::yieldsToUrgentWork(const Step &step, const WorkRoute &route,
                                           int64_t unixMs) const
 {
     // A team that uses less than half of its limit has capacity left for urgent work.
-    const Resources *limit = limitOf(*step.job);
-    const Resources &use = *step.job->teamUse;
-    const auto halfUsed = [](int64_t used, int64_t most) { return most > 0 && 2 * used >= most; };
-    if (limit == nullptr
-        || !(halfUsed(use.cpuMilli, limit->cpuMilli) || halfUsed(use.memoryMb, limit->memoryMb)
-             || halfUsed(use.accelerators, limit->accelerators)))
+    if (!usesHalfOfLimit(*step.job))
         return false;
     const auto minSlack =
         static_cast<int64_t>(MinSlackPerChain * static_cast<double>(step.remainingChainMs))
--- a/src/dispatch/dispatcher_workers.cc
+++ b/src/dispatch/dispatcher_workers.cc
@@ -153,6 +153,7 @@
         requeueRuns(worker, {}, "worker_restarted");
         worker.endPosition = 0;
         worker.slowdown = 1;
+        worker.runTimes = {};
         worker.restartedAt = now;
         forgetApprovals(id);
     }
@@ -210,16 +211,15 @@
 }
 
 // Returns the run time that is expected on a healthy worker, or 0 if too little is known yet.
-int64_t Dispatcher::Impl::expectedRunMs(const Attempt &attempt, Instant now)
+int64_t Dispatcher::Impl::expectedRunMs(const Attempt &attempt, Instant now) const
 {
     const Step &step = *attempt.step;
     if (attempt.phase != AttemptPhase::Running || !attempt.firstProgressAt
         || attempt.speedPercent < 100 || step.spec->longRunning || step.spec->gang
         || step.spec->usesIdleCpu)
         return 0;
-    // The tasks of a step are assumed to take about equally long.
     const bool hasFinishedSibling = step.longestRunMs > 0;
-    const int64_t expected = hasFinishedSibling ? step.longestRunMs : step.spec->estimatedMs;
+    const auto expected = static_cast<int64_t>((this->*m_estimates.healthyMs)(attempt));
     const Duration measured = now - *attempt.firstProgressAt;
     const bool enough = measured >= (hasFinishedSibling ? MinMeasuredTime : MinMeasuredTimeAlone)
                         && static_cast<double>(measured.count())
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -83,7 +83,7 @@
     void checkCompleted(Job &job);
     void taskSucceeded(Step &step, int32_t index);
     void taskFailed(Step &step, int32_t index, int64_t run, const WorkerId &workerId, Instant now);
-    static void computeRemainingChains(Job &job);
+    void computeRemainingChains(Job &job) const;
     void emitEvent(std::string_view name, const std::string &job, std::string detail) const;
 
     // dispatcher_runs.cc
@@ -117,7 +117,7 @@
                              Instant now);
     void avoidWorker(Worker &worker, Instant now, std::string_view why);
     void stopStalledRuns(Worker &worker, Instant now);
-    static int64_t expectedRunMs(const Attempt &attempt, Instant now);
+    int64_t expectedRunMs(const Attempt &attempt, Instant now) const;
     void detectSlowWorker(Worker &worker, Instant now);
     void throttleIdleCpuTasks(Worker &worker, Instant now);
     void releaseDraining(Worker &worker);
@@ -232,12 +232,56 @@
     static dispatch::UrgencyClass urgencyClass(const Step &step, const WorkRoute &route,
                                                int64_t slackMs, int64_t unixMs);
     int64_t slackMs(const Step &step, const WorkRoute &route, int64_t unixMs) const;
+    bool usesHalfOfLimit(const Job &job) const;
     bool yieldsToUrgentWork(const Step &step, const WorkRoute &route, int64_t unixMs) const;
     void updateDemand(Instant now, int64_t unixMs);
     Resources reserveForUrgentWork(const Job &job, const WorkRoute &route) const;
     void preemptLessUrgent(const Step &step, const WorkRoute &route, int64_t unixMs);
 
+    // dispatcher_estimates.cc
+    // How the strategies of EstimateStrategy differ.
+    struct EstimateFunctions
+    {
+        // Learns from a run that has succeeded after this time.
+        void (Impl::*learnRun)(Attempt &attempt, double ranMs);
+        // Learns from the progress of a run that takes long.
+        void (Impl::*learnProgress)(Attempt &attempt, Instant now);
+        // Returns the expected run time of a task of the step, or 0 if it is unknown.
+        int64_t (Impl::*taskMs)(const Step &step) const;
+        // Returns the expected run time of the attempt on its worker.
+        double (Impl::*attemptMs)(const Attempt &attempt) const;
+        // Returns the run time of the attempt that a healthy worker is expected to need.
+        double (Impl::*healthyMs)(const Attempt &attempt) const;
+        // Returns how much the step gains from a fast worker; see placementFactor.
+        double (Impl::*speedPreference)(const Step &step, const WorkRoute &route,
+                                        int64_t unixMs) const;
+        // Returns the factor of a worker's placement score that its speed gives.
+        double (Impl::*placementFactor)(const Worker &worker, const Step &step) const;
+        // Renews the expected times of some jobs and reports on the model.
+        void (Impl::*refresh)(Instant now);
+    };
+    static const EstimateFunctions &estimateFunctions(EstimateStrategy strategy);
+    static TaskProfile profileOf(const Step &step);
+    void learnDeclaredRun(Attempt &attempt, double ranMs);
+    void learnNoProgress(Attempt &attempt, Instant now);
+    int64_t declaredTaskMs(const Step &step) const;
+    double declaredAttemptMs(const Attempt &attempt) const;
+    double declaredHealthyMs(const Attempt &attempt) const;
+    double noSpeedPreference(const Step &step, const WorkRoute &route, int64_t unixMs) const;
+    double declaredPlacementFactor(const Worker &worker, const Step &step) const;
+    void refreshNothing(Instant now);
+    double runTimeOffRack(const Attempt &attempt) const;
+    void learnModelRun(Attempt &attempt, double ranMs);
+    void learnModelProgress(Attempt &attempt, Instant now);
+    int64_t modelTaskMs(const Step &step) const;
+    double modelAttemptMs(const Attempt &attempt) const;
+    double modelSpeedPreference(const Step &step, const WorkRoute &route, int64_t unixMs) const;
+    double modelPlacementFactor(const Worker &worker, const Step &step) const;
+    void refreshFromModel(Instant now);
+    void reportModel(Instant now);
+
     DispatchOptions m_options;
+    const EstimateFunctions &m_estimates = estimateFunctions(m_options.policies.estimates);
     EventSink m_events;
     std::shared_ptr<const Catalog> m_catalog = std::make_shared<Catalog>();
     std::set<std::string> m_zonesOut;
@@ -272,6 +316,10 @@
     std::map<std::string, dispatch::HeldLimit> m_heldLimit;
     // Whose steps can have no further run preempted for them in the present decision.
     std::set<TeamPriority> m_preemptionExhausted;
+    DurationModel m_durationModel;
+    std::string m_lastRefreshedJob; // by refreshFromModel()
+    Instant m_modelReportedAt = Instant::min();
+    int64_t m_reportedSamples = 0;
     Resources m_total; // capacity of all listed workers
     uint64_t m_nextSequence = 0;
     std::vector<StopOrder> m_orphanStops; // for orphaned runs; sent by the next decide()
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "dispatch/dispatcher.h"
+#include "estimates/duration_model.h"
 
 #include <map>
 #include <memory>
@@ -61,6 +62,9 @@
     bool started = false; // the worker has confirmed the start or listed the run
     bool survived = false; // too old to be blamed for a crash of its worker
     bool suspect = false; // its task had crashes on record when it was ordered
+    bool startAnswered = false; // `orderedAt` is when the worker answered the start order
+    bool resumed = false; // from a checkpoint
+    bool projected = false; // its progress was taken into account; see learnProgress()
 };
 
 // A run that had started shortly before its worker stopped answering.
@@ -178,8 +182,11 @@
     Instant reportedAt = Instant::min(); // when reportOverdueTasks() last reported the step
     bool gangBroken = false; // remaining members must finish before the gang starts again
     Resources taskResources; // required by one task
-    // Estimated run time of the longest chain from this step to the job's end.
+    int64_t expectedMs = 0; // run time of a task; see computeRemainingChains()
+    // Expected run time of the longest chain from this step to the job's end.
     int64_t remainingChainMs = 0;
+    StepTerm runTimes; // of EstimateStrategy::Learned
+    double speedPreference = 0; // see placementFactor(); of the present decision
     std::map<WorkerId, int32_t> perWorker; // active tasks; bounded by maxPerWorker
     std::map<WorkerId, KnownApproval> approvals;
     std::set<WorkerId> deniedWorkers;
@@ -209,7 +216,7 @@
     Resources *teamUse = nullptr; // resources in use by all jobs of its team
     std::vector<std::unique_ptr<Step>> steps; // by occurrence, then number
     int32_t active = 0;
-    int64_t chainMs = 0; // estimated run time of the longest chain of steps
+    int64_t chainMs = 0; // expected run time of the longest chain of steps
 
     bool isTerminal() const { return state >= work::JobState::Completed; }
     Step *step(int32_t occurrence, int32_t number) const;
@@ -262,7 +269,8 @@
     int32_t avoidanceCount = 0; // since the last success; lengthens the next avoidance
     Instant avoidUntil = Instant::min(); // gets no starts before
     Instant slowUntil = Instant::min(); // considered slow until then
-    double slowdown = 1; // smoothed ratio of run time to estimate
+    double slowdown = 1; // smoothed ratio of run time to estimate; of EstimateStrategy::Declared
+    WorkerTerm runTimes; // of the present incarnation; of EstimateStrategy::Learned
     std::optional<Instant> throttledAt; // when a throttle order was last issued
 
     // Whether nothing can be learned from the worker any more: it has left and holds no runs and no
--- a/src/estimates/duration_model.cc
+++ b/src/estimates/duration_model.cc
@@ -224,7 +224,7 @@
         return {task.declaredMs, PriorStepVariance + PriorRunVariance + worker.variance, 0};
     const double logDeclared = std::log(task.declaredMs);
     const Belief belief = stepBelief(*kind, step, logDeclared);
-    // A worker without samples counts as average, whatever the average is.
+    // As in logRelativeRunTime().
     const double workerMean = worker.samples == 0 ? m_averageWorker : worker.mean;
     return {std::exp(logDeclared + belief.mean + workerMean),
             belief.variance + kind->runVariance + worker.variance, kind->samples};
@@ -232,7 +232,7 @@
 
 double DurationModel::relativeRunTime(const WorkerTerm &worker) const
 {
-    return worker.samples == 0 ? 1 : std::exp(worker.mean - m_averageWorker);
+    return std::exp(logRelativeRunTime(worker));
 }
 
 } // namespace cardamompaddle
--- a/src/estimates/duration_model.h
+++ b/src/estimates/duration_model.h
@@ -90,6 +90,12 @@
     // Returns by which factor runs take longer on the worker than on an average one; below 1: it is
     // fast.
     double relativeRunTime(const WorkerTerm &worker) const;
+    // Returns its logarithm.
+    double logRelativeRunTime(const WorkerTerm &worker) const
+    {
+        // A worker without samples counts as average, whatever the average is.
+        return worker.samples == 0 ? 0 : worker.mean - m_averageWorker;
+    }
 
     ModelFit fit() const { return m_fit; }
 
