dispatcher_bench: a load with uneven workers and wrong estimates

The steady load has run times equal to their estimates, so learned estimates change nothing in it. unevenLoad measures both strategies.

--- a/src/bench/dispatcher_bench.cc
+++ b/src/bench/dispatcher_bench.cc
@@ -2,11 +2,13 @@
 //
 // Each benchmark plays jobs as they arrive, runs that end, reports of all workers and one pass
 // every PassInterval. It reports processor time in milliseconds for each simulated second.
+#include "base/hash.h"
 #include "dispatch/dispatcher.h"
 
 #include <benchmark/benchmark.h>
 
 #include <algorithm>
+#include <cmath>
 #include <ctime>
 #include <map>
 #include <memory>
@@ -60,11 +62,15 @@
     double progress = 0;
 };
 
-// A fleet with generated work. `load` scales the arrival rates. Not thread-safe.
+// A fleet with generated work. `load` scales the arrival rates. If it is uneven, two thirds of the
+// workers run at 0.7 of the usual speed, the others at 1.7, and estimates are off by a factor of up
+// to 2.5. Not thread-safe.
 class Fleet
 {
 public:
-    Fleet(int workers, double load) : m_workers(static_cast<size_t>(workers)), m_load(load)
+    Fleet(int workers, double load, bool uneven, const SchedulingPolicies &policies)
+        : m_workers(static_cast<size_t>(workers)), m_load(load), m_uneven(uneven),
+          m_dispatcher({1, 2.0, nullptr, nullptr, policies}, nullptr)
     {
         m_dispatcher.setCatalog(makeCatalog());
         for (int i = 0; i < workers; ++i) {
@@ -251,14 +257,23 @@
         for (const StartOrder &order : orders.starts) {
             for (const char it : order.worker + order.task.toString())
                 checksum = checksum * 31 + static_cast<unsigned char>(it);
-            const Duration mean(
-                order.job->steps[static_cast<size_t>(order.task.step.step)].estimatedMs);
             const auto number = static_cast<size_t>(std::stoi(order.worker.substr(1)));
-            m_workers[number].running.push_back({order.task, order.run, m_now, mean});
+            m_workers[number].running.push_back(
+                {order.task, order.run, m_now, lengthOf(order, number)});
             const CpuTimer timer(costs.reports);
             m_dispatcher.startAnswered(order, StartOutcome::Started, m_now);
         }
     }
+    Duration lengthOf(const StartOrder &order, size_t worker) const
+    {
+        const Duration estimate(
+            order.job->steps[static_cast<size_t>(order.task.step.step)].estimatedMs);
+        if (!m_uneven)
+            return estimate;
+        const double position = static_cast<double>(stableHash(order.job->id) % 201) / 100 - 1;
+        const double factor = std::pow(2.5, position) / (worker % 3 == 0 ? 1.7 : 0.7);
+        return Duration(std::llround(static_cast<double>(estimate.count()) * factor));
+    }
     // Answers one call of the policy service in each simulated step. It approves 7 of 10 workers.
     void askApprovals()
     {
@@ -281,17 +296,18 @@
     std::mt19937_64 m_random{1};
     std::vector<SimulatedWorker> m_workers;
     double m_load = 1;
+    bool m_uneven = false;
     double m_quickDue = 0;
     double m_savedDue = 0;
     int64_t m_jobCount = 0;
     size_t m_openJobs = 0;
     Instant m_now = instantFromMs(100'000);
     Instant m_flushedAt = m_now;
-    Dispatcher m_dispatcher{{1, 2.0}, nullptr};
+    Dispatcher m_dispatcher;
 };
 
 // Arguments: workers, and load in percent of the steady arrival rates.
-void steadyLoad(benchmark::State &state)
+void measure(benchmark::State &state, bool uneven, const SchedulingPolicies &policies)
 {
     Costs costs;
     double seconds = 0;
@@ -299,7 +315,8 @@
     size_t openJobs = 0;
     uint32_t checksum = 0;
     while (state.KeepRunning()) {
-        Fleet fleet(static_cast<int>(state.range(0)), static_cast<double>(state.range(1)) / 100);
+        Fleet fleet(static_cast<int>(state.range(0)), static_cast<double>(state.range(1)) / 100,
+                    uneven, policies);
         fleet.run(WarmUp);
         fleet.costs = {};
         fleet.starts = 0;
@@ -319,12 +336,30 @@
     state.counters["checksum"] = checksum;
     state.counters["open_jobs"] = static_cast<double>(openJobs);
 }
+
+void steadyLoad(benchmark::State &state)
+{
+    measure(state, false, {});
+}
 BENCHMARK(steadyLoad)
     ->ArgNames({"workers", "load"})
     ->ArgsProduct({{48, 350, 2'000}, {100, 250}})
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
 
+// The third argument is the EstimateStrategy.
+void unevenLoad(benchmark::State &state)
+{
+    SchedulingPolicies policies;
+    policies.estimates = static_cast<EstimateStrategy>(state.range(2));
+    measure(state, true, policies);
+}
+BENCHMARK(unevenLoad)
+    ->ArgNames({"workers", "load", "estimates"})
+    ->ArgsProduct({{350, 2'000}, {100}, {0, 1}})
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
 } // namespace
 } // namespace cardamompaddle
 
