Estimates: the average worker is known from the first run on

The average followed at 1/500 a run from its start at 0, so on a small fleet all workers looked slow for minutes. A test of approvals that are requested by the expected end of the previous step found it; that test fails if the declared estimate is used.

--- a/src/dispatch/dispatcher_estimates.cc
+++ b/src/dispatch/dispatcher_estimates.cc
@@ -156,9 +156,10 @@
 
 double Dispatcher::Impl::modelAttemptMs(const Attempt &attempt) const
 {
-    const double relative = m_durationModel.relativeRunTime(attempt.worker->runTimes);
     // A worker whose runs take far longer than those of others is not taken for healthy.
-    const double factor = std::clamp(relative, std::exp(MinLogRunTime), std::exp(MaxLogRunTime));
+    const double logRunTime = std::clamp(
+        m_durationModel.logRelativeRunTime(attempt.worker->runTimes), MinLogRunTime, MaxLogRunTime);
+    const double factor = std::exp(logRunTime);
     return static_cast<double>(attempt.step->expectedMs) * factor * runTimeOffRack(attempt);
 }
 
--- a/src/dispatch/dispatcher_estimates_test.cc
+++ b/src/dispatch/dispatcher_estimates_test.cc
@@ -371,6 +371,29 @@
     EXPECT_TRUE(isSlow(other, "other")) << "the same progress is slow for tasks of 1 s";
 }
 
+// Guards against approvals that are requested long before a step is ready and expire unused.
+TEST_F(LearnedTest, RequestsApprovalsByTheExpectedEndOfThePreviousStep)
+{
+    join(entry("w"));
+    teach("w", "underestimated", 6'000, 20);
+    work::StepSpec longer = step(1);
+    longer.image = "underestimated";
+    work::StepSpec next = step(1);
+    next.after = {0};
+    add("longer", {longer, next});
+    add("shorter", {step(1), next});
+    ASSERT_EQ(startAll().size(), 2U);
+    m_route.approval = ApprovalPolicy{Duration(29), 0.41, Duration(2'000)};
+    setCatalog();
+    m_now += Duration(950); // of 1 s by the estimates
+    std::set<std::string> jobs;
+    while (const auto call = m_dispatcher.nextPendingApproval(m_now, UnixNow, Duration(1'000))) {
+        m_dispatcher.approvalRequested(*call);
+        jobs.insert(call->step.job);
+    }
+    EXPECT_EQ(jobs, std::set<std::string>{"shorter"});
+}
+
 // Guards against a worker that is judged by the speed of its former incarnation.
 TEST_F(UnevenPairTest, ARestartedWorkerHasNoKnownSpeed)
 {
--- a/src/estimates/duration_model.cc
+++ b/src/estimates/duration_model.cc
@@ -185,7 +185,9 @@
     worker.variance =
         std::min(worker.variance * (1 - gain) + WorkerVarianceGrowth, PriorWorkerVariance);
     ++worker.samples;
-    m_averageWorker += AverageWorkerWeight * (worker.mean - m_averageWorker);
+    const double averageWeight =
+        std::max(AverageWorkerWeight, 1 / static_cast<double>(m_fit.samples));
+    m_averageWorker += averageWeight * (worker.mean - m_averageWorker);
     step.sum += y;
     step.weight += 1;
     addToKind(kind, step, logDeclared);
