--- a/src/bench/dispatcher_bench.cc
+++ b/src/bench/dispatcher_bench.cc
@@ -2,11 +2,13 @@
 //
 // Each benchmark plays jobs as they arrive, runs that end, reports of all workers and one pass
 // every PassInterval. It reports processor time in milliseconds for each simulated second.
+#include "base/hash.h"
 #include "dispatch/dispatcher.h"
 
 #include <benchmark/benchmark.h>
 
 #include <algorithm>
+#include <cmath>
 #include <ctime>
 #include <map>
 #include <memory>
@@ -79,12 +81,14 @@
     }
 };
 
-// A fleet with generated work. `load` scales the arrival rates. Not thread-safe.
+// A fleet with generated work. `load` scales the arrival rates. If it is uneven, two thirds of the
+// workers run at 0.7 of the usual speed, the others at 1.7, and estimates are off by a factor of up
+// to 2.5. Not thread-safe.
 class Fleet
 {
 public:
-    Fleet(int workers, double load, const SchedulingPolicies &policies = {})
-        : m_workers(static_cast<size_t>(workers)), m_load(load),
+    Fleet(int workers, double load, bool uneven = false, const SchedulingPolicies &policies = {})
+        : m_workers(static_cast<size_t>(workers)), m_load(load), m_uneven(uneven),
           m_dispatcher(optionsWith(policies), nullptr)
     {
         m_catalog = makeCatalog();
@@ -341,7 +345,7 @@
             const work::StepSpec &spec =
                 order.job->steps[static_cast<size_t>(order.task.step.step)];
             const auto number = static_cast<size_t>(std::stoi(order.worker.substr(1)));
-            Duration length(spec.estimatedMs);
+            Duration length = lengthOf(order, number);
             if (const auto saved = m_saved.find(order.task); saved != m_saved.end())
                 length = std::max(ResumeTime, length - saved->second + ResumeTime);
             m_workers[number].running.push_back(
@@ -361,6 +365,16 @@
             ++stops;
         }
     }
+    Duration lengthOf(const StartOrder &order, size_t worker) const
+    {
+        const Duration estimate(
+            order.job->steps[static_cast<size_t>(order.task.step.step)].estimatedMs);
+        if (!m_uneven)
+            return estimate;
+        const double position = static_cast<double>(stableHash(order.job->id) % 201) / 100 - 1;
+        const double factor = std::pow(2.5, position) / (worker % 3 == 0 ? 1.7 : 0.7);
+        return Duration(std::llround(static_cast<double>(estimate.count()) * factor));
+    }
     // Answers one call of the policy service. It approves 7 of 10 workers.
     void askApprovals()
     {
@@ -383,6 +397,7 @@
     std::mt19937_64 m_random{1};
     std::vector<SimulatedWorker> m_workers;
     double m_load = 1;
+    bool m_uneven = false;
     double m_quickDue = 0;
     double m_savedDue = 0;
     std::shared_ptr<const Catalog> m_catalog;
@@ -420,13 +435,19 @@
 }
 
 // Arguments: workers, and load in percent of the steady arrival rates.
-void steadyLoad(benchmark::State &state)
+void measureLoad(benchmark::State &state, bool uneven, const SchedulingPolicies &policies)
 {
     while (state.KeepRunning()) {
-        Fleet fleet(static_cast<int>(state.range(0)), static_cast<double>(state.range(1)) / 100);
+        Fleet fleet(static_cast<int>(state.range(0)), static_cast<double>(state.range(1)) / 100,
+                    uneven, policies);
         measure(state, fleet, WarmUp, 1);
     }
 }
+
+void steadyLoad(benchmark::State &state)
+{
+    measureLoad(state, false, {});
+}
 BENCHMARK(steadyLoad)
     ->ArgNames({"workers", "load"})
     ->ArgsProduct({{48, 350, 2'000}, {100, 250}})
@@ -440,7 +461,7 @@
     if (state.range(1) != 0)
         policies.preemption = PreemptionScope::Pool;
     while (state.KeepRunning()) {
-        Fleet fleet(static_cast<int>(state.range(0)), BurstLoad, policies);
+        Fleet fleet(static_cast<int>(state.range(0)), BurstLoad, false, policies);
         fleet.setObjectives();
         fleet.callsPerStep = std::max(1, static_cast<int>(state.range(0)) / BaseWorkers);
         measure(state, fleet, BurstWarmUp, BurstQuickFactor);
@@ -457,6 +478,19 @@
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
 
+// The third argument is the EstimateStrategy.
+void unevenLoad(benchmark::State &state)
+{
+    SchedulingPolicies policies;
+    policies.estimates = static_cast<EstimateStrategy>(state.range(2));
+    measureLoad(state, true, policies);
+}
+BENCHMARK(unevenLoad)
+    ->ArgNames({"workers", "load", "estimates"})
+    ->ArgsProduct({{350, 2'000}, {100}, {0, 1}})
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
 } // namespace
 } // namespace cardamompaddle
 
--- a/src/dispatch/dispatcher_testing.h
+++ b/src/dispatch/dispatcher_testing.h
@@ -38,7 +38,8 @@
     }
 
     // Applies m_route and m_limit.
-    void setCatalog()
+    void setCatalog() { m_dispatcher.setCatalog(catalog()); }
+    std::shared_ptr<const Catalog> catalog() const
     {
         auto catalog = std::make_shared<Catalog>();
         WorkRoute route = m_route;
@@ -53,7 +54,7 @@
         team.name = "t";
         team.limit = m_limit;
         catalog->teams["t"] = team;
-        m_dispatcher.setCatalog(catalog);
+        return catalog;
     }
     WorkerEntry entry(const WorkerId &id, int64_t cpuMilli = 8'000)
     {
