Calls to the policy service name workers whose speed suits the step first

Cause: on an uneven fleet quick steps asked about the workers with the most room, of which two thirds are too slow for their objective, and long-running tasks took up fast workers. Change: with learned estimates, a worker's speed class goes before its room, and work to which speed is of no use prefers slow workers. Not measured by itself yet.

--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -305,11 +305,13 @@
     const size_t maxWorkers = maxWorkersPerCall(policy);
     PendingApproval out = newCall(step);
     std::vector<ApprovalChance> chances;
-    // Of workers with equal room, calls name different ones, so that steps do not all find their
-    // places on the same few.
-    const auto rank = [&out](const std::pair<int64_t, WorkerId> &it) {
-        return std::tuple<int64_t, uint64_t, const WorkerId &>(
-            -it.first, stableHash(it.second, out.call), it.second);
+    // Workers of a speed that suits the step come first. Of workers with equal room, calls name
+    // different ones, so that steps do not all find their places on the same few.
+    const auto rank = [this, &out, &step](const std::pair<int64_t, WorkerId> &it) {
+        const Worker &worker = *m_workers.at(it.second);
+        return std::tuple<int, int64_t, uint64_t, const WorkerId &>(
+            (this->*m_estimates.speedClass)(worker, step), -it.first,
+            stableHash(it.second, out.call), it.second);
     };
     const auto consider = [&](ApprovalCandidates::List &list, double probability) {
         std::sort(list.begin(), list.end(),
--- a/src/dispatch/dispatcher_estimates.cc
+++ b/src/dispatch/dispatcher_estimates.cc
@@ -44,6 +44,8 @@
 // prefers a worker at the upper bound.
 constexpr double MinLogRunTime = -0.7;
 constexpr double MaxLogRunTime = 0.7;
+// A worker with a smaller logarithm in size is neither fast nor slow.
+constexpr double MinLogRunTimeOfClass = 0.1;
 
 // Steps whose expected times are renewed in each pass, so that a pass stays short however many jobs
 // are open. A job is renewed as a whole.
@@ -58,10 +60,10 @@
     static constexpr std::array<EstimateFunctions, EstimateStrategyNames.size()> Functions = {{
         {&Impl::learnDeclaredRun, &Impl::learnNoProgress, &Impl::declaredTaskMs,
          &Impl::declaredAttemptMs, &Impl::declaredHealthyMs, &Impl::noSpeedPreference,
-         &Impl::declaredPlacementFactor, &Impl::refreshNothing},
+         &Impl::declaredPlacementFactor, &Impl::oneSpeedClass, &Impl::refreshNothing},
         {&Impl::learnModelRun, &Impl::learnModelProgress, &Impl::modelTaskMs, &Impl::modelAttemptMs,
          &Impl::modelAttemptMs, &Impl::modelSpeedPreference, &Impl::modelPlacementFactor,
-         &Impl::refreshFromModel},
+         &Impl::modelSpeedClass, &Impl::refreshFromModel},
     }};
     return Functions[static_cast<size_t>(strategy)];
 }
@@ -105,6 +107,11 @@
     return worker.slowdown;
 }
 
+int Dispatcher::Impl::oneSpeedClass(const Worker & /*worker*/, const Step & /*step*/) const
+{
+    return 0;
+}
+
 void Dispatcher::Impl::refreshNothing(Instant /*now*/) { }
 
 // EstimateStrategy::Learned
@@ -168,7 +175,10 @@
 double Dispatcher::Impl::modelSpeedPreference(const Step &step, const WorkRoute &route,
                                               int64_t unixMs) const
 {
-    if (step.remainingChainMs <= 0 || step.spec->longRunning || step.spec->usesIdleCpu)
+    // Speed is of no use to work that lasts anyway or takes what others leave.
+    if (step.spec->longRunning || step.spec->usesIdleCpu)
+        return SlowPreference;
+    if (step.remainingChainMs <= 0)
         return 0;
     const int64_t slack = slackMs(step, route, unixMs);
     if (urgencyClass(step, route, slack, unixMs) == UrgencyClass::Expired)
@@ -191,6 +201,14 @@
     return 1 + preference * logRunTime;
 }
 
+int Dispatcher::Impl::modelSpeedClass(const Worker &worker, const Step &step) const
+{
+    const double logRunTime = m_durationModel.logRelativeRunTime(worker.runTimes);
+    if (std::abs(logRunTime) < MinLogRunTimeOfClass || step.speedPreference == 0)
+        return 0;
+    return (logRunTime < 0) == (step.speedPreference > 0) ? -1 : 1;
+}
+
 void Dispatcher::Impl::refreshFromModel(Instant now)
 {
     reportModel(now);
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -287,6 +287,9 @@
                                         int64_t unixMs) const;
         // Returns the factor of a worker's placement score that its speed gives.
         double (Impl::*placementFactor)(const Worker &worker, const Step &step) const;
+        // Returns a number that is lower for workers whose speed suits the step better; of few
+        // values, so that differences within them do not outweigh the room of a worker.
+        int (Impl::*speedClass)(const Worker &worker, const Step &step) const;
         // Renews the expected times of some jobs and reports on the model.
         void (Impl::*refresh)(Instant now);
     };
@@ -299,6 +302,7 @@
     double declaredHealthyMs(const Attempt &attempt) const;
     double noSpeedPreference(const Step &step, const WorkRoute &route, int64_t unixMs) const;
     double declaredPlacementFactor(const Worker &worker, const Step &step) const;
+    int oneSpeedClass(const Worker &worker, const Step &step) const;
     void refreshNothing(Instant now);
     double runTimeOffRack(const Attempt &attempt) const;
     void learnModelRun(Attempt &attempt, double ranMs);
@@ -307,6 +311,7 @@
     double modelAttemptMs(const Attempt &attempt) const;
     double modelSpeedPreference(const Step &step, const WorkRoute &route, int64_t unixMs) const;
     double modelPlacementFactor(const Worker &worker, const Step &step) const;
+    int modelSpeedClass(const Worker &worker, const Step &step) const;
     void refreshFromModel(Instant now);
     void reportModel(Instant now);
 
