--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -427,7 +427,8 @@
         m_links->throttle(throttle);
     for (const StartOrder &start : orders.starts) {
         // Without a current tenure a start waits for the next append, too: it would be withdrawn.
-        if (m_recordBeforeStart || !m_links->tenureIsCurrent())
+        // A successor knows of a second run of a task only from its record.
+        if (m_recordBeforeStart || start.copy || !m_links->tenureIsCurrent())
             m_startsToRecord.push_back(start);
         else
             m_links->start(start);
--- a/src/control/start_promise_simulation.h
+++ b/src/control/start_promise_simulation.h
@@ -120,8 +120,11 @@
         ++m_epoch;
         const std::string self = "i" + std::to_string(m_epoch % m_scenario.instances);
         m_policy.setSelf(self);
+        DispatchOptions options;
+        options.epoch = m_epoch;
+        options.policies.maxCopyShare = m_scenario.maxCopyShare;
         m_dispatcher = std::make_unique<Dispatcher>(
-            DispatchOptions{m_epoch, 1}, [this](const DispatchEvent &event) { onEvent(event); });
+            options, [this](const DispatchEvent &event) { onEvent(event); });
         m_approvals = std::make_unique<ApprovalRequester>(m_time, m_policy, m_policy, *m_dispatcher,
                                                           self, [this] { schedulePass(); });
         m_dispatcher->setCatalog(m_catalog);
@@ -213,6 +216,7 @@
     int64_t m_epoch = 0;
     int64_t m_lastLife = 0;
     int m_ticks = 0;
+    int64_t m_overcommits = 0; // starts that did not fit on their worker
     bool m_passArmed = false;
     Instant m_disturbedUntil = m_begin - Duration(3'600'000); // end of the last fault
     std::set<WorkerId> m_reachable; // as the scheduler knows
@@ -221,6 +225,7 @@
     std::set<WorkerId> m_recordedWorkers;
     std::set<WorkerId> m_recordedByFormer;
     std::set<WorkerId> m_closedWorkers;
+    std::map<std::string, int64_t> m_eventCounts; // by name
     std::vector<std::string> m_violations; // of what must never happen
 
 private:
@@ -366,8 +371,12 @@
     void pass()
     {
         const Orders orders = m_dispatcher->decide(m_time.now(), unixMs());
-        for (const StartOrder &order : orders.starts)
-            m_time.after(OrderDelay, [this, order, epoch = m_epoch] { sendStart(order, epoch); });
+        for (const StartOrder &order : orders.starts) {
+            // The start of a copy always waits for its record.
+            const Duration wait =
+                OrderDelay + (order.copy ? m_scenario.unrecordedAppendTime : Duration::zero());
+            m_time.after(wait, [this, order, epoch = m_epoch] { sendStart(order, epoch); });
+        }
         for (const StopOrder &order : orders.stops)
             m_time.after(LinkDelay, [this, order, epoch = m_epoch] { sendStop(order, epoch); });
         m_approvals->sendRequests(m_members, unixMs());
@@ -435,6 +444,7 @@
     }
     void onEvent(const DispatchEvent &event)
     {
+        ++m_eventCounts[std::string(event.name)];
         if (event.name == "step_waits")
             m_jobs.at(event.job).lastWait = event.detail;
     }
@@ -451,12 +461,18 @@
             return StartOutcome::NoApproval;
         if (m_draw.between(1, 400) == 1)
             return StartOutcome::WorkerUnavailable;
-        const Duration runTime(spec.estimatedMs * m_draw.between(80, 130) / 100);
+        const bool slow =
+            static_cast<int64_t>(mix(static_cast<uint64_t>(worker.life), m_draw.seed()) % 100)
+            < m_scenario.slowWorkerPercent;
+        const Duration runTime(spec.estimatedMs * m_draw.between(80, 130) / 100
+                               * (slow ? StragglerFactor : 1));
         const StartOutcome outcome = worker.start({order.task,
                                                    order.run,
                                                    {spec.cpuMilli, spec.memoryMb, 0, 0, 0},
                                                    m_time.now(),
                                                    runTime});
+        if (outcome == StartOutcome::NoRoom)
+            ++m_overcommits;
         if (outcome != StartOutcome::Started)
             return outcome;
         checkStart(order);
@@ -490,15 +506,20 @@
     void checkStart(const StartOrder &order)
     {
         const std::string task = order.task.toString() + " on " + order.worker;
+        const work::StepSpec &spec = order.job->steps[static_cast<size_t>(order.task.step.step)];
+        int copies = 0;
         for (const auto &[id, worker] : m_workers) {
             for (const WorkerModel::Task &running : worker.tasks) {
-                if (running.task == order.task && running.run != order.run)
+                if (running.task != order.task || running.run == order.run)
+                    continue;
+                const bool allowed = spec.copiesAllowed && id != order.worker && ++copies == 1;
+                if (!allowed)
                     m_violations.emplace_back(task).append(" runs on ").append(id);
             }
         }
-        if (stateOf(order.task).succeeded.contains(order.task.index))
+        // Beside a copy, the success of a run is known only once it is reported.
+        if (!spec.copiesAllowed && stateOf(order.task).succeeded.contains(order.task.index))
             m_violations.push_back(task + " has succeeded");
-        const work::StepSpec &spec = order.job->steps[static_cast<size_t>(order.task.step.step)];
         const int64_t limit = m_catalog->teams.at(order.job->team).limit.cpuMilli;
         if (m_teamCpu[order.job->team] + spec.cpuMilli > limit)
             m_violations.push_back(task + " exceeds the limit of " + order.job->team);
--- a/src/control/start_promise_testing.h
+++ b/src/control/start_promise_testing.h
@@ -90,14 +90,20 @@
     double load = 0; // of the pool
     // How long the log takes for an append. Other than 0: starts go out before they are recorded.
     Duration unrecordedAppendTime{0};
+    double maxCopyShare = 0; // SchedulingPolicies::maxCopyShare
+    // Of the workers, in percent; runs that start there take StragglerFactor times as long.
+    int64_t slowWorkerPercent = 0;
     Duration length{18'000};
 };
 
+inline constexpr int64_t StragglerFactor = 7;
+
 // Draws numbers; equal seeds give equal numbers.
 class Draw
 {
 public:
-    explicit Draw(uint64_t seed) : m_engine(seed) { }
+    explicit Draw(uint64_t seed) : m_seed(seed), m_engine(seed) { }
+    uint64_t seed() const { return m_seed; }
     // Both bounds are included.
     int64_t between(int64_t low, int64_t high)
     {
@@ -106,6 +112,7 @@
     bool percent(int64_t share) { return between(1, 100) <= share; }
 
 private:
+    uint64_t m_seed;
     std::mt19937_64 m_engine;
 };
 
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -127,7 +127,7 @@
 int64_t Dispatcher::endPosition(const WorkerId &id) const
 {
     const auto it = m_impl->m_workers.find(id);
-    return it == m_impl->m_workers.end() ? 0 : it->second->endPosition;
+    return it == m_impl->m_workers.end() ? 0 : m_impl->acknowledgeablePosition(*it->second);
 }
 
 bool Dispatcher::isBusy(const WorkerId &id) const
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -130,7 +130,8 @@
     // Handles a worker's confirmation of a stop order: the run can no longer start, and finishes
     // soon if it has started.
     void stopAnswered(const StopOrder &order, Instant now);
-    // Returns the highest position in the worker's list of finished runs that has been processed.
+    // Returns the highest position in the worker's list of finished runs up to which all have been
+    // processed and may be acknowledged.
     int64_t endPosition(const WorkerId &id) const;
     // Returns the start of the incarnation that the position belongs to, as Unix time in ms; 0 if
     // the worker has not reported.
--- a/src/dispatch/dispatcher_approvals.cc
+++ b/src/dispatch/dispatcher_approvals.cc
@@ -123,7 +123,7 @@
     return expectedCallTime(policy, MaxWorkersPerSlowCall) + ApprovalLeadMargin;
 }
 
-Step *Dispatcher::Impl::findStep(const StepRef &ref)
+Step *Dispatcher::Impl::findStep(const StepRef &ref) const
 {
     const auto it = m_jobs.find(ref.job);
     return it == m_jobs.end() ? nullptr : it->second->step(ref.occurrence, ref.step);
--- a/src/dispatch/dispatcher_jobs.cc
+++ b/src/dispatch/dispatcher_jobs.cc
@@ -127,10 +127,8 @@
     emitEvent("job_final", job.spec->id,
               "state=" + std::string(jobStateName(state)) + " reason=\"" + why + "\"");
     for (const auto &step : job.steps) {
-        for (Task &task : step->tasks) {
-            if (task.attempt)
-                requestStop(*task.attempt);
-        }
+        for (Task &task : step->tasks)
+            stopRuns(task);
     }
 }
 
--- a/src/dispatch/dispatcher_order.cc
+++ b/src/dispatch/dispatcher_order.cc
@@ -66,7 +66,9 @@
 // that a run of it may still exist there.
 bool Dispatcher::Impl::mayBeRunningUnreported(const Task &task) const
 {
-    return !task.previousWorker.empty() && m_unreconciled.contains(task.previousWorker);
+    const auto isUnreconciled = [this](const WorkerId &id) { return m_unreconciled.contains(id); };
+    return (!task.previousWorker.empty() && isUnreconciled(task.previousWorker))
+           || std::any_of(task.copyWorkers.begin(), task.copyWorkers.end(), isUnreconciled);
 }
 
 // Returns whether a long-running task of the step has run and does not run any more. Its users are
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -202,9 +202,9 @@
 {
     const Attempt &attempt = createAttempt(step, index, run, worker, now);
     const auto approval = step.approvals.find(worker.entry.id);
-    out.starts.push_back({worker.entry.id, taskRefOf(attempt), run, step.job->spec,
-                          checkpointForStart(step, index),
-                          approval == step.approvals.end() ? "" : approval->second.ticket});
+    out.starts.push_back(
+        {worker.entry.id, taskRefOf(attempt), run, step.job->spec, checkpointForStart(step, index),
+         approval == step.approvals.end() ? "" : approval->second.ticket, attempt.isCopy});
     emitEvent("run_started", step.job->spec->id,
               "task=" + out.starts.back().task.toString() + " run=" + std::to_string(run)
                   + " worker=" + worker.entry.id
@@ -367,6 +367,7 @@
         step->spec->gang ? placeGang(*step, route, now, unixMs, out)
                          : placeIndependent(*step, route, now, unixMs, out);
     }
+    startCopies(now, unixMs, out);
     collectStops(now, out);
     out.throttles = std::exchange(m_throttles, {});
     return out;
@@ -383,6 +384,8 @@
         at(attempt->stopSentAt + StopRetryInterval);
     for (const auto &[id, worker] : m_workers)
         at(worker->avoidUntil);
+    if (const std::optional<Instant> check = nextCopyCheck(now, unixMs))
+        at(*check);
     for (const auto &[id, job] : m_jobs) {
         for (const auto &step : job->steps) {
             if (step->waiting == 0 || job->isTerminal())
--- a/src/dispatch/dispatcher_progress.cc
+++ b/src/dispatch/dispatcher_progress.cc
@@ -29,7 +29,7 @@
 bool isEmpty(const work::StepProgress &progress)
 {
     return progress.succeeded.empty() && progress.failedRuns.empty() && progress.placedOn.empty()
-           && progress.crashedRuns.empty();
+           && progress.crashedRuns.empty() && progress.copiesOn.empty();
 }
 
 } // namespace
@@ -85,6 +85,11 @@
             if (isValid(index))
                 step->tasks[static_cast<size_t>(index)].previousWorker = worker;
         }
+        for (const auto &[index, workers] : stored.copiesOn) {
+            if (isValid(index))
+                step->tasks[static_cast<size_t>(index)].copyWorkers = {workers.begin(),
+                                                                       workers.end()};
+        }
         for (const auto &[index, runs] : stored.crashedRuns) {
             if (!isValid(index) || runs.empty())
                 continue;
@@ -114,10 +119,13 @@
     out.step = step.number;
     for (int32_t index = from; index < to; ++index) {
         const Task &task = step.tasks[static_cast<size_t>(index)];
-        if (task.attempt)
-            out.placedOn[index] = task.attempt->worker->entry.id;
-        else if (mayBeRunningUnreported(task))
-            out.placedOn[index] = task.previousWorker;
+        const std::vector<WorkerId> workers = workersOfRuns(task);
+        if (!workers.empty())
+            out.placedOn[index] = workers.front();
+        if (workers.size() > 1) {
+            out.copiesOn[index].assign(workers.begin() + 1, workers.end());
+            out.__isset.copiesOn = true;
+        }
         if (terminal)
             continue;
         if (task.state == TaskState::Succeeded)
--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -32,7 +32,7 @@
     return {{step.job->spec->id, step.occurrence, step.number}, attempt.index};
 }
 
-Task *Dispatcher::Impl::findTask(const TaskRef &ref, Step *&step)
+Task *Dispatcher::Impl::findTask(const TaskRef &ref, Step *&step) const
 {
     step = findStep(ref.step);
     const bool valid =
@@ -44,10 +44,13 @@
 {
     Step *step = nullptr;
     const Task *task = findTask(ref, step);
-    Attempt *attempt = task == nullptr ? nullptr : task->attempt.get();
-    const bool matches =
-        attempt != nullptr && attempt->run == run && attempt->worker->entry.id == worker;
-    return matches ? attempt : nullptr;
+    if (task == nullptr)
+        return nullptr;
+    for (Attempt *attempt : task->runs()) {
+        if (attempt != nullptr && attempt->run == run && attempt->worker->entry.id == worker)
+            return attempt;
+    }
+    return nullptr;
 }
 
 bool Dispatcher::Impl::mayStillStart(const Attempt &attempt, Instant now) const
@@ -80,15 +83,17 @@
                                          Instant now)
 {
     Task &task = step.tasks[static_cast<size_t>(index)];
-    task.attempt = std::make_unique<Attempt>();
-    Attempt &attempt = *task.attempt;
+    std::unique_ptr<Attempt> &slot = task.attempt ? task.copy : task.attempt;
+    slot = std::make_unique<Attempt>();
+    Attempt &attempt = *slot;
+    attempt.isCopy = &slot == &task.copy;
     attempt.serial = m_nextAttemptSerial++;
     attempt.step = &step;
     attempt.worker = &worker;
     attempt.index = index;
     attempt.run = run;
     attempt.orderedAt = now;
-    attempt.lastProgressAt = now;
+    attempt.lastProgressAt = attempt.percentAt = now;
     step.waitingSince.reset();
     step.heldSince.reset();
     step.readySince.reset();
@@ -133,13 +138,16 @@
     worker.idleCpuTasks -= step.spec->usesIdleCpu ? 1 : 0;
     *step.job->teamUse -= step.taskResources;
     m_pendingStops.erase(&attempt);
-    if (task.state == TaskState::Active) {
+    if (task.state == TaskState::Active && otherRun(attempt) == nullptr) {
         task.state = TaskState::Waiting;
         ++step.waiting;
     }
     if (step.active == 0)
         step.gangBroken = false;
-    task.attempt.reset();
+    if (task.copy.get() == &attempt)
+        task.copy.reset();
+    else
+        task.attempt = std::move(task.copy);
     // A terminal job is erased by takeProgress() once none of its runs is left.
     if (step.job->isTerminal() && step.job->active == 0)
         markAllDirty(*step.job);
@@ -152,10 +160,8 @@
     if (step.spec->gang && step.active > 0 && !step.done() && !step.job->isTerminal()) {
         // The other members cannot continue without this one.
         step.gangBroken = true;
-        for (Task &task : step.tasks) {
-            if (task.attempt)
-                requestStop(*task.attempt);
-        }
+        for (Task &task : step.tasks)
+            stopRuns(task);
     }
 }
 
@@ -186,6 +192,8 @@
         worker.slowdown += SlowdownWeight * (ratio - worker.slowdown);
         step.longestRunMs = std::max(step.longestRunMs, static_cast<int64_t>(ran));
     }
+    if (outcome == RunOutcome::Succeeded)
+        recordRunTime(attempt, now);
     const std::string job = step.job->spec->id;
     updateFailureStreak(worker, outcome, job, now);
     const WorkerId workerId = worker.entry.id;
@@ -197,13 +205,16 @@
     const bool wasTerminal = step.job->isTerminal();
     // A long-running task is started again until its job is cancelled, whatever its outcome.
     if (outcome == RunOutcome::Succeeded && !step.spec->longRunning) {
+        reportCopyWon(attempt);
         removeAttempt(attempt);
+        stopRuns(task);
         if (!wasTerminal)
             taskSucceeded(step, index);
         return;
     }
     requeue(attempt);
-    if (outcome == RunOutcome::Failed && !wasTerminal)
+    // A run that was to be stopped may fail after another one has succeeded.
+    if (outcome == RunOutcome::Failed && !wasTerminal && task.state != TaskState::Succeeded)
         taskFailed(step, index, run, workerId, now);
 }
 
@@ -223,8 +234,7 @@
     if (!end.checkpoint.empty() && !task.attempt)
         task.checkpoint = end.checkpoint;
     if (end.outcome == RunOutcome::Succeeded && !step->spec->longRunning) {
-        if (task.attempt)
-            requestStop(*task.attempt);
+        stopRuns(task);
         taskSucceeded(*step, end.task.index);
     } else if (end.outcome == RunOutcome::Failed) {
         taskFailed(*step, end.task.index, end.run, worker.entry.id, now);
@@ -244,7 +254,7 @@
         known->started = true;
         updateSurvival(*known, requestedAt);
         if (run.percent != known->percent)
-            known->lastProgressAt = now;
+            known->lastProgressAt = known->percentAt = now;
         if (!known->firstProgressAt && run.percent > known->percent && known->percentReported) {
             known->firstProgressAt = now;
             known->firstProgressPercent = run.percent;
@@ -254,8 +264,10 @@
         return known;
     }
     const Attempt *known = task != nullptr ? task->attempt.get() : nullptr;
-    const bool adopt = task != nullptr && known == nullptr && task->state == TaskState::Waiting
-                       && !step->job->isTerminal() && !step->gangBroken;
+    const bool adoptFirst = task != nullptr && known == nullptr && task->state == TaskState::Waiting
+                            && !step->job->isTerminal() && !step->gangBroken;
+    const bool adopt =
+        adoptFirst || (known != nullptr && mayAdoptCopy(worker, *step, *task, run.run));
     if (!adopt) {
         // The run is orphaned: its job has ended, or its task runs under another number. A report
         // that was requested before the current attempt was ordered says nothing about that attempt
@@ -274,6 +286,7 @@
     adopted.phase = AttemptPhase::Running;
     adopted.confirmedAt = requestedAt;
     adopted.started = true;
+    adopted.adopted = true;
     updateFromReport(adopted, run);
     emitEvent("run_adopted", step->job->spec->id,
               "task=" + run.task.toString() + " run=" + std::to_string(run.run)
@@ -327,7 +340,7 @@
             // The order may have waited for its log record to be stored before it was sent, so the
             // run time counts from the answer.
             attempt->phase = AttemptPhase::Running;
-            attempt->orderedAt = attempt->lastProgressAt = now;
+            attempt->orderedAt = attempt->lastProgressAt = attempt->percentAt = now;
         }
         return;
     }
--- a/src/dispatch/dispatcher_takeover.cc
+++ b/src/dispatch/dispatcher_takeover.cc
@@ -62,12 +62,14 @@
         Resources &use = m_unreportedUse[job->spec->team];
         const bool mayHaveUnrecorded = mayHaveUnrecordedRuns(*job);
         for (const auto &step : job->steps) {
-            int32_t placed = 0;
+            int32_t placed = 0; // waiting tasks
+            int32_t runs = 0;
             for (const Task &task : step->tasks) {
                 if (task.state == TaskState::Waiting && mayBeRunningUnreported(task))
                     ++placed;
+                runs += unreportedRuns(*step, task);
             }
-            use += step->taskResources * placed;
+            use += step->taskResources * runs;
             if (mayHaveUnrecorded && isReady(*step, unixMs))
                 unrecorded[job->spec->team] += step->taskResources * (step->waiting - placed);
         }
--- a/src/dispatch/dispatcher_workers.cc
+++ b/src/dispatch/dispatcher_workers.cc
@@ -152,6 +152,7 @@
                       + " former=" + std::to_string(*worker.incarnationStartedAtMs));
         requeueRuns(worker, {}, "worker_restarted");
         worker.endPosition = 0;
+        worker.heldEnds.clear();
         worker.slowdown = 1;
         worker.restartedAt = now;
         forgetApprovals(id);
@@ -167,8 +168,10 @@
     worker.hasOrphanedRuns = false;
     releaseOrphanedUse(worker);
     for (const EndedRun &end : report.ended) {
-        if (end.position > worker.endPosition)
+        if (end.position > worker.endPosition) {
             handleFinishedRun(worker, end, now);
+            holdEnd(worker, end);
+        }
         worker.endPosition = std::max(worker.endPosition, end.position);
     }
     AttemptSet seen;
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -2,7 +2,9 @@
 // functions names the source file that defines it.
 #pragma once
 
+#include "dispatch/internal/copy_room.h"
 #include "dispatch/internal/state.h"
+#include "speculation/straggler_policy.h"
 
 #include <functional>
 #include <optional>
@@ -49,7 +51,7 @@
                           Instant at, Instant now);
     void forgetApprovals(const WorkerId &id);
     ApprovalLoad approvalLoad(Instant now, int64_t unixMs) const;
-    dispatch::Step *findStep(const StepRef &ref);
+    dispatch::Step *findStep(const StepRef &ref) const;
 
     // dispatcher_renewals.cc
     std::vector<dispatch::Step *> stepsForRenewal(Instant now, int64_t unixMs);
@@ -88,7 +90,7 @@
 
     // dispatcher_runs.cc
     static TaskRef taskRefOf(const Attempt &attempt);
-    Task *findTask(const TaskRef &ref, Step *&step); // null if it does not exist
+    Task *findTask(const TaskRef &ref, Step *&step) const; // null if it does not exist
     Attempt *findAttempt(const WorkerId &worker, const TaskRef &ref, int64_t run);
     // Returns whether the start order of the attempt may still be sent.
     bool mayStillStart(const Attempt &attempt, Instant now) const;
@@ -183,6 +185,33 @@
     static bool mustStartApart(const Worker &worker, const Task &task, Instant now);
     static double crashPenalty(const Worker &worker, const Task &task);
 
+    // dispatcher_copies.cc
+    void stopRuns(Task &task); // all active runs of the task
+    static Attempt *otherRun(const Attempt &attempt); // of the same task; may be null
+    void reportCopyWon(const Attempt &attempt) const;
+    static void recordRunTime(const Attempt &attempt, Instant now);
+    bool mayAdoptCopy(const Worker &worker, const Step &step, const Task &task, int64_t run) const;
+    std::vector<WorkerId> workersOfRuns(const Task &task) const;
+    std::set<WorkerId> unreportedWorkers(const Task &task) const;
+    int32_t unreportedRuns(const Step &step, const Task &task) const;
+    bool mayStartElsewhere(const TaskRef &ref, const WorkerId &worker) const;
+    void holdEnd(Worker &worker, const EndedRun &end);
+    int64_t acknowledgeablePosition(const Worker &worker) const;
+    bool mayHaveCopies(const Step &step, int64_t unixMs) const;
+    bool mayHaveCopy(const Step &step, const Task &task, const WorkRoute &route, Instant now) const;
+    RunProgress progressOfRun(const Attempt &attempt, Instant now) const;
+    static double relativeSlowdown(const Worker &worker, const Step &step);
+    WorkerPace paceOfOthers(const Attempt &attempt, Instant now) const;
+    std::vector<dispatch::Straggler> findStragglers(Instant now, int64_t unixMs) const;
+    dispatch::CopyRoom copyRoomOf(const std::string &pool, int64_t unixMs) const;
+    static bool isWanted(const Worker &worker, const dispatch::CopyRoom &room,
+                         const WorkRoute &route, Instant now);
+    void startCopies(Instant now, int64_t unixMs, Orders &out);
+    bool startCopy(const dispatch::Straggler &straggler, dispatch::CopyRoom &room, Instant now,
+                   Orders &out);
+    // Returns when the runs that may be given a copy are judged again; none if there are none.
+    std::optional<Instant> nextCopyCheck(Instant now, int64_t unixMs) const;
+
     // dispatcher_takeover.cc
     void updateUnrecorded();
     bool mayHaveUnrecordedRuns(const Job &job) const;
@@ -238,6 +267,7 @@
     void preemptLessUrgent(const Step &step, const WorkRoute &route, int64_t unixMs);
 
     DispatchOptions m_options;
+    StragglerPolicy m_stragglers;
     EventSink m_events;
     std::shared_ptr<const Catalog> m_catalog = std::make_shared<Catalog>();
     std::set<std::string> m_zonesOut;
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/dispatcher.h"
 
+#include <array>
 #include <map>
 #include <memory>
 #include <optional>
@@ -57,10 +58,16 @@
     // measured from here, because a run that resumes from a checkpoint makes none at first.
     std::optional<Instant> firstProgressAt;
     int32_t firstProgressPercent = 0;
+    Instant percentAt; // when a report last showed another `percent`, or the run was confirmed
     bool percentReported = false; // a report has shown `percent`
     bool started = false; // the worker has confirmed the start or listed the run
     bool survived = false; // too old to be blamed for a crash of its worker
     bool suspect = false; // its task had crashes on record when it was ordered
+    bool adopted = false; // started by an earlier scheduler
+    bool isCopy = false; // ordered or adopted beside another run of its task
+
+    // Whether the run can still start: neither its start nor a stop is confirmed.
+    bool isStartUnresolved() const { return !started && confirmedAt == Instant::max(); }
 };
 
 // A run that had started shortly before its worker stopped answering.
@@ -93,7 +100,16 @@
     std::string checkpoint;
     WorkerId lastFailedOn; // worker of the last failed run; avoided if another fits
     WorkerId previousWorker; // worker that an earlier scheduler placed it on; may be empty
+    // Further workers on which earlier schedulers may have left runs of it; see
+    // dispatcher_copies.cc
+    std::set<WorkerId> copyWorkers;
+    int32_t copiesStarted = 0; // by this scheduler
     std::unique_ptr<Attempt> attempt; // set while Active
+    // A second run; set only while `attempt` is, and only if StepSpec::copiesAllowed.
+    std::unique_ptr<Attempt> copy;
+
+    // The active runs; null for those that do not exist.
+    std::array<Attempt *, 2> runs() const { return {attempt.get(), copy.get()}; }
 };
 
 // Compares records by a number instead of by address, so that equal calls give equal decisions.
@@ -166,6 +182,11 @@
     int32_t stopping = 0; // of the active tasks, those whose run is being stopped
     int32_t succeeded = 0;
     int64_t longestRunMs = 0; // of runs that succeeded under this scheduler; 0 if none has
+    // Of the same, but without adopted and resumed runs: number, run times, and their workers'
+    // slowdowns.
+    int32_t timedRuns = 0;
+    int64_t timedRunsMs = 0;
+    double timedRunsSlowdown = 0;
     WaitReason waitReason = WaitReason::None;
     // Since when decide() has found tasks that could start and has started none; unset while there
     // are no such tasks.
@@ -233,6 +254,13 @@
 
 using JobSet = std::set<Job *, CompareByMember<&Job::sequence>>;
 
+// A finished run that is not acknowledged yet, because another run of its task may still start.
+struct HeldEnd
+{
+    int64_t position = 0; // in the worker's list of finished runs
+    TaskRef task;
+};
+
 struct Worker
 {
     WorkerEntry entry;
@@ -247,7 +275,8 @@
     std::optional<int64_t> incarnationStartedAtMs; // from the last report; Unix time
     Instant restartedAt = Instant::min(); // when a report first showed the present incarnation
     Instant knownSince = Instant::max(); // the first report
-    int64_t endPosition = 0; // see Dispatcher::endPosition()
+    int64_t endPosition = 0; // highest position in its list of finished runs that was processed
+    std::vector<HeldEnd> heldEnds; // by position
     bool moreEnded = false; // of the last report
     AttemptSet attempts;
     int32_t servingTasks = 0; // active tasks with a latency target
--- a/src/dispatch/worker_runs.h
+++ b/src/dispatch/worker_runs.h
@@ -118,6 +118,7 @@
     std::shared_ptr<const work::Submission> job;
     std::string checkpoint;
     std::string ticket; // of the approval; empty if the route needs none
+    bool copy = false; // another run of the task is active
 };
 
 // Stops a run, or prevents a start that has not been carried out yet.
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -973,6 +973,11 @@
 void StepProgress::__set_crashedRuns(const std::map<int32_t, std::vector<int64_t> > & val) {
   this->crashedRuns = val;
 }
+
+void StepProgress::__set_copiesOn(const std::map<int32_t, std::vector<std::string> > & val) {
+  this->copiesOn = val;
+__isset.copiesOn = true;
+}
 std::ostream& operator<<(std::ostream& out, const StepProgress& obj)
 {
   obj.printTo(out);
@@ -1130,6 +1135,41 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->copiesOn.clear();
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _ktype57;
+            ::apache::thrift::protocol::TType _vtype58;
+            xfer += iprot->readMapBegin(_ktype57, _vtype58, _size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
+            {
+              int32_t _key61;
+              xfer += iprot->readI32(_key61);
+              std::vector<std::string> & _val62 = this->copiesOn[_key61];
+              {
+                _val62.clear();
+                uint32_t _size63;
+                ::apache::thrift::protocol::TType _etype66;
+                xfer += iprot->readListBegin(_etype66, _size63);
+                _val62.resize(_size63);
+                uint32_t _i67;
+                for (_i67 = 0; _i67 < _size63; ++_i67)
+                {
+                  xfer += iprot->readString(_val62[_i67]);
+                }
+                xfer += iprot->readListEnd();
+              }
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.copiesOn = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1158,10 +1198,10 @@
   xfer += oprot->writeFieldBegin("succeeded", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->succeeded.size()));
-    std::vector<int32_t> ::const_iterator _iter56;
-    for (_iter56 = this->succeeded.begin(); _iter56 != this->succeeded.end(); ++_iter56)
+    std::vector<int32_t> ::const_iterator _iter68;
+    for (_iter68 = this->succeeded.begin(); _iter68 != this->succeeded.end(); ++_iter68)
     {
-      xfer += oprot->writeI32((*_iter56));
+      xfer += oprot->writeI32((*_iter68));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1170,16 +1210,16 @@
   xfer += oprot->writeFieldBegin("failedRuns", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->failedRuns.size()));
-    std::map<int32_t, std::vector<int64_t> > ::const_iterator _iter57;
-    for (_iter57 = this->failedRuns.begin(); _iter57 != this->failedRuns.end(); ++_iter57)
+    std::map<int32_t, std::vector<int64_t> > ::const_iterator _iter69;
+    for (_iter69 = this->failedRuns.begin(); _iter69 != this->failedRuns.end(); ++_iter69)
     {
-      xfer += oprot->writeI32(_iter57->first);
+      xfer += oprot->writeI32(_iter69->first);
       {
-        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter57->second.size()));
-        std::vector<int64_t> ::const_iterator _iter58;
-        for (_iter58 = _iter57->second.begin(); _iter58 != _iter57->second.end(); ++_iter58)
+        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter69->second.size()));
+        std::vector<int64_t> ::const_iterator _iter70;
+        for (_iter70 = _iter69->second.begin(); _iter70 != _iter69->second.end(); ++_iter70)
         {
-          xfer += oprot->writeI64((*_iter58));
+          xfer += oprot->writeI64((*_iter70));
         }
         xfer += oprot->writeListEnd();
       }
@@ -1191,11 +1231,11 @@
   xfer += oprot->writeFieldBegin("placedOn", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->placedOn.size()));
-    std::map<int32_t, std::string> ::const_iterator _iter59;
-    for (_iter59 = this->placedOn.begin(); _iter59 != this->placedOn.end(); ++_iter59)
+    std::map<int32_t, std::string> ::const_iterator _iter71;
+    for (_iter71 = this->placedOn.begin(); _iter71 != this->placedOn.end(); ++_iter71)
     {
-      xfer += oprot->writeI32(_iter59->first);
-      xfer += oprot->writeString(_iter59->second);
+      xfer += oprot->writeI32(_iter71->first);
+      xfer += oprot->writeString(_iter71->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1204,16 +1244,16 @@
   xfer += oprot->writeFieldBegin("crashedRuns", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->crashedRuns.size()));
-    std::map<int32_t, std::vector<int64_t> > ::const_iterator _iter60;
-    for (_iter60 = this->crashedRuns.begin(); _iter60 != this->crashedRuns.end(); ++_iter60)
+    std::map<int32_t, std::vector<int64_t> > ::const_iterator _iter72;
+    for (_iter72 = this->crashedRuns.begin(); _iter72 != this->crashedRuns.end(); ++_iter72)
     {
-      xfer += oprot->writeI32(_iter60->first);
+      xfer += oprot->writeI32(_iter72->first);
       {
-        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter60->second.size()));
-        std::vector<int64_t> ::const_iterator _iter61;
-        for (_iter61 = _iter60->second.begin(); _iter61 != _iter60->second.end(); ++_iter61)
+        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter72->second.size()));
+        std::vector<int64_t> ::const_iterator _iter73;
+        for (_iter73 = _iter72->second.begin(); _iter73 != _iter72->second.end(); ++_iter73)
         {
-          xfer += oprot->writeI64((*_iter61));
+          xfer += oprot->writeI64((*_iter73));
         }
         xfer += oprot->writeListEnd();
       }
@@ -1222,6 +1262,28 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.copiesOn) {
+    xfer += oprot->writeFieldBegin("copiesOn", ::apache::thrift::protocol::T_MAP, 7);
+    {
+      xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->copiesOn.size()));
+      std::map<int32_t, std::vector<std::string> > ::const_iterator _iter74;
+      for (_iter74 = this->copiesOn.begin(); _iter74 != this->copiesOn.end(); ++_iter74)
+      {
+        xfer += oprot->writeI32(_iter74->first);
+        {
+          xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(_iter74->second.size()));
+          std::vector<std::string> ::const_iterator _iter75;
+          for (_iter75 = _iter74->second.begin(); _iter75 != _iter74->second.end(); ++_iter75)
+          {
+            xfer += oprot->writeString((*_iter75));
+          }
+          xfer += oprot->writeListEnd();
+        }
+      }
+      xfer += oprot->writeMapEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1235,45 +1297,50 @@
   swap(a.failedRuns, b.failedRuns);
   swap(a.placedOn, b.placedOn);
   swap(a.crashedRuns, b.crashedRuns);
+  swap(a.copiesOn, b.copiesOn);
   swap(a.__isset, b.__isset);
 }
 
-StepProgress::StepProgress(const StepProgress& other62) {
-  occurrence = other62.occurrence;
-  step = other62.step;
-  succeeded = other62.succeeded;
-  failedRuns = other62.failedRuns;
-  placedOn = other62.placedOn;
-  crashedRuns = other62.crashedRuns;
-  __isset = other62.__isset;
-}
-StepProgress::StepProgress(StepProgress&& other63) noexcept {
-  occurrence = other63.occurrence;
-  step = other63.step;
-  succeeded = std::move(other63.succeeded);
-  failedRuns = std::move(other63.failedRuns);
-  placedOn = std::move(other63.placedOn);
-  crashedRuns = std::move(other63.crashedRuns);
-  __isset = other63.__isset;
-}
-StepProgress& StepProgress::operator=(const StepProgress& other64) {
-  occurrence = other64.occurrence;
-  step = other64.step;
-  succeeded = other64.succeeded;
-  failedRuns = other64.failedRuns;
-  placedOn = other64.placedOn;
-  crashedRuns = other64.crashedRuns;
-  __isset = other64.__isset;
+StepProgress::StepProgress(const StepProgress& other76) {
+  occurrence = other76.occurrence;
+  step = other76.step;
+  succeeded = other76.succeeded;
+  failedRuns = other76.failedRuns;
+  placedOn = other76.placedOn;
+  crashedRuns = other76.crashedRuns;
+  copiesOn = other76.copiesOn;
+  __isset = other76.__isset;
+}
+StepProgress::StepProgress(StepProgress&& other77) noexcept {
+  occurrence = other77.occurrence;
+  step = other77.step;
+  succeeded = std::move(other77.succeeded);
+  failedRuns = std::move(other77.failedRuns);
+  placedOn = std::move(other77.placedOn);
+  crashedRuns = std::move(other77.crashedRuns);
+  copiesOn = std::move(other77.copiesOn);
+  __isset = other77.__isset;
+}
+StepProgress& StepProgress::operator=(const StepProgress& other78) {
+  occurrence = other78.occurrence;
+  step = other78.step;
+  succeeded = other78.succeeded;
+  failedRuns = other78.failedRuns;
+  placedOn = other78.placedOn;
+  crashedRuns = other78.crashedRuns;
+  copiesOn = other78.copiesOn;
+  __isset = other78.__isset;
   return *this;
 }
-StepProgress& StepProgress::operator=(StepProgress&& other65) noexcept {
-  occurrence = other65.occurrence;
-  step = other65.step;
-  succeeded = std::move(other65.succeeded);
-  failedRuns = std::move(other65.failedRuns);
-  placedOn = std::move(other65.placedOn);
-  crashedRuns = std::move(other65.crashedRuns);
-  __isset = other65.__isset;
+StepProgress& StepProgress::operator=(StepProgress&& other79) noexcept {
+  occurrence = other79.occurrence;
+  step = other79.step;
+  succeeded = std::move(other79.succeeded);
+  failedRuns = std::move(other79.failedRuns);
+  placedOn = std::move(other79.placedOn);
+  crashedRuns = std::move(other79.crashedRuns);
+  copiesOn = std::move(other79.copiesOn);
+  __isset = other79.__isset;
   return *this;
 }
 void StepProgress::printTo(std::ostream& out) const {
@@ -1285,6 +1352,7 @@
   out << ", " << "failedRuns=" << to_string(failedRuns);
   out << ", " << "placedOn=" << to_string(placedOn);
   out << ", " << "crashedRuns=" << to_string(crashedRuns);
+  out << ", " << "copiesOn="; (__isset.copiesOn ? (out << to_string(copiesOn)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1350,9 +1418,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast66;
-          xfer += iprot->readI32(ecast66);
-          this->state = static_cast<JobState::type>(ecast66);
+          int32_t ecast80;
+          xfer += iprot->readI32(ecast80);
+          this->state = static_cast<JobState::type>(ecast80);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1362,14 +1430,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->steps.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->steps.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _etype84;
+            xfer += iprot->readListBegin(_etype84, _size81);
+            this->steps.resize(_size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
             {
-              xfer += this->steps[_i71].read(iprot);
+              xfer += this->steps[_i85].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1422,10 +1490,10 @@
   xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
-    std::vector<StepProgress> ::const_iterator _iter72;
-    for (_iter72 = this->steps.begin(); _iter72 != this->steps.end(); ++_iter72)
+    std::vector<StepProgress> ::const_iterator _iter86;
+    for (_iter86 = this->steps.begin(); _iter86 != this->steps.end(); ++_iter86)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter86).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1454,38 +1522,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Progress::Progress(const Progress& other73) {
-  id = other73.id;
-  state = other73.state;
-  steps = other73.steps;
-  part = other73.part;
-  endedAtHeldMs = other73.endedAtHeldMs;
-  __isset = other73.__isset;
-}
-Progress::Progress(Progress&& other74) noexcept {
-  id = std::move(other74.id);
-  state = other74.state;
-  steps = std::move(other74.steps);
-  part = other74.part;
-  endedAtHeldMs = other74.endedAtHeldMs;
-  __isset = other74.__isset;
-}
-Progress& Progress::operator=(const Progress& other75) {
-  id = other75.id;
-  state = other75.state;
-  steps = other75.steps;
-  part = other75.part;
-  endedAtHeldMs = other75.endedAtHeldMs;
-  __isset = other75.__isset;
+Progress::Progress(const Progress& other87) {
+  id = other87.id;
+  state = other87.state;
+  steps = other87.steps;
+  part = other87.part;
+  endedAtHeldMs = other87.endedAtHeldMs;
+  __isset = other87.__isset;
+}
+Progress::Progress(Progress&& other88) noexcept {
+  id = std::move(other88.id);
+  state = other88.state;
+  steps = std::move(other88.steps);
+  part = other88.part;
+  endedAtHeldMs = other88.endedAtHeldMs;
+  __isset = other88.__isset;
+}
+Progress& Progress::operator=(const Progress& other89) {
+  id = other89.id;
+  state = other89.state;
+  steps = other89.steps;
+  part = other89.part;
+  endedAtHeldMs = other89.endedAtHeldMs;
+  __isset = other89.__isset;
   return *this;
 }
-Progress& Progress::operator=(Progress&& other76) noexcept {
-  id = std::move(other76.id);
-  state = other76.state;
-  steps = std::move(other76.steps);
-  part = other76.part;
-  endedAtHeldMs = other76.endedAtHeldMs;
-  __isset = other76.__isset;
+Progress& Progress::operator=(Progress&& other90) noexcept {
+  id = std::move(other90.id);
+  state = other90.state;
+  steps = std::move(other90.steps);
+  part = other90.part;
+  endedAtHeldMs = other90.endedAtHeldMs;
+  __isset = other90.__isset;
   return *this;
 }
 void Progress::printTo(std::ostream& out) const {
@@ -1694,50 +1762,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Tenure::Tenure(const Tenure& other77) {
-  holder = other77.holder;
-  address = other77.address;
-  epoch = other77.epoch;
-  released = other77.released;
-  startsRecorded = other77.startsRecorded;
-  successor = other77.successor;
-  heldMs = other77.heldMs;
-  handedOverAtHeldMs = other77.handedOverAtHeldMs;
-  __isset = other77.__isset;
+Tenure::Tenure(const Tenure& other91) {
+  holder = other91.holder;
+  address = other91.address;
+  epoch = other91.epoch;
+  released = other91.released;
+  startsRecorded = other91.startsRecorded;
+  successor = other91.successor;
+  heldMs = other91.heldMs;
+  handedOverAtHeldMs = other91.handedOverAtHeldMs;
+  __isset = other91.__isset;
 }
-Tenure::Tenure(Tenure&& other78) noexcept {
-  holder = std::move(other78.holder);
-  address = std::move(other78.address);
-  epoch = other78.epoch;
-  released = other78.released;
-  startsRecorded = other78.startsRecorded;
-  successor = std::move(other78.successor);
-  heldMs = other78.heldMs;
-  handedOverAtHeldMs = other78.handedOverAtHeldMs;
-  __isset = other78.__isset;
+Tenure::Tenure(Tenure&& other92) noexcept {
+  holder = std::move(other92.holder);
+  address = std::move(other92.address);
+  epoch = other92.epoch;
+  released = other92.released;
+  startsRecorded = other92.startsRecorded;
+  successor = std::move(other92.successor);
+  heldMs = other92.heldMs;
+  handedOverAtHeldMs = other92.handedOverAtHeldMs;
+  __isset = other92.__isset;
 }
-Tenure& Tenure::operator=(const Tenure& other79) {
-  holder = other79.holder;
-  address = other79.address;
-  epoch = other79.epoch;
-  released = other79.released;
-  startsRecorded = other79.startsRecorded;
-  successor = other79.successor;
-  heldMs = other79.heldMs;
-  handedOverAtHeldMs = other79.handedOverAtHeldMs;
-  __isset = other79.__isset;
+Tenure& Tenure::operator=(const Tenure& other93) {
+  holder = other93.holder;
+  address = other93.address;
+  epoch = other93.epoch;
+  released = other93.released;
+  startsRecorded = other93.startsRecorded;
+  successor = other93.successor;
+  heldMs = other93.heldMs;
+  handedOverAtHeldMs = other93.handedOverAtHeldMs;
+  __isset = other93.__isset;
   return *this;
 }
-Tenure& Tenure::operator=(Tenure&& other80) noexcept {
-  holder = std::move(other80.holder);
-  address = std::move(other80.address);
-  epoch = other80.epoch;
-  released = other80.released;
-  startsRecorded = other80.startsRecorded;
-  successor = std::move(other80.successor);
-  heldMs = other80.heldMs;
-  handedOverAtHeldMs = other80.handedOverAtHeldMs;
-  __isset = other80.__isset;
+Tenure& Tenure::operator=(Tenure&& other94) noexcept {
+  holder = std::move(other94.holder);
+  address = std::move(other94.address);
+  epoch = other94.epoch;
+  released = other94.released;
+  startsRecorded = other94.startsRecorded;
+  successor = std::move(other94.successor);
+  heldMs = other94.heldMs;
+  handedOverAtHeldMs = other94.handedOverAtHeldMs;
+  __isset = other94.__isset;
   return *this;
 }
 void Tenure::printTo(std::ostream& out) const {
@@ -1881,34 +1949,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other81) {
-  name = other81.name;
-  address = other81.address;
-  cpuMilli = other81.cpuMilli;
-  availabilityZone = other81.availabilityZone;
-  __isset = other81.__isset;
-}
-Member::Member(Member&& other82) noexcept {
-  name = std::move(other82.name);
-  address = std::move(other82.address);
-  cpuMilli = other82.cpuMilli;
-  availabilityZone = std::move(other82.availabilityZone);
-  __isset = other82.__isset;
-}
-Member& Member::operator=(const Member& other83) {
-  name = other83.name;
-  address = other83.address;
-  cpuMilli = other83.cpuMilli;
-  availabilityZone = other83.availabilityZone;
-  __isset = other83.__isset;
+Member::Member(const Member& other95) {
+  name = other95.name;
+  address = other95.address;
+  cpuMilli = other95.cpuMilli;
+  availabilityZone = other95.availabilityZone;
+  __isset = other95.__isset;
+}
+Member::Member(Member&& other96) noexcept {
+  name = std::move(other96.name);
+  address = std::move(other96.address);
+  cpuMilli = other96.cpuMilli;
+  availabilityZone = std::move(other96.availabilityZone);
+  __isset = other96.__isset;
+}
+Member& Member::operator=(const Member& other97) {
+  name = other97.name;
+  address = other97.address;
+  cpuMilli = other97.cpuMilli;
+  availabilityZone = other97.availabilityZone;
+  __isset = other97.__isset;
   return *this;
 }
-Member& Member::operator=(Member&& other84) noexcept {
-  name = std::move(other84.name);
-  address = std::move(other84.address);
-  cpuMilli = other84.cpuMilli;
-  availabilityZone = std::move(other84.availabilityZone);
-  __isset = other84.__isset;
+Member& Member::operator=(Member&& other98) noexcept {
+  name = std::move(other98.name);
+  address = std::move(other98.address);
+  cpuMilli = other98.cpuMilli;
+  availabilityZone = std::move(other98.availabilityZone);
+  __isset = other98.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -1981,14 +2049,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->workers.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->workers.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += iprot->readString(this->workers[_i89]);
+              xfer += iprot->readString(this->workers[_i103]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2037,10 +2105,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->workers.size()));
-    std::vector<std::string> ::const_iterator _iter90;
-    for (_iter90 = this->workers.begin(); _iter90 != this->workers.end(); ++_iter90)
+    std::vector<std::string> ::const_iterator _iter104;
+    for (_iter104 = this->workers.begin(); _iter104 != this->workers.end(); ++_iter104)
     {
-      xfer += oprot->writeString((*_iter90));
+      xfer += oprot->writeString((*_iter104));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2068,34 +2136,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ApprovalRequest::ApprovalRequest(const ApprovalRequest& other91) {
-  step = other91.step;
-  workers = other91.workers;
-  timeoutMs = other91.timeoutMs;
-  newConnection = other91.newConnection;
-  __isset = other91.__isset;
+ApprovalRequest::ApprovalRequest(const ApprovalRequest& other105) {
+  step = other105.step;
+  workers = other105.workers;
+  timeoutMs = other105.timeoutMs;
+  newConnection = other105.newConnection;
+  __isset = other105.__isset;
 }
-ApprovalRequest::ApprovalRequest(ApprovalRequest&& other92) noexcept {
-  step = std::move(other92.step);
-  workers = std::move(other92.workers);
-  timeoutMs = other92.timeoutMs;
-  newConnection = other92.newConnection;
-  __isset = other92.__isset;
+ApprovalRequest::ApprovalRequest(ApprovalRequest&& other106) noexcept {
+  step = std::move(other106.step);
+  workers = std::move(other106.workers);
+  timeoutMs = other106.timeoutMs;
+  newConnection = other106.newConnection;
+  __isset = other106.__isset;
 }
-ApprovalRequest& ApprovalRequest::operator=(const ApprovalRequest& other93) {
-  step = other93.step;
-  workers = other93.workers;
-  timeoutMs = other93.timeoutMs;
-  newConnection = other93.newConnection;
-  __isset = other93.__isset;
+ApprovalRequest& ApprovalRequest::operator=(const ApprovalRequest& other107) {
+  step = other107.step;
+  workers = other107.workers;
+  timeoutMs = other107.timeoutMs;
+  newConnection = other107.newConnection;
+  __isset = other107.__isset;
   return *this;
 }
-ApprovalRequest& ApprovalRequest::operator=(ApprovalRequest&& other94) noexcept {
-  step = std::move(other94.step);
-  workers = std::move(other94.workers);
-  timeoutMs = other94.timeoutMs;
-  newConnection = other94.newConnection;
-  __isset = other94.__isset;
+ApprovalRequest& ApprovalRequest::operator=(ApprovalRequest&& other108) noexcept {
+  step = std::move(other108.step);
+  workers = std::move(other108.workers);
+  timeoutMs = other108.timeoutMs;
+  newConnection = other108.newConnection;
+  __isset = other108.__isset;
   return *this;
 }
 void ApprovalRequest::printTo(std::ostream& out) const {
@@ -2201,26 +2269,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Approval::Approval(const Approval& other95) {
-  worker = other95.worker;
-  ticket = other95.ticket;
-  __isset = other95.__isset;
+Approval::Approval(const Approval& other109) {
+  worker = other109.worker;
+  ticket = other109.ticket;
+  __isset = other109.__isset;
 }
-Approval::Approval(Approval&& other96) noexcept {
-  worker = std::move(other96.worker);
-  ticket = std::move(other96.ticket);
-  __isset = other96.__isset;
+Approval::Approval(Approval&& other110) noexcept {
+  worker = std::move(other110.worker);
+  ticket = std::move(other110.ticket);
+  __isset = other110.__isset;
 }
-Approval& Approval::operator=(const Approval& other97) {
-  worker = other97.worker;
-  ticket = other97.ticket;
-  __isset = other97.__isset;
+Approval& Approval::operator=(const Approval& other111) {
+  worker = other111.worker;
+  ticket = other111.ticket;
+  __isset = other111.__isset;
   return *this;
 }
-Approval& Approval::operator=(Approval&& other98) noexcept {
-  worker = std::move(other98.worker);
-  ticket = std::move(other98.ticket);
-  __isset = other98.__isset;
+Approval& Approval::operator=(Approval&& other112) noexcept {
+  worker = std::move(other112.worker);
+  ticket = std::move(other112.ticket);
+  __isset = other112.__isset;
   return *this;
 }
 void Approval::printTo(std::ostream& out) const {
@@ -2287,14 +2355,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->approved.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->approved.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->approved.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += this->approved[_i103].read(iprot);
+              xfer += this->approved[_i117].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2335,10 +2403,10 @@
   xfer += oprot->writeFieldBegin("approved", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->approved.size()));
-    std::vector<Approval> ::const_iterator _iter104;
-    for (_iter104 = this->approved.begin(); _iter104 != this->approved.end(); ++_iter104)
+    std::vector<Approval> ::const_iterator _iter118;
+    for (_iter118 = this->approved.begin(); _iter118 != this->approved.end(); ++_iter118)
     {
-      xfer += (*_iter104).write(oprot);
+      xfer += (*_iter118).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2361,30 +2429,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ApprovalAnswer::ApprovalAnswer(const ApprovalAnswer& other105) {
-  ok = other105.ok;
-  approved = other105.approved;
-  error = other105.error;
-  __isset = other105.__isset;
+ApprovalAnswer::ApprovalAnswer(const ApprovalAnswer& other119) {
+  ok = other119.ok;
+  approved = other119.approved;
+  error = other119.error;
+  __isset = other119.__isset;
 }
-ApprovalAnswer::ApprovalAnswer(ApprovalAnswer&& other106) noexcept {
-  ok = other106.ok;
-  approved = std::move(other106.approved);
-  error = std::move(other106.error);
-  __isset = other106.__isset;
+ApprovalAnswer::ApprovalAnswer(ApprovalAnswer&& other120) noexcept {
+  ok = other120.ok;
+  approved = std::move(other120.approved);
+  error = std::move(other120.error);
+  __isset = other120.__isset;
 }
-ApprovalAnswer& ApprovalAnswer::operator=(const ApprovalAnswer& other107) {
-  ok = other107.ok;
-  approved = other107.approved;
-  error = other107.error;
-  __isset = other107.__isset;
+ApprovalAnswer& ApprovalAnswer::operator=(const ApprovalAnswer& other121) {
+  ok = other121.ok;
+  approved = other121.approved;
+  error = other121.error;
+  __isset = other121.__isset;
   return *this;
 }
-ApprovalAnswer& ApprovalAnswer::operator=(ApprovalAnswer&& other108) noexcept {
-  ok = other108.ok;
-  approved = std::move(other108.approved);
-  error = std::move(other108.error);
-  __isset = other108.__isset;
+ApprovalAnswer& ApprovalAnswer::operator=(ApprovalAnswer&& other122) noexcept {
+  ok = other122.ok;
+  approved = std::move(other122.approved);
+  error = std::move(other122.error);
+  __isset = other122.__isset;
   return *this;
 }
 void ApprovalAnswer::printTo(std::ostream& out) const {
@@ -2574,46 +2642,46 @@
   swap(a.__isset, b.__isset);
 }
 
-UsedWorker::UsedWorker(const UsedWorker& other109) {
-  id = other109.id;
-  address = other109.address;
-  leasesExpireWithinMs = other109.leasesExpireWithinMs;
-  runsRecordedEpoch = other109.runsRecordedEpoch;
-  startedAtMs = other109.startedAtMs;
-  staleLeasesExpireWithinMs = other109.staleLeasesExpireWithinMs;
-  unansweredStartsExpireWithinMs = other109.unansweredStartsExpireWithinMs;
-  __isset = other109.__isset;
-}
-UsedWorker::UsedWorker(UsedWorker&& other110) noexcept {
-  id = std::move(other110.id);
-  address = std::move(other110.address);
-  leasesExpireWithinMs = other110.leasesExpireWithinMs;
-  runsRecordedEpoch = other110.runsRecordedEpoch;
-  startedAtMs = other110.startedAtMs;
-  staleLeasesExpireWithinMs = other110.staleLeasesExpireWithinMs;
-  unansweredStartsExpireWithinMs = other110.unansweredStartsExpireWithinMs;
-  __isset = other110.__isset;
-}
-UsedWorker& UsedWorker::operator=(const UsedWorker& other111) {
-  id = other111.id;
-  address = other111.address;
-  leasesExpireWithinMs = other111.leasesExpireWithinMs;
-  runsRecordedEpoch = other111.runsRecordedEpoch;
-  startedAtMs = other111.startedAtMs;
-  staleLeasesExpireWithinMs = other111.staleLeasesExpireWithinMs;
-  unansweredStartsExpireWithinMs = other111.unansweredStartsExpireWithinMs;
-  __isset = other111.__isset;
+UsedWorker::UsedWorker(const UsedWorker& other123) {
+  id = other123.id;
+  address = other123.address;
+  leasesExpireWithinMs = other123.leasesExpireWithinMs;
+  runsRecordedEpoch = other123.runsRecordedEpoch;
+  startedAtMs = other123.startedAtMs;
+  staleLeasesExpireWithinMs = other123.staleLeasesExpireWithinMs;
+  unansweredStartsExpireWithinMs = other123.unansweredStartsExpireWithinMs;
+  __isset = other123.__isset;
+}
+UsedWorker::UsedWorker(UsedWorker&& other124) noexcept {
+  id = std::move(other124.id);
+  address = std::move(other124.address);
+  leasesExpireWithinMs = other124.leasesExpireWithinMs;
+  runsRecordedEpoch = other124.runsRecordedEpoch;
+  startedAtMs = other124.startedAtMs;
+  staleLeasesExpireWithinMs = other124.staleLeasesExpireWithinMs;
+  unansweredStartsExpireWithinMs = other124.unansweredStartsExpireWithinMs;
+  __isset = other124.__isset;
+}
+UsedWorker& UsedWorker::operator=(const UsedWorker& other125) {
+  id = other125.id;
+  address = other125.address;
+  leasesExpireWithinMs = other125.leasesExpireWithinMs;
+  runsRecordedEpoch = other125.runsRecordedEpoch;
+  startedAtMs = other125.startedAtMs;
+  staleLeasesExpireWithinMs = other125.staleLeasesExpireWithinMs;
+  unansweredStartsExpireWithinMs = other125.unansweredStartsExpireWithinMs;
+  __isset = other125.__isset;
   return *this;
 }
-UsedWorker& UsedWorker::operator=(UsedWorker&& other112) noexcept {
-  id = std::move(other112.id);
-  address = std::move(other112.address);
-  leasesExpireWithinMs = other112.leasesExpireWithinMs;
-  runsRecordedEpoch = other112.runsRecordedEpoch;
-  startedAtMs = other112.startedAtMs;
-  staleLeasesExpireWithinMs = other112.staleLeasesExpireWithinMs;
-  unansweredStartsExpireWithinMs = other112.unansweredStartsExpireWithinMs;
-  __isset = other112.__isset;
+UsedWorker& UsedWorker::operator=(UsedWorker&& other126) noexcept {
+  id = std::move(other126.id);
+  address = std::move(other126.address);
+  leasesExpireWithinMs = other126.leasesExpireWithinMs;
+  runsRecordedEpoch = other126.runsRecordedEpoch;
+  startedAtMs = other126.startedAtMs;
+  staleLeasesExpireWithinMs = other126.staleLeasesExpireWithinMs;
+  unansweredStartsExpireWithinMs = other126.unansweredStartsExpireWithinMs;
+  __isset = other126.__isset;
   return *this;
 }
 void UsedWorker::printTo(std::ostream& out) const {
@@ -2756,34 +2824,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredRecord::StoredRecord(const StoredRecord& other113) {
-  key = other113.key;
-  value = other113.value;
-  removed = other113.removed;
-  offset = other113.offset;
-  __isset = other113.__isset;
-}
-StoredRecord::StoredRecord(StoredRecord&& other114) noexcept {
-  key = std::move(other114.key);
-  value = std::move(other114.value);
-  removed = other114.removed;
-  offset = other114.offset;
-  __isset = other114.__isset;
-}
-StoredRecord& StoredRecord::operator=(const StoredRecord& other115) {
-  key = other115.key;
-  value = other115.value;
-  removed = other115.removed;
-  offset = other115.offset;
-  __isset = other115.__isset;
+StoredRecord::StoredRecord(const StoredRecord& other127) {
+  key = other127.key;
+  value = other127.value;
+  removed = other127.removed;
+  offset = other127.offset;
+  __isset = other127.__isset;
+}
+StoredRecord::StoredRecord(StoredRecord&& other128) noexcept {
+  key = std::move(other128.key);
+  value = std::move(other128.value);
+  removed = other128.removed;
+  offset = other128.offset;
+  __isset = other128.__isset;
+}
+StoredRecord& StoredRecord::operator=(const StoredRecord& other129) {
+  key = other129.key;
+  value = other129.value;
+  removed = other129.removed;
+  offset = other129.offset;
+  __isset = other129.__isset;
   return *this;
 }
-StoredRecord& StoredRecord::operator=(StoredRecord&& other116) noexcept {
-  key = std::move(other116.key);
-  value = std::move(other116.value);
-  removed = other116.removed;
-  offset = other116.offset;
-  __isset = other116.__isset;
+StoredRecord& StoredRecord::operator=(StoredRecord&& other130) noexcept {
+  key = std::move(other130.key);
+  value = std::move(other130.value);
+  removed = other130.removed;
+  offset = other130.offset;
+  __isset = other130.__isset;
   return *this;
 }
 void StoredRecord::printTo(std::ostream& out) const {
@@ -2868,14 +2936,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size117;
-            ::apache::thrift::protocol::TType _etype120;
-            xfer += iprot->readListBegin(_etype120, _size117);
-            this->records.resize(_size117);
-            uint32_t _i121;
-            for (_i121 = 0; _i121 < _size117; ++_i121)
+            uint32_t _size131;
+            ::apache::thrift::protocol::TType _etype134;
+            xfer += iprot->readListBegin(_etype134, _size131);
+            this->records.resize(_size131);
+            uint32_t _i135;
+            for (_i135 = 0; _i135 < _size131; ++_i135)
             {
-              xfer += this->records[_i121].read(iprot);
+              xfer += this->records[_i135].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2896,14 +2964,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relayTo.clear();
-            uint32_t _size122;
-            ::apache::thrift::protocol::TType _etype125;
-            xfer += iprot->readListBegin(_etype125, _size122);
-            this->relayTo.resize(_size122);
-            uint32_t _i126;
-            for (_i126 = 0; _i126 < _size122; ++_i126)
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->relayTo.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
             {
-              xfer += iprot->readString(this->relayTo[_i126]);
+              xfer += iprot->readString(this->relayTo[_i140]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2960,10 +3028,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StoredRecord> ::const_iterator _iter127;
-    for (_iter127 = this->records.begin(); _iter127 != this->records.end(); ++_iter127)
+    std::vector<StoredRecord> ::const_iterator _iter141;
+    for (_iter141 = this->records.begin(); _iter141 != this->records.end(); ++_iter141)
     {
-      xfer += (*_iter127).write(oprot);
+      xfer += (*_iter141).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2976,10 +3044,10 @@
   xfer += oprot->writeFieldBegin("relayTo", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->relayTo.size()));
-    std::vector<std::string> ::const_iterator _iter128;
-    for (_iter128 = this->relayTo.begin(); _iter128 != this->relayTo.end(); ++_iter128)
+    std::vector<std::string> ::const_iterator _iter142;
+    for (_iter142 = this->relayTo.begin(); _iter142 != this->relayTo.end(); ++_iter142)
     {
-      xfer += oprot->writeString((*_iter128));
+      xfer += oprot->writeString((*_iter142));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3014,46 +3082,46 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredRecords::StoredRecords(const StoredRecords& other129) {
-  topic = other129.topic;
-  records = other129.records;
-  topicEnd = other129.topicEnd;
-  relayTo = other129.relayTo;
-  epoch = other129.epoch;
-  publishedAtMs = other129.publishedAtMs;
-  appendMs = other129.appendMs;
-  __isset = other129.__isset;
+StoredRecords::StoredRecords(const StoredRecords& other143) {
+  topic = other143.topic;
+  records = other143.records;
+  topicEnd = other143.topicEnd;
+  relayTo = other143.relayTo;
+  epoch = other143.epoch;
+  publishedAtMs = other143.publishedAtMs;
+  appendMs = other143.appendMs;
+  __isset = other143.__isset;
 }
-StoredRecords::StoredRecords(StoredRecords&& other130) noexcept {
-  topic = std::move(other130.topic);
-  records = std::move(other130.records);
-  topicEnd = other130.topicEnd;
-  relayTo = std::move(other130.relayTo);
-  epoch = other130.epoch;
-  publishedAtMs = other130.publishedAtMs;
-  appendMs = other130.appendMs;
-  __isset = other130.__isset;
+StoredRecords::StoredRecords(StoredRecords&& other144) noexcept {
+  topic = std::move(other144.topic);
+  records = std::move(other144.records);
+  topicEnd = other144.topicEnd;
+  relayTo = std::move(other144.relayTo);
+  epoch = other144.epoch;
+  publishedAtMs = other144.publishedAtMs;
+  appendMs = other144.appendMs;
+  __isset = other144.__isset;
 }
-StoredRecords& StoredRecords::operator=(const StoredRecords& other131) {
-  topic = other131.topic;
-  records = other131.records;
-  topicEnd = other131.topicEnd;
-  relayTo = other131.relayTo;
-  epoch = other131.epoch;
-  publishedAtMs = other131.publishedAtMs;
-  appendMs = other131.appendMs;
-  __isset = other131.__isset;
+StoredRecords& StoredRecords::operator=(const StoredRecords& other145) {
+  topic = other145.topic;
+  records = other145.records;
+  topicEnd = other145.topicEnd;
+  relayTo = other145.relayTo;
+  epoch = other145.epoch;
+  publishedAtMs = other145.publishedAtMs;
+  appendMs = other145.appendMs;
+  __isset = other145.__isset;
   return *this;
 }
-StoredRecords& StoredRecords::operator=(StoredRecords&& other132) noexcept {
-  topic = std::move(other132.topic);
-  records = std::move(other132.records);
-  topicEnd = other132.topicEnd;
-  relayTo = std::move(other132.relayTo);
-  epoch = other132.epoch;
-  publishedAtMs = other132.publishedAtMs;
-  appendMs = other132.appendMs;
-  __isset = other132.__isset;
+StoredRecords& StoredRecords::operator=(StoredRecords&& other146) noexcept {
+  topic = std::move(other146.topic);
+  records = std::move(other146.records);
+  topicEnd = other146.topicEnd;
+  relayTo = std::move(other146.relayTo);
+  epoch = other146.epoch;
+  publishedAtMs = other146.publishedAtMs;
+  appendMs = other146.appendMs;
+  __isset = other146.__isset;
   return *this;
 }
 void StoredRecords::printTo(std::ostream& out) const {
@@ -3141,17 +3209,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size133;
-            ::apache::thrift::protocol::TType _ktype134;
-            ::apache::thrift::protocol::TType _vtype135;
-            xfer += iprot->readMapBegin(_ktype134, _vtype135, _size133);
-            uint32_t _i137;
-            for (_i137 = 0; _i137 < _size133; ++_i137)
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _ktype148;
+            ::apache::thrift::protocol::TType _vtype149;
+            xfer += iprot->readMapBegin(_ktype148, _vtype149, _size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
             {
-              std::string _key138;
-              xfer += iprot->readString(_key138);
-              std::string& _val139 = this->headers[_key138];
-              xfer += iprot->readString(_val139);
+              std::string _key152;
+              xfer += iprot->readString(_key152);
+              std::string& _val153 = this->headers[_key152];
+              xfer += iprot->readString(_val153);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3204,11 +3272,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter140;
-    for (_iter140 = this->headers.begin(); _iter140 != this->headers.end(); ++_iter140)
+    std::map<std::string, std::string> ::const_iterator _iter154;
+    for (_iter154 = this->headers.begin(); _iter154 != this->headers.end(); ++_iter154)
     {
-      xfer += oprot->writeString(_iter140->first);
-      xfer += oprot->writeString(_iter140->second);
+      xfer += oprot->writeString(_iter154->first);
+      xfer += oprot->writeString(_iter154->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3237,38 +3305,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CallerRequest::CallerRequest(const CallerRequest& other141) {
-  method = other141.method;
-  path = other141.path;
-  headers = other141.headers;
-  body = other141.body;
-  configurationVersion = other141.configurationVersion;
-  __isset = other141.__isset;
-}
-CallerRequest::CallerRequest(CallerRequest&& other142) noexcept {
-  method = std::move(other142.method);
-  path = std::move(other142.path);
-  headers = std::move(other142.headers);
-  body = std::move(other142.body);
-  configurationVersion = other142.configurationVersion;
-  __isset = other142.__isset;
-}
-CallerRequest& CallerRequest::operator=(const CallerRequest& other143) {
-  method = other143.method;
-  path = other143.path;
-  headers = other143.headers;
-  body = other143.body;
-  configurationVersion = other143.configurationVersion;
-  __isset = other143.__isset;
+CallerRequest::CallerRequest(const CallerRequest& other155) {
+  method = other155.method;
+  path = other155.path;
+  headers = other155.headers;
+  body = other155.body;
+  configurationVersion = other155.configurationVersion;
+  __isset = other155.__isset;
+}
+CallerRequest::CallerRequest(CallerRequest&& other156) noexcept {
+  method = std::move(other156.method);
+  path = std::move(other156.path);
+  headers = std::move(other156.headers);
+  body = std::move(other156.body);
+  configurationVersion = other156.configurationVersion;
+  __isset = other156.__isset;
+}
+CallerRequest& CallerRequest::operator=(const CallerRequest& other157) {
+  method = other157.method;
+  path = other157.path;
+  headers = other157.headers;
+  body = other157.body;
+  configurationVersion = other157.configurationVersion;
+  __isset = other157.__isset;
   return *this;
 }
-CallerRequest& CallerRequest::operator=(CallerRequest&& other144) noexcept {
-  method = std::move(other144.method);
-  path = std::move(other144.path);
-  headers = std::move(other144.headers);
-  body = std::move(other144.body);
-  configurationVersion = other144.configurationVersion;
-  __isset = other144.__isset;
+CallerRequest& CallerRequest::operator=(CallerRequest&& other158) noexcept {
+  method = std::move(other158.method);
+  path = std::move(other158.path);
+  headers = std::move(other158.headers);
+  body = std::move(other158.body);
+  configurationVersion = other158.configurationVersion;
+  __isset = other158.__isset;
   return *this;
 }
 void CallerRequest::printTo(std::ostream& out) const {
@@ -3409,34 +3477,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CallerResponse::CallerResponse(const CallerResponse& other145) {
-  status = other145.status;
-  body = other145.body;
-  retryAfterMs = other145.retryAfterMs;
-  configurationVersion = other145.configurationVersion;
-  __isset = other145.__isset;
-}
-CallerResponse::CallerResponse(CallerResponse&& other146) noexcept {
-  status = other146.status;
-  body = std::move(other146.body);
-  retryAfterMs = other146.retryAfterMs;
-  configurationVersion = other146.configurationVersion;
-  __isset = other146.__isset;
-}
-CallerResponse& CallerResponse::operator=(const CallerResponse& other147) {
-  status = other147.status;
-  body = other147.body;
-  retryAfterMs = other147.retryAfterMs;
-  configurationVersion = other147.configurationVersion;
-  __isset = other147.__isset;
+CallerResponse::CallerResponse(const CallerResponse& other159) {
+  status = other159.status;
+  body = other159.body;
+  retryAfterMs = other159.retryAfterMs;
+  configurationVersion = other159.configurationVersion;
+  __isset = other159.__isset;
+}
+CallerResponse::CallerResponse(CallerResponse&& other160) noexcept {
+  status = other160.status;
+  body = std::move(other160.body);
+  retryAfterMs = other160.retryAfterMs;
+  configurationVersion = other160.configurationVersion;
+  __isset = other160.__isset;
+}
+CallerResponse& CallerResponse::operator=(const CallerResponse& other161) {
+  status = other161.status;
+  body = other161.body;
+  retryAfterMs = other161.retryAfterMs;
+  configurationVersion = other161.configurationVersion;
+  __isset = other161.__isset;
   return *this;
 }
-CallerResponse& CallerResponse::operator=(CallerResponse&& other148) noexcept {
-  status = other148.status;
-  body = std::move(other148.body);
-  retryAfterMs = other148.retryAfterMs;
-  configurationVersion = other148.configurationVersion;
-  __isset = other148.__isset;
+CallerResponse& CallerResponse::operator=(CallerResponse&& other162) noexcept {
+  status = other162.status;
+  body = std::move(other162.body);
+  retryAfterMs = other162.retryAfterMs;
+  configurationVersion = other162.configurationVersion;
+  __isset = other162.__isset;
   return *this;
 }
 void CallerResponse::printTo(std::ostream& out) const {
@@ -3547,9 +3615,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast149;
-          xfer += iprot->readI32(ecast149);
-          this->kind = static_cast<WorkerCallKind::type>(ecast149);
+          int32_t ecast163;
+          xfer += iprot->readI32(ecast163);
+          this->kind = static_cast<WorkerCallKind::type>(ecast163);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3748,74 +3816,74 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerCall::WorkerCall(const WorkerCall& other150) {
-  id = other150.id;
-  kind = other150.kind;
-  worker = other150.worker;
-  address = other150.address;
-  leaseEndMs = other150.leaseEndMs;
-  timeoutMs = other150.timeoutMs;
-  waitMs = other150.waitMs;
-  acknowledged = other150.acknowledged;
-  task = other150.task;
-  run = other150.run;
-  speedPercent = other150.speedPercent;
-  checkpoint = other150.checkpoint;
-  ticket = other150.ticket;
-  fencingToken = other150.fencingToken;
-  __isset = other150.__isset;
-}
-WorkerCall::WorkerCall(WorkerCall&& other151) noexcept {
-  id = other151.id;
-  kind = other151.kind;
-  worker = std::move(other151.worker);
-  address = std::move(other151.address);
-  leaseEndMs = other151.leaseEndMs;
-  timeoutMs = other151.timeoutMs;
-  waitMs = other151.waitMs;
-  acknowledged = other151.acknowledged;
-  task = std::move(other151.task);
-  run = other151.run;
-  speedPercent = other151.speedPercent;
-  checkpoint = std::move(other151.checkpoint);
-  ticket = std::move(other151.ticket);
-  fencingToken = other151.fencingToken;
-  __isset = other151.__isset;
-}
-WorkerCall& WorkerCall::operator=(const WorkerCall& other152) {
-  id = other152.id;
-  kind = other152.kind;
-  worker = other152.worker;
-  address = other152.address;
-  leaseEndMs = other152.leaseEndMs;
-  timeoutMs = other152.timeoutMs;
-  waitMs = other152.waitMs;
-  acknowledged = other152.acknowledged;
-  task = other152.task;
-  run = other152.run;
-  speedPercent = other152.speedPercent;
-  checkpoint = other152.checkpoint;
-  ticket = other152.ticket;
-  fencingToken = other152.fencingToken;
-  __isset = other152.__isset;
+WorkerCall::WorkerCall(const WorkerCall& other164) {
+  id = other164.id;
+  kind = other164.kind;
+  worker = other164.worker;
+  address = other164.address;
+  leaseEndMs = other164.leaseEndMs;
+  timeoutMs = other164.timeoutMs;
+  waitMs = other164.waitMs;
+  acknowledged = other164.acknowledged;
+  task = other164.task;
+  run = other164.run;
+  speedPercent = other164.speedPercent;
+  checkpoint = other164.checkpoint;
+  ticket = other164.ticket;
+  fencingToken = other164.fencingToken;
+  __isset = other164.__isset;
+}
+WorkerCall::WorkerCall(WorkerCall&& other165) noexcept {
+  id = other165.id;
+  kind = other165.kind;
+  worker = std::move(other165.worker);
+  address = std::move(other165.address);
+  leaseEndMs = other165.leaseEndMs;
+  timeoutMs = other165.timeoutMs;
+  waitMs = other165.waitMs;
+  acknowledged = other165.acknowledged;
+  task = std::move(other165.task);
+  run = other165.run;
+  speedPercent = other165.speedPercent;
+  checkpoint = std::move(other165.checkpoint);
+  ticket = std::move(other165.ticket);
+  fencingToken = other165.fencingToken;
+  __isset = other165.__isset;
+}
+WorkerCall& WorkerCall::operator=(const WorkerCall& other166) {
+  id = other166.id;
+  kind = other166.kind;
+  worker = other166.worker;
+  address = other166.address;
+  leaseEndMs = other166.leaseEndMs;
+  timeoutMs = other166.timeoutMs;
+  waitMs = other166.waitMs;
+  acknowledged = other166.acknowledged;
+  task = other166.task;
+  run = other166.run;
+  speedPercent = other166.speedPercent;
+  checkpoint = other166.checkpoint;
+  ticket = other166.ticket;
+  fencingToken = other166.fencingToken;
+  __isset = other166.__isset;
   return *this;
 }
-WorkerCall& WorkerCall::operator=(WorkerCall&& other153) noexcept {
-  id = other153.id;
-  kind = other153.kind;
-  worker = std::move(other153.worker);
-  address = std::move(other153.address);
-  leaseEndMs = other153.leaseEndMs;
-  timeoutMs = other153.timeoutMs;
-  waitMs = other153.waitMs;
-  acknowledged = other153.acknowledged;
-  task = std::move(other153.task);
-  run = other153.run;
-  speedPercent = other153.speedPercent;
-  checkpoint = std::move(other153.checkpoint);
-  ticket = std::move(other153.ticket);
-  fencingToken = other153.fencingToken;
-  __isset = other153.__isset;
+WorkerCall& WorkerCall::operator=(WorkerCall&& other167) noexcept {
+  id = other167.id;
+  kind = other167.kind;
+  worker = std::move(other167.worker);
+  address = std::move(other167.address);
+  leaseEndMs = other167.leaseEndMs;
+  timeoutMs = other167.timeoutMs;
+  waitMs = other167.waitMs;
+  acknowledged = other167.acknowledged;
+  task = std::move(other167.task);
+  run = other167.run;
+  speedPercent = other167.speedPercent;
+  checkpoint = std::move(other167.checkpoint);
+  ticket = std::move(other167.ticket);
+  fencingToken = other167.fencingToken;
+  __isset = other167.__isset;
   return *this;
 }
 void WorkerCall::printTo(std::ostream& out) const {
@@ -3930,14 +3998,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->calls.clear();
-            uint32_t _size154;
-            ::apache::thrift::protocol::TType _etype157;
-            xfer += iprot->readListBegin(_etype157, _size154);
-            this->calls.resize(_size154);
-            uint32_t _i158;
-            for (_i158 = 0; _i158 < _size154; ++_i158)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->calls.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->calls[_i158].read(iprot);
+              xfer += this->calls[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3950,17 +4018,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->payloads.clear();
-            uint32_t _size159;
-            ::apache::thrift::protocol::TType _ktype160;
-            ::apache::thrift::protocol::TType _vtype161;
-            xfer += iprot->readMapBegin(_ktype160, _vtype161, _size159);
-            uint32_t _i163;
-            for (_i163 = 0; _i163 < _size159; ++_i163)
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _ktype174;
+            ::apache::thrift::protocol::TType _vtype175;
+            xfer += iprot->readMapBegin(_ktype174, _vtype175, _size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
             {
-              std::string _key164;
-              xfer += iprot->readString(_key164);
-              std::string& _val165 = this->payloads[_key164];
-              xfer += iprot->readBinary(_val165);
+              std::string _key178;
+              xfer += iprot->readString(_key178);
+              std::string& _val179 = this->payloads[_key178];
+              xfer += iprot->readBinary(_val179);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4005,10 +4073,10 @@
   xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->calls.size()));
-    std::vector<WorkerCall> ::const_iterator _iter166;
-    for (_iter166 = this->calls.begin(); _iter166 != this->calls.end(); ++_iter166)
+    std::vector<WorkerCall> ::const_iterator _iter180;
+    for (_iter180 = this->calls.begin(); _iter180 != this->calls.end(); ++_iter180)
     {
-      xfer += (*_iter166).write(oprot);
+      xfer += (*_iter180).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4017,11 +4085,11 @@
   xfer += oprot->writeFieldBegin("payloads", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->payloads.size()));
-    std::map<std::string, std::string> ::const_iterator _iter167;
-    for (_iter167 = this->payloads.begin(); _iter167 != this->payloads.end(); ++_iter167)
+    std::map<std::string, std::string> ::const_iterator _iter181;
+    for (_iter181 = this->payloads.begin(); _iter181 != this->payloads.end(); ++_iter181)
     {
-      xfer += oprot->writeString(_iter167->first);
-      xfer += oprot->writeBinary(_iter167->second);
+      xfer += oprot->writeString(_iter181->first);
+      xfer += oprot->writeBinary(_iter181->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -4043,42 +4111,42 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerCalls::WorkerCalls(const WorkerCalls& other168) {
-  session = other168.session;
-  epoch = other168.epoch;
-  replyTo = other168.replyTo;
-  sentAtMs = other168.sentAtMs;
-  calls = other168.calls;
-  payloads = other168.payloads;
-  __isset = other168.__isset;
-}
-WorkerCalls::WorkerCalls(WorkerCalls&& other169) noexcept {
-  session = std::move(other169.session);
-  epoch = other169.epoch;
-  replyTo = std::move(other169.replyTo);
-  sentAtMs = other169.sentAtMs;
-  calls = std::move(other169.calls);
-  payloads = std::move(other169.payloads);
-  __isset = other169.__isset;
-}
-WorkerCalls& WorkerCalls::operator=(const WorkerCalls& other170) {
-  session = other170.session;
-  epoch = other170.epoch;
-  replyTo = other170.replyTo;
-  sentAtMs = other170.sentAtMs;
-  calls = other170.calls;
-  payloads = other170.payloads;
-  __isset = other170.__isset;
+WorkerCalls::WorkerCalls(const WorkerCalls& other182) {
+  session = other182.session;
+  epoch = other182.epoch;
+  replyTo = other182.replyTo;
+  sentAtMs = other182.sentAtMs;
+  calls = other182.calls;
+  payloads = other182.payloads;
+  __isset = other182.__isset;
+}
+WorkerCalls::WorkerCalls(WorkerCalls&& other183) noexcept {
+  session = std::move(other183.session);
+  epoch = other183.epoch;
+  replyTo = std::move(other183.replyTo);
+  sentAtMs = other183.sentAtMs;
+  calls = std::move(other183.calls);
+  payloads = std::move(other183.payloads);
+  __isset = other183.__isset;
+}
+WorkerCalls& WorkerCalls::operator=(const WorkerCalls& other184) {
+  session = other184.session;
+  epoch = other184.epoch;
+  replyTo = other184.replyTo;
+  sentAtMs = other184.sentAtMs;
+  calls = other184.calls;
+  payloads = other184.payloads;
+  __isset = other184.__isset;
   return *this;
 }
-WorkerCalls& WorkerCalls::operator=(WorkerCalls&& other171) noexcept {
-  session = std::move(other171.session);
-  epoch = other171.epoch;
-  replyTo = std::move(other171.replyTo);
-  sentAtMs = other171.sentAtMs;
-  calls = std::move(other171.calls);
-  payloads = std::move(other171.payloads);
-  __isset = other171.__isset;
+WorkerCalls& WorkerCalls::operator=(WorkerCalls&& other185) noexcept {
+  session = std::move(other185.session);
+  epoch = other185.epoch;
+  replyTo = std::move(other185.replyTo);
+  sentAtMs = other185.sentAtMs;
+  calls = std::move(other185.calls);
+  payloads = std::move(other185.payloads);
+  __isset = other185.__isset;
   return *this;
 }
 void WorkerCalls::printTo(std::ostream& out) const {
@@ -4186,26 +4254,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerCallsReceived::WorkerCallsReceived(const WorkerCallsReceived& other172) {
-  incarnation = other172.incarnation;
-  sendsFencingTokens = other172.sendsFencingTokens;
-  __isset = other172.__isset;
+WorkerCallsReceived::WorkerCallsReceived(const WorkerCallsReceived& other186) {
+  incarnation = other186.incarnation;
+  sendsFencingTokens = other186.sendsFencingTokens;
+  __isset = other186.__isset;
 }
-WorkerCallsReceived::WorkerCallsReceived(WorkerCallsReceived&& other173) noexcept {
-  incarnation = std::move(other173.incarnation);
-  sendsFencingTokens = other173.sendsFencingTokens;
-  __isset = other173.__isset;
+WorkerCallsReceived::WorkerCallsReceived(WorkerCallsReceived&& other187) noexcept {
+  incarnation = std::move(other187.incarnation);
+  sendsFencingTokens = other187.sendsFencingTokens;
+  __isset = other187.__isset;
 }
-WorkerCallsReceived& WorkerCallsReceived::operator=(const WorkerCallsReceived& other174) {
-  incarnation = other174.incarnation;
-  sendsFencingTokens = other174.sendsFencingTokens;
-  __isset = other174.__isset;
+WorkerCallsReceived& WorkerCallsReceived::operator=(const WorkerCallsReceived& other188) {
+  incarnation = other188.incarnation;
+  sendsFencingTokens = other188.sendsFencingTokens;
+  __isset = other188.__isset;
   return *this;
 }
-WorkerCallsReceived& WorkerCallsReceived::operator=(WorkerCallsReceived&& other175) noexcept {
-  incarnation = std::move(other175.incarnation);
-  sendsFencingTokens = other175.sendsFencingTokens;
-  __isset = other175.__isset;
+WorkerCallsReceived& WorkerCallsReceived::operator=(WorkerCallsReceived&& other189) noexcept {
+  incarnation = std::move(other189.incarnation);
+  sendsFencingTokens = other189.sendsFencingTokens;
+  __isset = other189.__isset;
   return *this;
 }
 void WorkerCallsReceived::printTo(std::ostream& out) const {
@@ -4360,38 +4428,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ListedRun::ListedRun(const ListedRun& other176) {
-  task = other176.task;
-  run = other176.run;
-  checkpoint = other176.checkpoint;
-  percent = other176.percent;
-  loadMetric = other176.loadMetric;
-  __isset = other176.__isset;
-}
-ListedRun::ListedRun(ListedRun&& other177) noexcept {
-  task = std::move(other177.task);
-  run = other177.run;
-  checkpoint = std::move(other177.checkpoint);
-  percent = other177.percent;
-  loadMetric = other177.loadMetric;
-  __isset = other177.__isset;
-}
-ListedRun& ListedRun::operator=(const ListedRun& other178) {
-  task = other178.task;
-  run = other178.run;
-  checkpoint = other178.checkpoint;
-  percent = other178.percent;
-  loadMetric = other178.loadMetric;
-  __isset = other178.__isset;
+ListedRun::ListedRun(const ListedRun& other190) {
+  task = other190.task;
+  run = other190.run;
+  checkpoint = other190.checkpoint;
+  percent = other190.percent;
+  loadMetric = other190.loadMetric;
+  __isset = other190.__isset;
+}
+ListedRun::ListedRun(ListedRun&& other191) noexcept {
+  task = std::move(other191.task);
+  run = other191.run;
+  checkpoint = std::move(other191.checkpoint);
+  percent = other191.percent;
+  loadMetric = other191.loadMetric;
+  __isset = other191.__isset;
+}
+ListedRun& ListedRun::operator=(const ListedRun& other192) {
+  task = other192.task;
+  run = other192.run;
+  checkpoint = other192.checkpoint;
+  percent = other192.percent;
+  loadMetric = other192.loadMetric;
+  __isset = other192.__isset;
   return *this;
 }
-ListedRun& ListedRun::operator=(ListedRun&& other179) noexcept {
-  task = std::move(other179.task);
-  run = other179.run;
-  checkpoint = std::move(other179.checkpoint);
-  percent = other179.percent;
-  loadMetric = other179.loadMetric;
-  __isset = other179.__isset;
+ListedRun& ListedRun::operator=(ListedRun&& other193) noexcept {
+  task = std::move(other193.task);
+  run = other193.run;
+  checkpoint = std::move(other193.checkpoint);
+  percent = other193.percent;
+  loadMetric = other193.loadMetric;
+  __isset = other193.__isset;
   return *this;
 }
 void ListedRun::printTo(std::ostream& out) const {
@@ -4483,9 +4551,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast180;
-          xfer += iprot->readI32(ecast180);
-          this->outcome = static_cast<RunEnd::type>(ecast180);
+          int32_t ecast194;
+          xfer += iprot->readI32(ecast194);
+          this->outcome = static_cast<RunEnd::type>(ecast194);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4551,38 +4619,38 @@
   swap(a.__isset, b.__isset);
 }
 
-FinishedRun::FinishedRun(const FinishedRun& other181) {
-  position = other181.position;
-  task = other181.task;
-  run = other181.run;
-  outcome = other181.outcome;
-  checkpoint = other181.checkpoint;
-  __isset = other181.__isset;
-}
-FinishedRun::FinishedRun(FinishedRun&& other182) noexcept {
-  position = other182.position;
-  task = std::move(other182.task);
-  run = other182.run;
-  outcome = other182.outcome;
-  checkpoint = std::move(other182.checkpoint);
-  __isset = other182.__isset;
-}
-FinishedRun& FinishedRun::operator=(const FinishedRun& other183) {
-  position = other183.position;
-  task = other183.task;
-  run = other183.run;
-  outcome = other183.outcome;
-  checkpoint = other183.checkpoint;
-  __isset = other183.__isset;
+FinishedRun::FinishedRun(const FinishedRun& other195) {
+  position = other195.position;
+  task = other195.task;
+  run = other195.run;
+  outcome = other195.outcome;
+  checkpoint = other195.checkpoint;
+  __isset = other195.__isset;
+}
+FinishedRun::FinishedRun(FinishedRun&& other196) noexcept {
+  position = other196.position;
+  task = std::move(other196.task);
+  run = other196.run;
+  outcome = other196.outcome;
+  checkpoint = std::move(other196.checkpoint);
+  __isset = other196.__isset;
+}
+FinishedRun& FinishedRun::operator=(const FinishedRun& other197) {
+  position = other197.position;
+  task = other197.task;
+  run = other197.run;
+  outcome = other197.outcome;
+  checkpoint = other197.checkpoint;
+  __isset = other197.__isset;
   return *this;
 }
-FinishedRun& FinishedRun::operator=(FinishedRun&& other184) noexcept {
-  position = other184.position;
-  task = std::move(other184.task);
-  run = other184.run;
-  outcome = other184.outcome;
-  checkpoint = std::move(other184.checkpoint);
-  __isset = other184.__isset;
+FinishedRun& FinishedRun::operator=(FinishedRun&& other198) noexcept {
+  position = other198.position;
+  task = std::move(other198.task);
+  run = other198.run;
+  outcome = other198.outcome;
+  checkpoint = std::move(other198.checkpoint);
+  __isset = other198.__isset;
   return *this;
 }
 void FinishedRun::printTo(std::ostream& out) const {
@@ -4690,9 +4758,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast185;
-          xfer += iprot->readI32(ecast185);
-          this->startResult = static_cast<StartResult::type>(ecast185);
+          int32_t ecast199;
+          xfer += iprot->readI32(ecast199);
+          this->startResult = static_cast<StartResult::type>(ecast199);
           this->__isset.startResult = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4718,14 +4786,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size186;
-            ::apache::thrift::protocol::TType _etype189;
-            xfer += iprot->readListBegin(_etype189, _size186);
-            this->running.resize(_size186);
-            uint32_t _i190;
-            for (_i190 = 0; _i190 < _size186; ++_i190)
+            uint32_t _size200;
+            ::apache::thrift::protocol::TType _etype203;
+            xfer += iprot->readListBegin(_etype203, _size200);
+            this->running.resize(_size200);
+            uint32_t _i204;
+            for (_i204 = 0; _i204 < _size200; ++_i204)
             {
-              xfer += this->running[_i190].read(iprot);
+              xfer += this->running[_i204].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4738,14 +4806,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->finished.clear();
-            uint32_t _size191;
-            ::apache::thrift::protocol::TType _etype194;
-            xfer += iprot->readListBegin(_etype194, _size191);
-            this->finished.resize(_size191);
-            uint32_t _i195;
-            for (_i195 = 0; _i195 < _size191; ++_i195)
+            uint32_t _size205;
+            ::apache::thrift::protocol::TType _etype208;
+            xfer += iprot->readListBegin(_etype208, _size205);
+            this->finished.resize(_size205);
+            uint32_t _i209;
+            for (_i209 = 0; _i209 < _size205; ++_i209)
             {
-              xfer += this->finished[_i195].read(iprot);
+              xfer += this->finished[_i209].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4806,10 +4874,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<ListedRun> ::const_iterator _iter196;
-    for (_iter196 = this->running.begin(); _iter196 != this->running.end(); ++_iter196)
+    std::vector<ListedRun> ::const_iterator _iter210;
+    for (_iter210 = this->running.begin(); _iter210 != this->running.end(); ++_iter210)
     {
-      xfer += (*_iter196).write(oprot);
+      xfer += (*_iter210).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4818,10 +4886,10 @@
   xfer += oprot->writeFieldBegin("finished", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->finished.size()));
-    std::vector<FinishedRun> ::const_iterator _iter197;
-    for (_iter197 = this->finished.begin(); _iter197 != this->finished.end(); ++_iter197)
+    std::vector<FinishedRun> ::const_iterator _iter211;
+    for (_iter211 = this->finished.begin(); _iter211 != this->finished.end(); ++_iter211)
     {
-      xfer += (*_iter197).write(oprot);
+      xfer += (*_iter211).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4850,54 +4918,54 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerAnswer::WorkerAnswer(const WorkerAnswer& other198) {
-  id = other198.id;
-  error = other198.error;
-  reason = other198.reason;
-  startResult = other198.startResult;
-  workerTimeMs = other198.workerTimeMs;
-  startedAtMs = other198.startedAtMs;
-  running = other198.running;
-  finished = other198.finished;
-  moreFinished = other198.moreFinished;
-  __isset = other198.__isset;
-}
-WorkerAnswer::WorkerAnswer(WorkerAnswer&& other199) noexcept {
-  id = other199.id;
-  error = std::move(other199.error);
-  reason = std::move(other199.reason);
-  startResult = other199.startResult;
-  workerTimeMs = other199.workerTimeMs;
-  startedAtMs = other199.startedAtMs;
-  running = std::move(other199.running);
-  finished = std::move(other199.finished);
-  moreFinished = other199.moreFinished;
-  __isset = other199.__isset;
-}
-WorkerAnswer& WorkerAnswer::operator=(const WorkerAnswer& other200) {
-  id = other200.id;
-  error = other200.error;
-  reason = other200.reason;
-  startResult = other200.startResult;
-  workerTimeMs = other200.workerTimeMs;
-  startedAtMs = other200.startedAtMs;
-  running = other200.running;
-  finished = other200.finished;
-  moreFinished = other200.moreFinished;
-  __isset = other200.__isset;
+WorkerAnswer::WorkerAnswer(const WorkerAnswer& other212) {
+  id = other212.id;
+  error = other212.error;
+  reason = other212.reason;
+  startResult = other212.startResult;
+  workerTimeMs = other212.workerTimeMs;
+  startedAtMs = other212.startedAtMs;
+  running = other212.running;
+  finished = other212.finished;
+  moreFinished = other212.moreFinished;
+  __isset = other212.__isset;
+}
+WorkerAnswer::WorkerAnswer(WorkerAnswer&& other213) noexcept {
+  id = other213.id;
+  error = std::move(other213.error);
+  reason = std::move(other213.reason);
+  startResult = other213.startResult;
+  workerTimeMs = other213.workerTimeMs;
+  startedAtMs = other213.startedAtMs;
+  running = std::move(other213.running);
+  finished = std::move(other213.finished);
+  moreFinished = other213.moreFinished;
+  __isset = other213.__isset;
+}
+WorkerAnswer& WorkerAnswer::operator=(const WorkerAnswer& other214) {
+  id = other214.id;
+  error = other214.error;
+  reason = other214.reason;
+  startResult = other214.startResult;
+  workerTimeMs = other214.workerTimeMs;
+  startedAtMs = other214.startedAtMs;
+  running = other214.running;
+  finished = other214.finished;
+  moreFinished = other214.moreFinished;
+  __isset = other214.__isset;
   return *this;
 }
-WorkerAnswer& WorkerAnswer::operator=(WorkerAnswer&& other201) noexcept {
-  id = other201.id;
-  error = std::move(other201.error);
-  reason = std::move(other201.reason);
-  startResult = other201.startResult;
-  workerTimeMs = other201.workerTimeMs;
-  startedAtMs = other201.startedAtMs;
-  running = std::move(other201.running);
-  finished = std::move(other201.finished);
-  moreFinished = other201.moreFinished;
-  __isset = other201.__isset;
+WorkerAnswer& WorkerAnswer::operator=(WorkerAnswer&& other215) noexcept {
+  id = other215.id;
+  error = std::move(other215.error);
+  reason = std::move(other215.reason);
+  startResult = other215.startResult;
+  workerTimeMs = other215.workerTimeMs;
+  startedAtMs = other215.startedAtMs;
+  running = std::move(other215.running);
+  finished = std::move(other215.finished);
+  moreFinished = other215.moreFinished;
+  __isset = other215.__isset;
   return *this;
 }
 void WorkerAnswer::printTo(std::ostream& out) const {
@@ -4967,14 +5035,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size202;
-            ::apache::thrift::protocol::TType _etype205;
-            xfer += iprot->readListBegin(_etype205, _size202);
-            this->answers.resize(_size202);
-            uint32_t _i206;
-            for (_i206 = 0; _i206 < _size202; ++_i206)
+            uint32_t _size216;
+            ::apache::thrift::protocol::TType _etype219;
+            xfer += iprot->readListBegin(_etype219, _size216);
+            this->answers.resize(_size216);
+            uint32_t _i220;
+            for (_i220 = 0; _i220 < _size216; ++_i220)
             {
-              xfer += this->answers[_i206].read(iprot);
+              xfer += this->answers[_i220].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5007,10 +5075,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<WorkerAnswer> ::const_iterator _iter207;
-    for (_iter207 = this->answers.begin(); _iter207 != this->answers.end(); ++_iter207)
+    std::vector<WorkerAnswer> ::const_iterator _iter221;
+    for (_iter221 = this->answers.begin(); _iter221 != this->answers.end(); ++_iter221)
     {
-      xfer += (*_iter207).write(oprot);
+      xfer += (*_iter221).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5028,26 +5096,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerAnswers::WorkerAnswers(const WorkerAnswers& other208) {
-  session = other208.session;
-  answers = other208.answers;
-  __isset = other208.__isset;
+WorkerAnswers::WorkerAnswers(const WorkerAnswers& other222) {
+  session = other222.session;
+  answers = other222.answers;
+  __isset = other222.__isset;
 }
-WorkerAnswers::WorkerAnswers(WorkerAnswers&& other209) noexcept {
-  session = std::move(other209.session);
-  answers = std::move(other209.answers);
-  __isset = other209.__isset;
+WorkerAnswers::WorkerAnswers(WorkerAnswers&& other223) noexcept {
+  session = std::move(other223.session);
+  answers = std::move(other223.answers);
+  __isset = other223.__isset;
 }
-WorkerAnswers& WorkerAnswers::operator=(const WorkerAnswers& other210) {
-  session = other210.session;
-  answers = other210.answers;
-  __isset = other210.__isset;
+WorkerAnswers& WorkerAnswers::operator=(const WorkerAnswers& other224) {
+  session = other224.session;
+  answers = other224.answers;
+  __isset = other224.__isset;
   return *this;
 }
-WorkerAnswers& WorkerAnswers::operator=(WorkerAnswers&& other211) noexcept {
-  session = std::move(other211.session);
-  answers = std::move(other211.answers);
-  __isset = other211.__isset;
+WorkerAnswers& WorkerAnswers::operator=(WorkerAnswers&& other225) noexcept {
+  session = std::move(other225.session);
+  answers = std::move(other225.answers);
+  __isset = other225.__isset;
   return *this;
 }
 void WorkerAnswers::printTo(std::ostream& out) const {
@@ -5098,14 +5166,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->teams.clear();
-            uint32_t _size212;
-            ::apache::thrift::protocol::TType _etype215;
-            xfer += iprot->readListBegin(_etype215, _size212);
-            this->teams.resize(_size212);
-            uint32_t _i216;
-            for (_i216 = 0; _i216 < _size212; ++_i216)
+            uint32_t _size226;
+            ::apache::thrift::protocol::TType _etype229;
+            xfer += iprot->readListBegin(_etype229, _size226);
+            this->teams.resize(_size226);
+            uint32_t _i230;
+            for (_i230 = 0; _i230 < _size226; ++_i230)
             {
-              xfer += iprot->readString(this->teams[_i216]);
+              xfer += iprot->readString(this->teams[_i230]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5134,10 +5202,10 @@
   xfer += oprot->writeFieldBegin("teams", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->teams.size()));
-    std::vector<std::string> ::const_iterator _iter217;
-    for (_iter217 = this->teams.begin(); _iter217 != this->teams.end(); ++_iter217)
+    std::vector<std::string> ::const_iterator _iter231;
+    for (_iter231 = this->teams.begin(); _iter231 != this->teams.end(); ++_iter231)
     {
-      xfer += oprot->writeString((*_iter217));
+      xfer += oprot->writeString((*_iter231));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5154,22 +5222,22 @@
   swap(a.__isset, b.__isset);
 }
 
-AdvanceCancellation::AdvanceCancellation(const AdvanceCancellation& other218) {
-  teams = other218.teams;
-  __isset = other218.__isset;
+AdvanceCancellation::AdvanceCancellation(const AdvanceCancellation& other232) {
+  teams = other232.teams;
+  __isset = other232.__isset;
 }
-AdvanceCancellation::AdvanceCancellation(AdvanceCancellation&& other219) noexcept {
-  teams = std::move(other219.teams);
-  __isset = other219.__isset;
+AdvanceCancellation::AdvanceCancellation(AdvanceCancellation&& other233) noexcept {
+  teams = std::move(other233.teams);
+  __isset = other233.__isset;
 }
-AdvanceCancellation& AdvanceCancellation::operator=(const AdvanceCancellation& other220) {
-  teams = other220.teams;
-  __isset = other220.__isset;
+AdvanceCancellation& AdvanceCancellation::operator=(const AdvanceCancellation& other234) {
+  teams = other234.teams;
+  __isset = other234.__isset;
   return *this;
 }
-AdvanceCancellation& AdvanceCancellation::operator=(AdvanceCancellation&& other221) noexcept {
-  teams = std::move(other221.teams);
-  __isset = other221.__isset;
+AdvanceCancellation& AdvanceCancellation::operator=(AdvanceCancellation&& other235) noexcept {
+  teams = std::move(other235.teams);
+  __isset = other235.__isset;
   return *this;
 }
 void AdvanceCancellation::printTo(std::ostream& out) const {
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -393,13 +393,14 @@
 std::ostream& operator<<(std::ostream& out, const Submission& obj);
 
 typedef struct _StepProgress__isset {
-  _StepProgress__isset() : occurrence(false), step(false), succeeded(false), failedRuns(false), placedOn(false), crashedRuns(false) {}
+  _StepProgress__isset() : occurrence(false), step(false), succeeded(false), failedRuns(false), placedOn(false), crashedRuns(false), copiesOn(false) {}
   bool occurrence :1;
   bool step :1;
   bool succeeded :1;
   bool failedRuns :1;
   bool placedOn :1;
   bool crashedRuns :1;
+  bool copiesOn :1;
 } _StepProgress__isset;
 
 class StepProgress : public virtual ::apache::thrift::TBase {
@@ -421,6 +422,7 @@
   std::map<int32_t, std::vector<int64_t> >  failedRuns;
   std::map<int32_t, std::string>  placedOn;
   std::map<int32_t, std::vector<int64_t> >  crashedRuns;
+  std::map<int32_t, std::vector<std::string> >  copiesOn;
 
   _StepProgress__isset __isset;
 
@@ -436,6 +438,8 @@
 
   void __set_crashedRuns(const std::map<int32_t, std::vector<int64_t> > & val);
 
+  void __set_copiesOn(const std::map<int32_t, std::vector<std::string> > & val);
+
   bool operator == (const StepProgress & rhs) const
   {
     if (!(occurrence == rhs.occurrence))
@@ -450,6 +454,10 @@
       return false;
     if (!(crashedRuns == rhs.crashedRuns))
       return false;
+    if (__isset.copiesOn != rhs.__isset.copiesOn)
+      return false;
+    else if (__isset.copiesOn && !(copiesOn == rhs.copiesOn))
+      return false;
     return true;
   }
   bool operator != (const StepProgress &rhs) const {
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -53,6 +53,9 @@
   5: map<i32, string> placedOn;
   // Numbers of the runs whose worker crashed soon after they had started, by task index.
   6: map<i32, list<i64>> crashedRuns;
+  // Further workers on which a run of the task may exist, by task index. Versions before
+  // 2026-12-07 run no copies of tasks and ignore it.
+  7: optional map<i32, list<string>> copiesOn;
 }
 
 enum JobState { Queued = 0, Running = 1, Completed = 2, Failed = 3, Cancelled = 4 }
