Copies simulation: tight limits, frequent faults, jobs that are being stopped

Cause: the first version never reached an account's limit. With tight limits it found runs beyond it, because the simulation forgot ended jobs at a takeover.

Change: the simulation keeps ended jobs whose progress names workers, as Scheduler does, and accepts a second run only if it was ordered as a copy.

--- a/src/control/copies_promise_test.cc
+++ b/src/control/copies_promise_test.cc
@@ -17,7 +17,8 @@
 using namespace promise;
 
 constexpr Duration FaultsBegin{3'000};
-constexpr Duration FaultInterval{1'500};
+constexpr Duration FaultInterval{600};
+constexpr int64_t LimitPercent = 15; // of the pool, for each account
 
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
 constexpr uint64_t DefaultSeeds = 10;
@@ -28,7 +29,7 @@
 Scenario drawScenario(Draw &draw)
 {
     Scenario out;
-    out.load = static_cast<double>(draw.between(10, 60)) / 100;
+    out.load = static_cast<double>(draw.between(10, 80)) / 100;
     out.instances = static_cast<int>(draw.between(3, 8));
     out.workers = static_cast<int>(draw.between(12, 32));
     out.capacity = {16'000, 32'000, 0, 0, 0};
@@ -53,7 +54,14 @@
 class CopiesSimulation : private FleetSimulation
 {
 public:
-    explicit CopiesSimulation(uint64_t seed) : FleetSimulation(seed, drawScenario) { }
+    explicit CopiesSimulation(uint64_t seed) : FleetSimulation(seed, drawScenario)
+    {
+        auto catalog = std::make_shared<Catalog>(*m_catalog);
+        for (auto &[name, team] : catalog->teams)
+            team.limit.cpuMilli = poolCpu() * LimitPercent / 100;
+        m_catalog = catalog;
+        m_dispatcher->setCatalog(m_catalog);
+    }
 
     Summary run()
     {
@@ -74,12 +82,12 @@
     void injectFault()
     {
         const WorkerId id = drawWorker();
-        if (m_draw.percent(30))
-            beginTenure();
-        else if (m_draw.percent(30))
+        if (m_draw.percent(10))
             drainWorker(id);
-        else if (!m_silentWorkers.contains(id) && m_draw.percent(60))
+        else if (!m_silentWorkers.contains(id) && m_draw.percent(70))
             silenceWorker(id, LeaseTime);
+        if (m_draw.percent(40))
+            beginTenure();
     }
     void onTick() override
     {
--- a/src/control/start_promise_simulation.h
+++ b/src/control/start_promise_simulation.h
@@ -67,6 +67,15 @@
         std::string lastWait; // details of the last "step_waits" event
         bool ended = false;
 
+        // Whether runs of the job may exist after its end.
+        bool isBeingStopped() const
+        {
+            return std::ranges::any_of(progress, [](const auto &part) {
+                return std::ranges::any_of(part.second.steps, [](const work::StepProgress &it) {
+                    return !it.placedOn.empty();
+                });
+            });
+        }
         bool isReady(size_t number) const
         {
             return std::ranges::all_of(spec->steps[number].after, [this](int32_t before) {
@@ -122,6 +131,10 @@
         m_policy.setSelf(self);
         DispatchOptions options;
         options.epoch = m_epoch;
+        options.findSubmission = [this](const std::string &id) {
+            const auto it = m_jobs.find(id);
+            return it == m_jobs.end() ? nullptr : it->second.spec;
+        };
         options.policies.maxCopyShare = m_scenario.maxCopyShare;
         m_dispatcher = std::make_unique<Dispatcher>(
             options, [this](const DispatchEvent &event) { onEvent(event); });
@@ -134,8 +147,8 @@
             std::vector<const work::Progress *> parts;
             for (const auto &[part, progress] : job.progress)
                 parts.push_back(&progress);
-            if (!job.ended)
-                m_dispatcher->addJob(job.spec, parts, mayBeRunning);
+            if (!job.ended || job.isBeingStopped())
+                m_dispatcher->addJob(job.spec, parts, mayBeRunning && !job.ended);
         }
         m_unreconciled.clear();
         m_recordedByFormer = std::exchange(m_recordedWorkers, {});
@@ -512,7 +525,8 @@
             for (const WorkerModel::Task &running : worker.tasks) {
                 if (running.task != order.task || running.run == order.run)
                     continue;
-                const bool allowed = spec.copiesAllowed && id != order.worker && ++copies == 1;
+                const bool allowed =
+                    order.copy && spec.copiesAllowed && id != order.worker && ++copies == 1;
                 if (!allowed)
                     m_violations.emplace_back(task).append(" runs on ").append(id);
             }
