--- a/src/bench/dispatcher_bench.cc
+++ b/src/bench/dispatcher_bench.cc
@@ -83,8 +83,8 @@
 class Fleet
 {
 public:
-    Fleet(int workers, double load, const SchedulingPolicies &policies = {})
-        : m_workers(static_cast<size_t>(workers)), m_load(load),
+    Fleet(int workers, double load, const SchedulingPolicies &policies = {}, uint64_t seed = 1)
+        : m_random(seed), m_workers(static_cast<size_t>(workers)), m_load(load),
           m_dispatcher(optionsWith(policies), nullptr)
     {
         m_catalog = makeCatalog();
@@ -105,6 +105,29 @@
             advance();
     }
 
+    // Fills the workers with saved runs that need no approval, and adds quick jobs that find no
+    // room. The next decision then considers all workers for each of them.
+    void fillAll(int quickJobs)
+    {
+        auto catalog = std::make_shared<Catalog>(*m_catalog);
+        for (auto &[name, route] : catalog->routes)
+            route.approval.reset();
+        for (auto &[name, team] : catalog->teams)
+            team.limit = {};
+        m_catalog = catalog;
+        m_dispatcher.setCatalog(catalog);
+        work::StepSpec step =
+            makeStep(static_cast<int32_t>(m_workers.size()) * 8, 8'000, 1'000, 60'000);
+        step.checkpointing = true;
+        add("saved", step, false);
+        decide();
+        m_now += Duration(2'000);
+        for (int i = 0; i < quickJobs; ++i)
+            add("quick", makeStep(10, 7'500, 1'000, 100), false);
+        m_now += Duration(600);
+        costs = {};
+        decide();
+    }
     // Sets the objectives of customer A of contention.md.
     void setObjectives()
     {
@@ -380,7 +403,7 @@
         m_dispatcher.approvalAnswered(*pending, &answer, m_now, m_now);
     }
 
-    std::mt19937_64 m_random{1};
+    std::mt19937_64 m_random;
     std::vector<SimulatedWorker> m_workers;
     double m_load = 1;
     double m_quickDue = 0;
@@ -433,14 +456,15 @@
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
 
-// Arguments: workers, and whether runs may be preempted for room.
+// Arguments: workers, whether runs may be preempted for room, and the seed of the generated work.
 void quickBurst(benchmark::State &state)
 {
     SchedulingPolicies policies;
     if (state.range(1) != 0)
         policies.preemption = PreemptionScope::Pool;
     while (state.KeepRunning()) {
-        Fleet fleet(static_cast<int>(state.range(0)), BurstLoad, policies);
+        Fleet fleet(static_cast<int>(state.range(0)), BurstLoad, policies,
+                    static_cast<uint64_t>(state.range(2)));
         fleet.setObjectives();
         fleet.callsPerStep = std::max(1, static_cast<int>(state.range(0)) / BaseWorkers);
         measure(state, fleet, BurstWarmUp, BurstQuickFactor);
@@ -452,6 +476,29 @@
     }
 }
 BENCHMARK(quickBurst)
+    ->ArgNames({"workers", "preemption", "seed"})
+    ->ArgsProduct({{350}, {0, 1}, {1, 2, 3, 4, 5, 6, 7, 8}})
+    ->ArgsProduct({{2'000}, {0, 1}, {1}})
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
+// One decision for quick steps on a full pool, each of which considers all workers. Arguments:
+// workers, and whether runs may be preempted for room.
+void fullPool(benchmark::State &state)
+{
+    constexpr int QuickJobs = 20;
+    SchedulingPolicies policies;
+    if (state.range(1) != 0)
+        policies.preemption = PreemptionScope::Pool;
+    while (state.KeepRunning()) {
+        Fleet fleet(static_cast<int>(state.range(0)), 1, policies);
+        fleet.fillAll(QuickJobs);
+        state.counters["decide_ms"] = fleet.costs.decide;
+        state.counters["stops"] = static_cast<double>(fleet.stops);
+        state.counters["used_percent"] = fleet.usedPercent();
+    }
+}
+BENCHMARK(fullPool)
     ->ArgNames({"workers", "preemption"})
     ->ArgsProduct({{350, 2'000}, {0, 1}})
     ->Iterations(1)
