--- a/src/dispatch/dispatcher_preemption.cc
+++ b/src/dispatch/dispatcher_preemption.cc
@@ -404,6 +404,33 @@
     }
 }
 
+// Returns the workers on which the step may start, less the room there that is free soon and that
+// its tasks take. Reduces `missing` by these tasks.
+std::vector<RoomOffer> Dispatcher::Impl::offersFor(const Step &step, const WorkRoute &route,
+                                                   int64_t &missing, Instant now, int64_t unixMs)
+{
+    std::vector<RoomOffer> offers;
+    for (Worker *worker : workersForRoom(step, route, now)) {
+        if (missing <= 0)
+            break;
+        WorkerOutlook &outlook = outlookOf(*worker, now, unixMs);
+        const Resources room = worker->entry.capacity - worker->used - worker->held
+                               - reservedForOthers(*worker, step) + beingFreed(*worker)
+                               + outlook.endingSoon;
+        const auto active = step.perWorker.find(worker->entry.id);
+        int64_t maxTasks = INT32_MAX;
+        if (step.spec->maxPerWorker > 0)
+            maxTasks =
+                step.spec->maxPerWorker - (active == step.perWorker.end() ? 0 : active->second);
+        const int64_t places = countFitting(room, step.taskResources, std::min(maxTasks, missing));
+        missing -= places;
+        outlook.endingSoon -=
+            step.taskResources * std::max<int64_t>(0, places - placesReserved(*worker, step));
+        offers.push_back({worker, room - step.taskResources * places, maxTasks - places});
+    }
+    return offers;
+}
+
 // Stops runs for waiting tasks of the step that get no room soon otherwise.
 void Dispatcher::Impl::preemptForRoom(Step &step, const WorkRoute &route, Instant now,
                                       int64_t unixMs)
@@ -422,25 +449,7 @@
     m_nextRoomSearchAt = now + SearchInterval;
     step.roomSearchAt = m_nextRoomSearchAt;
     int64_t missing = tasksWithoutRoom(step, now);
-    std::vector<RoomOffer> offers;
-    for (Worker *worker : workersForRoom(step, route, now)) {
-        if (missing <= 0)
-            return;
-        WorkerOutlook &outlook = outlookOf(*worker, now, unixMs);
-        Resources room = worker->entry.capacity - worker->used - worker->held
-                         - reservedForOthers(*worker, step) + beingFreed(*worker)
-                         + outlook.endingSoon;
-        const auto active = step.perWorker.find(worker->entry.id);
-        int64_t maxTasks = INT32_MAX;
-        if (step.spec->maxPerWorker > 0)
-            maxTasks =
-                step.spec->maxPerWorker - (active == step.perWorker.end() ? 0 : active->second);
-        const int64_t places = countFitting(room, step.taskResources, std::min(maxTasks, missing));
-        missing -= places;
-        outlook.endingSoon -=
-            step.taskResources * std::max<int64_t>(0, places - placesReserved(*worker, step));
-        offers.push_back({worker, room - step.taskResources * places, maxTasks - places});
-    }
+    const std::vector<RoomOffer> offers = offersFor(step, route, missing, now, unixMs);
     if (missing > 0)
         freeRoom(step, offers, missing, now, unixMs);
 }
--- a/src/dispatch/dispatcher_preemption_test.cc
+++ b/src/dispatch/dispatcher_preemption_test.cc
@@ -304,7 +304,7 @@
 // Guards against places that stay reserved for tasks which have started elsewhere.
 TEST_F(RoomPreemptionDispatchTest, GivesUpThePlacesOfTheTasksThatStartElsewhere)
 {
-    fill(Workers, Duration(1'200), batchStep(3));
+    fill();
     const auto stops = stopsForQuick(4);
     ASSERT_EQ(stops.size(), 2U);
     ASSERT_EQ(stops[0].worker, stops[1].worker);
@@ -455,7 +455,7 @@
 // no value left.
 TEST_F(RoomPreemptionDispatchTest, PreemptsOnlyForStepsThatWouldBeLateAndAreStillOfValue)
 {
-    fill(Workers, Duration(1'200), batchStep(3));
+    fill();
     work::StepSpec relaxed = quickStep(2);
     relaxed.estimatedMs = 4'000; // 2,250 ms of slack
     submit("relaxed", "quick", relaxed);
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -264,6 +264,8 @@
                         int64_t unixMs) const;
     void countAccounts();
     void countPool(const std::string &pool);
+    std::vector<dispatch::RoomOffer> offersFor(const Step &step, const WorkRoute &route,
+                                               int64_t &missing, Instant now, int64_t unixMs);
     void freeRoom(Step &step, const std::vector<dispatch::RoomOffer> &offers, int64_t missing,
                   Instant now, int64_t unixMs);
     void stopForRoom(Attempt &attempt, const Step &step, Instant now, int64_t unixMs);
