Estimates: runs whose end is listed late tell nothing

A worker that did not answer for a while, or that has more ends than it lists at once, lists the end of a run long after it. The run would count as long.

--- a/src/dispatch/dispatcher_estimates.cc
+++ b/src/dispatch/dispatcher_estimates.cc
@@ -122,11 +122,19 @@
                                                                        : m_options.offRackFactor;
 }
 
-// Learns from a run whose beginning is known and which has run at full speed all the time.
-void Dispatcher::Impl::learnModelRun(Attempt &attempt, double ranMs)
+// Returns whether the time since the start of the attempt's run tells how long its task takes.
+bool Dispatcher::Impl::showsRunTime(const Attempt &attempt)
 {
     const work::StepSpec &spec = *attempt.step->spec;
-    if (!attempt.startAnswered || attempt.resumed || spec.usesIdleCpu || spec.longRunning)
+    const Worker &worker = *attempt.worker;
+    // The ends of runs are listed late by a worker that did not answer or has too many of them.
+    return attempt.startAnswered && !attempt.resumed && !spec.usesIdleCpu && !spec.longRunning
+           && worker.reachable && !worker.moreEnded;
+}
+
+void Dispatcher::Impl::learnModelRun(Attempt &attempt, double ranMs)
+{
+    if (!showsRunTime(attempt))
         return;
     m_durationModel.learn(profileOf(*attempt.step), ranMs / runTimeOffRack(attempt),
                           attempt.step->runTimes, attempt.worker->runTimes);
@@ -135,8 +143,7 @@
 void Dispatcher::Impl::learnModelProgress(Attempt &attempt, Instant now)
 {
     Step &step = *attempt.step;
-    if (attempt.projected || !attempt.startAnswered || attempt.resumed || step.spec->usesIdleCpu
-        || step.spec->longRunning || attempt.percent < MinPercentToProject)
+    if (attempt.projected || attempt.percent < MinPercentToProject || !showsRunTime(attempt))
         return;
     const auto ran = static_cast<double>((now - attempt.orderedAt).count());
     const double projectedMs = ran * 100 / attempt.percent;
--- a/src/dispatch/dispatcher_estimates_test.cc
+++ b/src/dispatch/dispatcher_estimates_test.cc
@@ -315,6 +315,12 @@
     EXPECT_EQ(resumed[0].checkpoint, "checkpoint");
     m_now += Duration(500);
     report("w", {}, {ended(resumed[0], RunOutcome::Succeeded)});
+    add("late", {step(1)});
+    const auto late = startAll();
+    m_dispatcher.setReachable("w", false);
+    m_now += Duration(5'000);
+    report("w", {}, {ended(late.at(0), RunOutcome::Succeeded)}); // ended at an unknown time
+    m_dispatcher.setReachable("w", true);
     decide();
     EXPECT_TRUE(eventDetails("run_time_model").empty());
     teach("w", "", 1'000, 1);
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -271,6 +271,7 @@
     double declaredPlacementFactor(const Worker &worker, const Step &step) const;
     void refreshNothing(Instant now);
     double runTimeOffRack(const Attempt &attempt) const;
+    static bool showsRunTime(const Attempt &attempt);
     void learnModelRun(Attempt &attempt, double ranMs);
     void learnModelProgress(Attempt &attempt, Instant now);
     int64_t modelTaskMs(const Step &step) const;
