--- a/src/dispatch/dispatcher_estimates_test.cc
+++ b/src/dispatch/dispatcher_estimates_test.cc
@@ -190,7 +190,7 @@
     StartOrder occupy(const WorkerId &worker, int64_t cpuMilli = 1'000)
     {
         add("occupies-" + worker, {step(1, cpuMilli)});
-        const StartOrder run = startAll().at(0);
+        StartOrder run = startAll().at(0);
         EXPECT_EQ(run.worker, worker);
         return run;
     }
