--- a/src/dispatch/dispatcher_progress_test.cc
+++ b/src/dispatch/dispatcher_progress_test.cc
@@ -111,8 +111,8 @@
     EXPECT_EQ(partsOf(m_dispatcher.takeProgress(HeldNow)), std::vector<int32_t>{2});
 }
 
-// Guards against a full part that the log does not take: the longest ids, and tasks that have
-// failed often.
+// Guards against a full part that the log does not take: the longest ids, two runs of each task,
+// and tasks that have failed often.
 TEST_F(DispatcherProgressTest, AFullPartFitsIntoARecord)
 {
     constexpr size_t MaxRecordBytes = 262'144;
@@ -125,6 +125,8 @@
     for (int32_t index = MaxTasksPerJob - PartSize; index < MaxTasksPerJob; ++index) {
         stored.succeeded.push_back(index);
         stored.placedOn[index] = std::string(248, 'w');
+        stored.copiesOn[index] = {std::string(248, 'w')};
+        stored.__isset.copiesOn = true;
         stored.crashedRuns[index] = {1'000'000, 1'000'001};
         for (int64_t run = 0; run < FailuresOfEachTask; ++run)
             stored.failedRuns[index].push_back(1'000'000 + run);
