Straggler policy: tests of the margin and of the projection

Cause: two mutants of the policy survived: no margin, and a projection that ignores the age of the last report.

--- a/src/speculation/straggler_policy_test.cc
+++ b/src/speculation/straggler_policy_test.cc
@@ -75,6 +75,28 @@
     EXPECT_FALSE(StragglerPolicy().judge(run));
 }
 
+// Guards against a copy whose expected gain is small for its cost.
+TEST(StragglerPolicyTest, ACopyMustGainAClearMargin)
+{
+    const auto early = StragglerPolicy().judge(runBehind(LongTaskRatio, Duration(1'000)));
+    ASSERT_TRUE(early);
+    EXPECT_GT(early->leftMs, 1.25 * early->copyMs);
+    EXPECT_FALSE(StragglerPolicy().judge(runBehind(LongTaskRatio, Duration(1'800))))
+        << "it would save half a second of four";
+}
+
+// Guards against projections from a progress that has not been reported for a while.
+TEST(StragglerPolicyTest, AProjectionRestsOnTheLastReport)
+{
+    RunProgress run;
+    run.ran = Duration(1'500);
+    run.sinceReport = Duration(1'000);
+    run.percent = 49;
+    EXPECT_DOUBLE_EQ(StragglerPolicy().projectedMs(run), 1'500);
+    run.sinceReport = Duration(0);
+    EXPECT_DOUBLE_EQ(StragglerPolicy().projectedMs(run), 3'000);
+}
+
 // Guards against copies of tasks whose job is in time anyway.
 TEST(StragglerPolicyTest, ARunWithSlackGetsNoCopy)
 {
