--- a/src/dispatch/catalog.cc
+++ b/src/dispatch/catalog.cc
@@ -2,6 +2,12 @@
 
 namespace cardamompaddle {
 
+Duration objectiveOf(const WorkRoute &route, Duration chain)
+{
+    const double stretched = route.slowdownFactor * static_cast<double>(chain.count());
+    return Duration(static_cast<Duration::rep>(stretched)) + route.latencyTarget;
+}
+
 const WorkRoute *Catalog::findRoute(std::string_view host, std::string_view path) const
 {
     const WorkRoute *best = nullptr;
--- a/src/dispatch/catalog.h
+++ b/src/dispatch/catalog.h
@@ -40,6 +40,9 @@
     std::optional<ApprovalPolicy> approval; // if unset, every worker of the pool may run the steps
 };
 
+// Returns the objective of a job of the route whose longest chain of steps takes `chain`.
+Duration objectiveOf(const WorkRoute &route, Duration chain);
+
 // A client account: the party that work, keys, shares and limits belong to.
 struct Team
 {
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -282,6 +282,11 @@
     return m_impl->waitingSteps(now, unixMs);
 }
 
+BacklogSummary Dispatcher::backlog(Instant now, int64_t unixMs) const
+{
+    return m_impl->backlog(now, unixMs);
+}
+
 void Dispatcher::reportOverdueTasks(Instant now, int64_t unixMs)
 {
     m_impl->reportOverdueTasks(now, unixMs);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 // thread-safe.
 #pragma once
 
+#include "admission/backlog_summary.h"
 #include "dispatch/approval_load.h"
 #include "dispatch/catalog.h"
 #include "dispatch/scheduling_policies.h"
@@ -189,6 +190,8 @@
 
     // Returns how many ready steps have nothing starting, for which reason and for how long.
     WaitingStepsByReason waitingSteps(Instant now, int64_t unixMs) const;
+    // Returns what each client account has to wait for, for the admission of jobs.
+    BacklogSummary backlog(Instant now, int64_t unixMs) const;
     // Emits a "task_overdue" event, with what they lack, for ready steps that have had nothing
     // starting for some seconds; a few steps in each call, by turns. Call it about once a second.
     void reportOverdueTasks(Instant now, int64_t unixMs);
--- a/src/dispatch/dispatcher_urgency.cc
+++ b/src/dispatch/dispatcher_urgency.cc
@@ -56,8 +56,7 @@
 
 int64_t Dispatcher::Impl::objectiveMs(const Job &job, const WorkRoute &route)
 {
-    return static_cast<int64_t>(route.slowdownFactor * static_cast<double>(job.chainMs))
-           + route.latencyTarget.count();
+    return objectiveOf(route, Duration(job.chainMs)).count();
 }
 
 // Returns the time that the step can still be delayed without making its job late. Negative once
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -61,6 +61,9 @@
     // dispatcher_overdue.cc
     void reportOverdueTasks(Instant now, int64_t unixMs);
 
+    // dispatcher_backlog.cc
+    BacklogSummary backlog(Instant now, int64_t unixMs) const;
+
 private:
     friend class Dispatcher;
     using Step = dispatch::Step;
@@ -219,6 +222,9 @@
     const Task *blockingTask(const Step &step, Instant now) const;
     StepWait waitOf(const Step &step, Instant now) const;
 
+    // dispatcher_backlog.cc
+    std::map<std::string, int64_t> drainCapacity() const; // by pool
+
     // dispatcher_overdue.cc
     std::string describeWorkers(const Step &step, const WorkRoute &route, Instant now) const;
     std::string describePlaces(Step &step, const WorkRoute &route, Instant now);
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -1774,6 +1774,11 @@
 void Member::__set_availabilityZone(const std::string& val) {
   this->availabilityZone = val;
 }
+
+void Member::__set_refusesJobs(const bool val) {
+  this->refusesJobs = val;
+__isset.refusesJobs = true;
+}
 std::ostream& operator<<(std::ostream& out, const Member& obj)
 {
   obj.printTo(out);
@@ -1834,6 +1839,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->refusesJobs);
+          this->__isset.refusesJobs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1867,6 +1880,11 @@
   xfer += oprot->writeString(this->availabilityZone);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.refusesJobs) {
+    xfer += oprot->writeFieldBegin("refusesJobs", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->refusesJobs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1878,6 +1896,7 @@
   swap(a.address, b.address);
   swap(a.cpuMilli, b.cpuMilli);
   swap(a.availabilityZone, b.availabilityZone);
+  swap(a.refusesJobs, b.refusesJobs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1886,6 +1905,7 @@
   address = other81.address;
   cpuMilli = other81.cpuMilli;
   availabilityZone = other81.availabilityZone;
+  refusesJobs = other81.refusesJobs;
   __isset = other81.__isset;
 }
 Member::Member(Member&& other82) noexcept {
@@ -1893,6 +1913,7 @@
   address = std::move(other82.address);
   cpuMilli = other82.cpuMilli;
   availabilityZone = std::move(other82.availabilityZone);
+  refusesJobs = other82.refusesJobs;
   __isset = other82.__isset;
 }
 Member& Member::operator=(const Member& other83) {
@@ -1900,6 +1921,7 @@
   address = other83.address;
   cpuMilli = other83.cpuMilli;
   availabilityZone = other83.availabilityZone;
+  refusesJobs = other83.refusesJobs;
   __isset = other83.__isset;
   return *this;
 }
@@ -1908,6 +1930,7 @@
   address = std::move(other84.address);
   cpuMilli = other84.cpuMilli;
   availabilityZone = std::move(other84.availabilityZone);
+  refusesJobs = other84.refusesJobs;
   __isset = other84.__isset;
   return *this;
 }
@@ -1918,6 +1941,7 @@
   out << ", " << "address=" << to_string(address);
   out << ", " << "cpuMilli=" << to_string(cpuMilli);
   out << ", " << "availabilityZone=" << to_string(availabilityZone);
+  out << ", " << "refusesJobs="; (__isset.refusesJobs ? (out << to_string(refusesJobs)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2630,6 +2654,340 @@
 }
 
 
+PoolBacklog::~PoolBacklog() noexcept {
+}
+
+
+void PoolBacklog::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void PoolBacklog::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void PoolBacklog::__set_coreMs(const std::map<int32_t, int64_t> & val) {
+  this->coreMs = val;
+}
+
+void PoolBacklog::__set_demandCpuMilli(const int64_t val) {
+  this->demandCpuMilli = val;
+}
+
+void PoolBacklog::__set_drainCpuMilli(const int64_t val) {
+  this->drainCpuMilli = val;
+}
+std::ostream& operator<<(std::ostream& out, const PoolBacklog& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PoolBacklog::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->coreMs.clear();
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _ktype114;
+            ::apache::thrift::protocol::TType _vtype115;
+            xfer += iprot->readMapBegin(_ktype114, _vtype115, _size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
+            {
+              int32_t _key118;
+              xfer += iprot->readI32(_key118);
+              int64_t& _val119 = this->coreMs[_key118];
+              xfer += iprot->readI64(_val119);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.coreMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->demandCpuMilli);
+          this->__isset.demandCpuMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->drainCpuMilli);
+          this->__isset.drainCpuMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PoolBacklog::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PoolBacklog");
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coreMs", ::apache::thrift::protocol::T_MAP, 3);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->coreMs.size()));
+    std::map<int32_t, int64_t> ::const_iterator _iter120;
+    for (_iter120 = this->coreMs.begin(); _iter120 != this->coreMs.end(); ++_iter120)
+    {
+      xfer += oprot->writeI32(_iter120->first);
+      xfer += oprot->writeI64(_iter120->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demandCpuMilli", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->demandCpuMilli);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drainCpuMilli", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->drainCpuMilli);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PoolBacklog &a, PoolBacklog &b) {
+  using ::std::swap;
+  swap(a.pool, b.pool);
+  swap(a.account, b.account);
+  swap(a.coreMs, b.coreMs);
+  swap(a.demandCpuMilli, b.demandCpuMilli);
+  swap(a.drainCpuMilli, b.drainCpuMilli);
+  swap(a.__isset, b.__isset);
+}
+
+PoolBacklog::PoolBacklog(const PoolBacklog& other121) {
+  pool = other121.pool;
+  account = other121.account;
+  coreMs = other121.coreMs;
+  demandCpuMilli = other121.demandCpuMilli;
+  drainCpuMilli = other121.drainCpuMilli;
+  __isset = other121.__isset;
+}
+PoolBacklog::PoolBacklog(PoolBacklog&& other122) noexcept {
+  pool = std::move(other122.pool);
+  account = std::move(other122.account);
+  coreMs = std::move(other122.coreMs);
+  demandCpuMilli = other122.demandCpuMilli;
+  drainCpuMilli = other122.drainCpuMilli;
+  __isset = other122.__isset;
+}
+PoolBacklog& PoolBacklog::operator=(const PoolBacklog& other123) {
+  pool = other123.pool;
+  account = other123.account;
+  coreMs = other123.coreMs;
+  demandCpuMilli = other123.demandCpuMilli;
+  drainCpuMilli = other123.drainCpuMilli;
+  __isset = other123.__isset;
+  return *this;
+}
+PoolBacklog& PoolBacklog::operator=(PoolBacklog&& other124) noexcept {
+  pool = std::move(other124.pool);
+  account = std::move(other124.account);
+  coreMs = std::move(other124.coreMs);
+  demandCpuMilli = other124.demandCpuMilli;
+  drainCpuMilli = other124.drainCpuMilli;
+  __isset = other124.__isset;
+  return *this;
+}
+void PoolBacklog::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PoolBacklog(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "account=" << to_string(account);
+  out << ", " << "coreMs=" << to_string(coreMs);
+  out << ", " << "demandCpuMilli=" << to_string(demandCpuMilli);
+  out << ", " << "drainCpuMilli=" << to_string(drainCpuMilli);
+  out << ")";
+}
+
+
+Backlog::~Backlog() noexcept {
+}
+
+
+void Backlog::__set_accounts(const std::vector<PoolBacklog> & val) {
+  this->accounts = val;
+}
+std::ostream& operator<<(std::ostream& out, const Backlog& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Backlog::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->accounts.clear();
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->accounts.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
+            {
+              xfer += this->accounts[_i129].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.accounts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Backlog::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Backlog");
+
+  xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
+    std::vector<PoolBacklog> ::const_iterator _iter130;
+    for (_iter130 = this->accounts.begin(); _iter130 != this->accounts.end(); ++_iter130)
+    {
+      xfer += (*_iter130).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Backlog &a, Backlog &b) {
+  using ::std::swap;
+  swap(a.accounts, b.accounts);
+  swap(a.__isset, b.__isset);
+}
+
+Backlog::Backlog(const Backlog& other131) {
+  accounts = other131.accounts;
+  __isset = other131.__isset;
+}
+Backlog::Backlog(Backlog&& other132) noexcept {
+  accounts = std::move(other132.accounts);
+  __isset = other132.__isset;
+}
+Backlog& Backlog::operator=(const Backlog& other133) {
+  accounts = other133.accounts;
+  __isset = other133.__isset;
+  return *this;
+}
+Backlog& Backlog::operator=(Backlog&& other134) noexcept {
+  accounts = std::move(other134.accounts);
+  __isset = other134.__isset;
+  return *this;
+}
+void Backlog::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Backlog(";
+  out << "accounts=" << to_string(accounts);
+  out << ")";
+}
+
+
 StoredRecord::~StoredRecord() noexcept {
 }
 
@@ -2756,34 +3114,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredRecord::StoredRecord(const StoredRecord& other113) {
-  key = other113.key;
-  value = other113.value;
-  removed = other113.removed;
-  offset = other113.offset;
-  __isset = other113.__isset;
-}
-StoredRecord::StoredRecord(StoredRecord&& other114) noexcept {
-  key = std::move(other114.key);
-  value = std::move(other114.value);
-  removed = other114.removed;
-  offset = other114.offset;
-  __isset = other114.__isset;
-}
-StoredRecord& StoredRecord::operator=(const StoredRecord& other115) {
-  key = other115.key;
-  value = other115.value;
-  removed = other115.removed;
-  offset = other115.offset;
-  __isset = other115.__isset;
+StoredRecord::StoredRecord(const StoredRecord& other135) {
+  key = other135.key;
+  value = other135.value;
+  removed = other135.removed;
+  offset = other135.offset;
+  __isset = other135.__isset;
+}
+StoredRecord::StoredRecord(StoredRecord&& other136) noexcept {
+  key = std::move(other136.key);
+  value = std::move(other136.value);
+  removed = other136.removed;
+  offset = other136.offset;
+  __isset = other136.__isset;
+}
+StoredRecord& StoredRecord::operator=(const StoredRecord& other137) {
+  key = other137.key;
+  value = other137.value;
+  removed = other137.removed;
+  offset = other137.offset;
+  __isset = other137.__isset;
   return *this;
 }
-StoredRecord& StoredRecord::operator=(StoredRecord&& other116) noexcept {
-  key = std::move(other116.key);
-  value = std::move(other116.value);
-  removed = other116.removed;
-  offset = other116.offset;
-  __isset = other116.__isset;
+StoredRecord& StoredRecord::operator=(StoredRecord&& other138) noexcept {
+  key = std::move(other138.key);
+  value = std::move(other138.value);
+  removed = other138.removed;
+  offset = other138.offset;
+  __isset = other138.__isset;
   return *this;
 }
 void StoredRecord::printTo(std::ostream& out) const {
@@ -2828,6 +3186,11 @@
 void StoredRecords::__set_appendMs(const int64_t val) {
   this->appendMs = val;
 }
+
+void StoredRecords::__set_backlog(const Backlog& val) {
+  this->backlog = val;
+__isset.backlog = true;
+}
 std::ostream& operator<<(std::ostream& out, const StoredRecords& obj)
 {
   obj.printTo(out);
@@ -2868,14 +3231,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size117;
-            ::apache::thrift::protocol::TType _etype120;
-            xfer += iprot->readListBegin(_etype120, _size117);
-            this->records.resize(_size117);
-            uint32_t _i121;
-            for (_i121 = 0; _i121 < _size117; ++_i121)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->records.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              xfer += this->records[_i121].read(iprot);
+              xfer += this->records[_i143].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2896,14 +3259,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relayTo.clear();
-            uint32_t _size122;
-            ::apache::thrift::protocol::TType _etype125;
-            xfer += iprot->readListBegin(_etype125, _size122);
-            this->relayTo.resize(_size122);
-            uint32_t _i126;
-            for (_i126 = 0; _i126 < _size122; ++_i126)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->relayTo.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += iprot->readString(this->relayTo[_i126]);
+              xfer += iprot->readString(this->relayTo[_i148]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2936,6 +3299,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->backlog.read(iprot);
+          this->__isset.backlog = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2960,10 +3331,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StoredRecord> ::const_iterator _iter127;
-    for (_iter127 = this->records.begin(); _iter127 != this->records.end(); ++_iter127)
+    std::vector<StoredRecord> ::const_iterator _iter149;
+    for (_iter149 = this->records.begin(); _iter149 != this->records.end(); ++_iter149)
     {
-      xfer += (*_iter127).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2976,10 +3347,10 @@
   xfer += oprot->writeFieldBegin("relayTo", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->relayTo.size()));
-    std::vector<std::string> ::const_iterator _iter128;
-    for (_iter128 = this->relayTo.begin(); _iter128 != this->relayTo.end(); ++_iter128)
+    std::vector<std::string> ::const_iterator _iter150;
+    for (_iter150 = this->relayTo.begin(); _iter150 != this->relayTo.end(); ++_iter150)
     {
-      xfer += oprot->writeString((*_iter128));
+      xfer += oprot->writeString((*_iter150));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2997,6 +3368,11 @@
   xfer += oprot->writeI64(this->appendMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.backlog) {
+    xfer += oprot->writeFieldBegin("backlog", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->backlog.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3011,49 +3387,54 @@
   swap(a.epoch, b.epoch);
   swap(a.publishedAtMs, b.publishedAtMs);
   swap(a.appendMs, b.appendMs);
+  swap(a.backlog, b.backlog);
   swap(a.__isset, b.__isset);
 }
 
-StoredRecords::StoredRecords(const StoredRecords& other129) {
-  topic = other129.topic;
-  records = other129.records;
-  topicEnd = other129.topicEnd;
-  relayTo = other129.relayTo;
-  epoch = other129.epoch;
-  publishedAtMs = other129.publishedAtMs;
-  appendMs = other129.appendMs;
-  __isset = other129.__isset;
-}
-StoredRecords::StoredRecords(StoredRecords&& other130) noexcept {
-  topic = std::move(other130.topic);
-  records = std::move(other130.records);
-  topicEnd = other130.topicEnd;
-  relayTo = std::move(other130.relayTo);
-  epoch = other130.epoch;
-  publishedAtMs = other130.publishedAtMs;
-  appendMs = other130.appendMs;
-  __isset = other130.__isset;
-}
-StoredRecords& StoredRecords::operator=(const StoredRecords& other131) {
-  topic = other131.topic;
-  records = other131.records;
-  topicEnd = other131.topicEnd;
-  relayTo = other131.relayTo;
-  epoch = other131.epoch;
-  publishedAtMs = other131.publishedAtMs;
-  appendMs = other131.appendMs;
-  __isset = other131.__isset;
+StoredRecords::StoredRecords(const StoredRecords& other151) {
+  topic = other151.topic;
+  records = other151.records;
+  topicEnd = other151.topicEnd;
+  relayTo = other151.relayTo;
+  epoch = other151.epoch;
+  publishedAtMs = other151.publishedAtMs;
+  appendMs = other151.appendMs;
+  backlog = other151.backlog;
+  __isset = other151.__isset;
+}
+StoredRecords::StoredRecords(StoredRecords&& other152) noexcept {
+  topic = std::move(other152.topic);
+  records = std::move(other152.records);
+  topicEnd = other152.topicEnd;
+  relayTo = std::move(other152.relayTo);
+  epoch = other152.epoch;
+  publishedAtMs = other152.publishedAtMs;
+  appendMs = other152.appendMs;
+  backlog = std::move(other152.backlog);
+  __isset = other152.__isset;
+}
+StoredRecords& StoredRecords::operator=(const StoredRecords& other153) {
+  topic = other153.topic;
+  records = other153.records;
+  topicEnd = other153.topicEnd;
+  relayTo = other153.relayTo;
+  epoch = other153.epoch;
+  publishedAtMs = other153.publishedAtMs;
+  appendMs = other153.appendMs;
+  backlog = other153.backlog;
+  __isset = other153.__isset;
   return *this;
 }
-StoredRecords& StoredRecords::operator=(StoredRecords&& other132) noexcept {
-  topic = std::move(other132.topic);
-  records = std::move(other132.records);
-  topicEnd = other132.topicEnd;
-  relayTo = std::move(other132.relayTo);
-  epoch = other132.epoch;
-  publishedAtMs = other132.publishedAtMs;
-  appendMs = other132.appendMs;
-  __isset = other132.__isset;
+StoredRecords& StoredRecords::operator=(StoredRecords&& other154) noexcept {
+  topic = std::move(other154.topic);
+  records = std::move(other154.records);
+  topicEnd = other154.topicEnd;
+  relayTo = std::move(other154.relayTo);
+  epoch = other154.epoch;
+  publishedAtMs = other154.publishedAtMs;
+  appendMs = other154.appendMs;
+  backlog = std::move(other154.backlog);
+  __isset = other154.__isset;
   return *this;
 }
 void StoredRecords::printTo(std::ostream& out) const {
@@ -3066,6 +3447,7 @@
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "publishedAtMs=" << to_string(publishedAtMs);
   out << ", " << "appendMs=" << to_string(appendMs);
+  out << ", " << "backlog="; (__isset.backlog ? (out << to_string(backlog)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3141,17 +3523,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size133;
-            ::apache::thrift::protocol::TType _ktype134;
-            ::apache::thrift::protocol::TType _vtype135;
-            xfer += iprot->readMapBegin(_ktype134, _vtype135, _size133);
-            uint32_t _i137;
-            for (_i137 = 0; _i137 < _size133; ++_i137)
+            uint32_t _size155;
+            ::apache::thrift::protocol::TType _ktype156;
+            ::apache::thrift::protocol::TType _vtype157;
+            xfer += iprot->readMapBegin(_ktype156, _vtype157, _size155);
+            uint32_t _i159;
+            for (_i159 = 0; _i159 < _size155; ++_i159)
             {
-              std::string _key138;
-              xfer += iprot->readString(_key138);
-              std::string& _val139 = this->headers[_key138];
-              xfer += iprot->readString(_val139);
+              std::string _key160;
+              xfer += iprot->readString(_key160);
+              std::string& _val161 = this->headers[_key160];
+              xfer += iprot->readString(_val161);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3204,11 +3586,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter140;
-    for (_iter140 = this->headers.begin(); _iter140 != this->headers.end(); ++_iter140)
+    std::map<std::string, std::string> ::const_iterator _iter162;
+    for (_iter162 = this->headers.begin(); _iter162 != this->headers.end(); ++_iter162)
     {
-      xfer += oprot->writeString(_iter140->first);
-      xfer += oprot->writeString(_iter140->second);
+      xfer += oprot->writeString(_iter162->first);
+      xfer += oprot->writeString(_iter162->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3237,38 +3619,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CallerRequest::CallerRequest(const CallerRequest& other141) {
-  method = other141.method;
-  path = other141.path;
-  headers = other141.headers;
-  body = other141.body;
-  configurationVersion = other141.configurationVersion;
-  __isset = other141.__isset;
-}
-CallerRequest::CallerRequest(CallerRequest&& other142) noexcept {
-  method = std::move(other142.method);
-  path = std::move(other142.path);
-  headers = std::move(other142.headers);
-  body = std::move(other142.body);
-  configurationVersion = other142.configurationVersion;
-  __isset = other142.__isset;
-}
-CallerRequest& CallerRequest::operator=(const CallerRequest& other143) {
-  method = other143.method;
-  path = other143.path;
-  headers = other143.headers;
-  body = other143.body;
-  configurationVersion = other143.configurationVersion;
-  __isset = other143.__isset;
+CallerRequest::CallerRequest(const CallerRequest& other163) {
+  method = other163.method;
+  path = other163.path;
+  headers = other163.headers;
+  body = other163.body;
+  configurationVersion = other163.configurationVersion;
+  __isset = other163.__isset;
+}
+CallerRequest::CallerRequest(CallerRequest&& other164) noexcept {
+  method = std::move(other164.method);
+  path = std::move(other164.path);
+  headers = std::move(other164.headers);
+  body = std::move(other164.body);
+  configurationVersion = other164.configurationVersion;
+  __isset = other164.__isset;
+}
+CallerRequest& CallerRequest::operator=(const CallerRequest& other165) {
+  method = other165.method;
+  path = other165.path;
+  headers = other165.headers;
+  body = other165.body;
+  configurationVersion = other165.configurationVersion;
+  __isset = other165.__isset;
   return *this;
 }
-CallerRequest& CallerRequest::operator=(CallerRequest&& other144) noexcept {
-  method = std::move(other144.method);
-  path = std::move(other144.path);
-  headers = std::move(other144.headers);
-  body = std::move(other144.body);
-  configurationVersion = other144.configurationVersion;
-  __isset = other144.__isset;
+CallerRequest& CallerRequest::operator=(CallerRequest&& other166) noexcept {
+  method = std::move(other166.method);
+  path = std::move(other166.path);
+  headers = std::move(other166.headers);
+  body = std::move(other166.body);
+  configurationVersion = other166.configurationVersion;
+  __isset = other166.__isset;
   return *this;
 }
 void CallerRequest::printTo(std::ostream& out) const {
@@ -3409,34 +3791,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CallerResponse::CallerResponse(const CallerResponse& other145) {
-  status = other145.status;
-  body = other145.body;
-  retryAfterMs = other145.retryAfterMs;
-  configurationVersion = other145.configurationVersion;
-  __isset = other145.__isset;
-}
-CallerResponse::CallerResponse(CallerResponse&& other146) noexcept {
-  status = other146.status;
-  body = std::move(other146.body);
-  retryAfterMs = other146.retryAfterMs;
-  configurationVersion = other146.configurationVersion;
-  __isset = other146.__isset;
-}
-CallerResponse& CallerResponse::operator=(const CallerResponse& other147) {
-  status = other147.status;
-  body = other147.body;
-  retryAfterMs = other147.retryAfterMs;
-  configurationVersion = other147.configurationVersion;
-  __isset = other147.__isset;
+CallerResponse::CallerResponse(const CallerResponse& other167) {
+  status = other167.status;
+  body = other167.body;
+  retryAfterMs = other167.retryAfterMs;
+  configurationVersion = other167.configurationVersion;
+  __isset = other167.__isset;
+}
+CallerResponse::CallerResponse(CallerResponse&& other168) noexcept {
+  status = other168.status;
+  body = std::move(other168.body);
+  retryAfterMs = other168.retryAfterMs;
+  configurationVersion = other168.configurationVersion;
+  __isset = other168.__isset;
+}
+CallerResponse& CallerResponse::operator=(const CallerResponse& other169) {
+  status = other169.status;
+  body = other169.body;
+  retryAfterMs = other169.retryAfterMs;
+  configurationVersion = other169.configurationVersion;
+  __isset = other169.__isset;
   return *this;
 }
-CallerResponse& CallerResponse::operator=(CallerResponse&& other148) noexcept {
-  status = other148.status;
-  body = std::move(other148.body);
-  retryAfterMs = other148.retryAfterMs;
-  configurationVersion = other148.configurationVersion;
-  __isset = other148.__isset;
+CallerResponse& CallerResponse::operator=(CallerResponse&& other170) noexcept {
+  status = other170.status;
+  body = std::move(other170.body);
+  retryAfterMs = other170.retryAfterMs;
+  configurationVersion = other170.configurationVersion;
+  __isset = other170.__isset;
   return *this;
 }
 void CallerResponse::printTo(std::ostream& out) const {
@@ -3547,9 +3929,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast149;
-          xfer += iprot->readI32(ecast149);
-          this->kind = static_cast<WorkerCallKind::type>(ecast149);
+          int32_t ecast171;
+          xfer += iprot->readI32(ecast171);
+          this->kind = static_cast<WorkerCallKind::type>(ecast171);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3748,74 +4130,74 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerCall::WorkerCall(const WorkerCall& other150) {
-  id = other150.id;
-  kind = other150.kind;
-  worker = other150.worker;
-  address = other150.address;
-  leaseEndMs = other150.leaseEndMs;
-  timeoutMs = other150.timeoutMs;
-  waitMs = other150.waitMs;
-  acknowledged = other150.acknowledged;
-  task = other150.task;
-  run = other150.run;
-  speedPercent = other150.speedPercent;
-  checkpoint = other150.checkpoint;
-  ticket = other150.ticket;
-  fencingToken = other150.fencingToken;
-  __isset = other150.__isset;
-}
-WorkerCall::WorkerCall(WorkerCall&& other151) noexcept {
-  id = other151.id;
-  kind = other151.kind;
-  worker = std::move(other151.worker);
-  address = std::move(other151.address);
-  leaseEndMs = other151.leaseEndMs;
-  timeoutMs = other151.timeoutMs;
-  waitMs = other151.waitMs;
-  acknowledged = other151.acknowledged;
-  task = std::move(other151.task);
-  run = other151.run;
-  speedPercent = other151.speedPercent;
-  checkpoint = std::move(other151.checkpoint);
-  ticket = std::move(other151.ticket);
-  fencingToken = other151.fencingToken;
-  __isset = other151.__isset;
+WorkerCall::WorkerCall(const WorkerCall& other172) {
+  id = other172.id;
+  kind = other172.kind;
+  worker = other172.worker;
+  address = other172.address;
+  leaseEndMs = other172.leaseEndMs;
+  timeoutMs = other172.timeoutMs;
+  waitMs = other172.waitMs;
+  acknowledged = other172.acknowledged;
+  task = other172.task;
+  run = other172.run;
+  speedPercent = other172.speedPercent;
+  checkpoint = other172.checkpoint;
+  ticket = other172.ticket;
+  fencingToken = other172.fencingToken;
+  __isset = other172.__isset;
 }
-WorkerCall& WorkerCall::operator=(const WorkerCall& other152) {
-  id = other152.id;
-  kind = other152.kind;
-  worker = other152.worker;
-  address = other152.address;
-  leaseEndMs = other152.leaseEndMs;
-  timeoutMs = other152.timeoutMs;
-  waitMs = other152.waitMs;
-  acknowledged = other152.acknowledged;
-  task = other152.task;
-  run = other152.run;
-  speedPercent = other152.speedPercent;
-  checkpoint = other152.checkpoint;
-  ticket = other152.ticket;
-  fencingToken = other152.fencingToken;
-  __isset = other152.__isset;
+WorkerCall::WorkerCall(WorkerCall&& other173) noexcept {
+  id = other173.id;
+  kind = other173.kind;
+  worker = std::move(other173.worker);
+  address = std::move(other173.address);
+  leaseEndMs = other173.leaseEndMs;
+  timeoutMs = other173.timeoutMs;
+  waitMs = other173.waitMs;
+  acknowledged = other173.acknowledged;
+  task = std::move(other173.task);
+  run = other173.run;
+  speedPercent = other173.speedPercent;
+  checkpoint = std::move(other173.checkpoint);
+  ticket = std::move(other173.ticket);
+  fencingToken = other173.fencingToken;
+  __isset = other173.__isset;
+}
+WorkerCall& WorkerCall::operator=(const WorkerCall& other174) {
+  id = other174.id;
+  kind = other174.kind;
+  worker = other174.worker;
+  address = other174.address;
+  leaseEndMs = other174.leaseEndMs;
+  timeoutMs = other174.timeoutMs;
+  waitMs = other174.waitMs;
+  acknowledged = other174.acknowledged;
+  task = other174.task;
+  run = other174.run;
+  speedPercent = other174.speedPercent;
+  checkpoint = other174.checkpoint;
+  ticket = other174.ticket;
+  fencingToken = other174.fencingToken;
+  __isset = other174.__isset;
   return *this;
 }
-WorkerCall& WorkerCall::operator=(WorkerCall&& other153) noexcept {
-  id = other153.id;
-  kind = other153.kind;
-  worker = std::move(other153.worker);
-  address = std::move(other153.address);
-  leaseEndMs = other153.leaseEndMs;
-  timeoutMs = other153.timeoutMs;
-  waitMs = other153.waitMs;
-  acknowledged = other153.acknowledged;
-  task = std::move(other153.task);
-  run = other153.run;
-  speedPercent = other153.speedPercent;
-  checkpoint = std::move(other153.checkpoint);
-  ticket = std::move(other153.ticket);
-  fencingToken = other153.fencingToken;
-  __isset = other153.__isset;
+WorkerCall& WorkerCall::operator=(WorkerCall&& other175) noexcept {
+  id = other175.id;
+  kind = other175.kind;
+  worker = std::move(other175.worker);
+  address = std::move(other175.address);
+  leaseEndMs = other175.leaseEndMs;
+  timeoutMs = other175.timeoutMs;
+  waitMs = other175.waitMs;
+  acknowledged = other175.acknowledged;
+  task = std::move(other175.task);
+  run = other175.run;
+  speedPercent = other175.speedPercent;
+  checkpoint = std::move(other175.checkpoint);
+  ticket = std::move(other175.ticket);
+  fencingToken = other175.fencingToken;
+  __isset = other175.__isset;
   return *this;
 }
 void WorkerCall::printTo(std::ostream& out) const {
@@ -3930,14 +4312,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->calls.clear();
-            uint32_t _size154;
-            ::apache::thrift::protocol::TType _etype157;
-            xfer += iprot->readListBegin(_etype157, _size154);
-            this->calls.resize(_size154);
-            uint32_t _i158;
-            for (_i158 = 0; _i158 < _size154; ++_i158)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->calls.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += this->calls[_i158].read(iprot);
+              xfer += this->calls[_i180].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3950,17 +4332,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->payloads.clear();
-            uint32_t _size159;
-            ::apache::thrift::protocol::TType _ktype160;
-            ::apache::thrift::protocol::TType _vtype161;
-            xfer += iprot->readMapBegin(_ktype160, _vtype161, _size159);
-            uint32_t _i163;
-            for (_i163 = 0; _i163 < _size159; ++_i163)
+            uint32_t _size181;
+            ::apache::thrift::protocol::TType _ktype182;
+            ::apache::thrift::protocol::TType _vtype183;
+            xfer += iprot->readMapBegin(_ktype182, _vtype183, _size181);
+            uint32_t _i185;
+            for (_i185 = 0; _i185 < _size181; ++_i185)
             {
-              std::string _key164;
-              xfer += iprot->readString(_key164);
-              std::string& _val165 = this->payloads[_key164];
-              xfer += iprot->readBinary(_val165);
+              std::string _key186;
+              xfer += iprot->readString(_key186);
+              std::string& _val187 = this->payloads[_key186];
+              xfer += iprot->readBinary(_val187);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4005,10 +4387,10 @@
   xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->calls.size()));
-    std::vector<WorkerCall> ::const_iterator _iter166;
-    for (_iter166 = this->calls.begin(); _iter166 != this->calls.end(); ++_iter166)
+    std::vector<WorkerCall> ::const_iterator _iter188;
+    for (_iter188 = this->calls.begin(); _iter188 != this->calls.end(); ++_iter188)
     {
-      xfer += (*_iter166).write(oprot);
+      xfer += (*_iter188).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4017,11 +4399,11 @@
   xfer += oprot->writeFieldBegin("payloads", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->payloads.size()));
-    std::map<std::string, std::string> ::const_iterator _iter167;
-    for (_iter167 = this->payloads.begin(); _iter167 != this->payloads.end(); ++_iter167)
+    std::map<std::string, std::string> ::const_iterator _iter189;
+    for (_iter189 = this->payloads.begin(); _iter189 != this->payloads.end(); ++_iter189)
     {
-      xfer += oprot->writeString(_iter167->first);
-      xfer += oprot->writeBinary(_iter167->second);
+      xfer += oprot->writeString(_iter189->first);
+      xfer += oprot->writeBinary(_iter189->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -4043,42 +4425,42 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerCalls::WorkerCalls(const WorkerCalls& other168) {
-  session = other168.session;
-  epoch = other168.epoch;
-  replyTo = other168.replyTo;
-  sentAtMs = other168.sentAtMs;
-  calls = other168.calls;
-  payloads = other168.payloads;
-  __isset = other168.__isset;
-}
-WorkerCalls::WorkerCalls(WorkerCalls&& other169) noexcept {
-  session = std::move(other169.session);
-  epoch = other169.epoch;
-  replyTo = std::move(other169.replyTo);
-  sentAtMs = other169.sentAtMs;
-  calls = std::move(other169.calls);
-  payloads = std::move(other169.payloads);
-  __isset = other169.__isset;
-}
-WorkerCalls& WorkerCalls::operator=(const WorkerCalls& other170) {
-  session = other170.session;
-  epoch = other170.epoch;
-  replyTo = other170.replyTo;
-  sentAtMs = other170.sentAtMs;
-  calls = other170.calls;
-  payloads = other170.payloads;
-  __isset = other170.__isset;
+WorkerCalls::WorkerCalls(const WorkerCalls& other190) {
+  session = other190.session;
+  epoch = other190.epoch;
+  replyTo = other190.replyTo;
+  sentAtMs = other190.sentAtMs;
+  calls = other190.calls;
+  payloads = other190.payloads;
+  __isset = other190.__isset;
+}
+WorkerCalls::WorkerCalls(WorkerCalls&& other191) noexcept {
+  session = std::move(other191.session);
+  epoch = other191.epoch;
+  replyTo = std::move(other191.replyTo);
+  sentAtMs = other191.sentAtMs;
+  calls = std::move(other191.calls);
+  payloads = std::move(other191.payloads);
+  __isset = other191.__isset;
+}
+WorkerCalls& WorkerCalls::operator=(const WorkerCalls& other192) {
+  session = other192.session;
+  epoch = other192.epoch;
+  replyTo = other192.replyTo;
+  sentAtMs = other192.sentAtMs;
+  calls = other192.calls;
+  payloads = other192.payloads;
+  __isset = other192.__isset;
   return *this;
 }
-WorkerCalls& WorkerCalls::operator=(WorkerCalls&& other171) noexcept {
-  session = std::move(other171.session);
-  epoch = other171.epoch;
-  replyTo = std::move(other171.replyTo);
-  sentAtMs = other171.sentAtMs;
-  calls = std::move(other171.calls);
-  payloads = std::move(other171.payloads);
-  __isset = other171.__isset;
+WorkerCalls& WorkerCalls::operator=(WorkerCalls&& other193) noexcept {
+  session = std::move(other193.session);
+  epoch = other193.epoch;
+  replyTo = std::move(other193.replyTo);
+  sentAtMs = other193.sentAtMs;
+  calls = std::move(other193.calls);
+  payloads = std::move(other193.payloads);
+  __isset = other193.__isset;
   return *this;
 }
 void WorkerCalls::printTo(std::ostream& out) const {
@@ -4186,26 +4568,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerCallsReceived::WorkerCallsReceived(const WorkerCallsReceived& other172) {
-  incarnation = other172.incarnation;
-  sendsFencingTokens = other172.sendsFencingTokens;
-  __isset = other172.__isset;
+WorkerCallsReceived::WorkerCallsReceived(const WorkerCallsReceived& other194) {
+  incarnation = other194.incarnation;
+  sendsFencingTokens = other194.sendsFencingTokens;
+  __isset = other194.__isset;
 }
-WorkerCallsReceived::WorkerCallsReceived(WorkerCallsReceived&& other173) noexcept {
-  incarnation = std::move(other173.incarnation);
-  sendsFencingTokens = other173.sendsFencingTokens;
-  __isset = other173.__isset;
+WorkerCallsReceived::WorkerCallsReceived(WorkerCallsReceived&& other195) noexcept {
+  incarnation = std::move(other195.incarnation);
+  sendsFencingTokens = other195.sendsFencingTokens;
+  __isset = other195.__isset;
 }
-WorkerCallsReceived& WorkerCallsReceived::operator=(const WorkerCallsReceived& other174) {
-  incarnation = other174.incarnation;
-  sendsFencingTokens = other174.sendsFencingTokens;
-  __isset = other174.__isset;
+WorkerCallsReceived& WorkerCallsReceived::operator=(const WorkerCallsReceived& other196) {
+  incarnation = other196.incarnation;
+  sendsFencingTokens = other196.sendsFencingTokens;
+  __isset = other196.__isset;
   return *this;
 }
-WorkerCallsReceived& WorkerCallsReceived::operator=(WorkerCallsReceived&& other175) noexcept {
-  incarnation = std::move(other175.incarnation);
-  sendsFencingTokens = other175.sendsFencingTokens;
-  __isset = other175.__isset;
+WorkerCallsReceived& WorkerCallsReceived::operator=(WorkerCallsReceived&& other197) noexcept {
+  incarnation = std::move(other197.incarnation);
+  sendsFencingTokens = other197.sendsFencingTokens;
+  __isset = other197.__isset;
   return *this;
 }
 void WorkerCallsReceived::printTo(std::ostream& out) const {
@@ -4360,38 +4742,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ListedRun::ListedRun(const ListedRun& other176) {
-  task = other176.task;
-  run = other176.run;
-  checkpoint = other176.checkpoint;
-  percent = other176.percent;
-  loadMetric = other176.loadMetric;
-  __isset = other176.__isset;
-}
-ListedRun::ListedRun(ListedRun&& other177) noexcept {
-  task = std::move(other177.task);
-  run = other177.run;
-  checkpoint = std::move(other177.checkpoint);
-  percent = other177.percent;
-  loadMetric = other177.loadMetric;
-  __isset = other177.__isset;
-}
-ListedRun& ListedRun::operator=(const ListedRun& other178) {
-  task = other178.task;
-  run = other178.run;
-  checkpoint = other178.checkpoint;
-  percent = other178.percent;
-  loadMetric = other178.loadMetric;
-  __isset = other178.__isset;
+ListedRun::ListedRun(const ListedRun& other198) {
+  task = other198.task;
+  run = other198.run;
+  checkpoint = other198.checkpoint;
+  percent = other198.percent;
+  loadMetric = other198.loadMetric;
+  __isset = other198.__isset;
+}
+ListedRun::ListedRun(ListedRun&& other199) noexcept {
+  task = std::move(other199.task);
+  run = other199.run;
+  checkpoint = std::move(other199.checkpoint);
+  percent = other199.percent;
+  loadMetric = other199.loadMetric;
+  __isset = other199.__isset;
+}
+ListedRun& ListedRun::operator=(const ListedRun& other200) {
+  task = other200.task;
+  run = other200.run;
+  checkpoint = other200.checkpoint;
+  percent = other200.percent;
+  loadMetric = other200.loadMetric;
+  __isset = other200.__isset;
   return *this;
 }
-ListedRun& ListedRun::operator=(ListedRun&& other179) noexcept {
-  task = std::move(other179.task);
-  run = other179.run;
-  checkpoint = std::move(other179.checkpoint);
-  percent = other179.percent;
-  loadMetric = other179.loadMetric;
-  __isset = other179.__isset;
+ListedRun& ListedRun::operator=(ListedRun&& other201) noexcept {
+  task = std::move(other201.task);
+  run = other201.run;
+  checkpoint = std::move(other201.checkpoint);
+  percent = other201.percent;
+  loadMetric = other201.loadMetric;
+  __isset = other201.__isset;
   return *this;
 }
 void ListedRun::printTo(std::ostream& out) const {
@@ -4483,9 +4865,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast180;
-          xfer += iprot->readI32(ecast180);
-          this->outcome = static_cast<RunEnd::type>(ecast180);
+          int32_t ecast202;
+          xfer += iprot->readI32(ecast202);
+          this->outcome = static_cast<RunEnd::type>(ecast202);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4551,38 +4933,38 @@
   swap(a.__isset, b.__isset);
 }
 
-FinishedRun::FinishedRun(const FinishedRun& other181) {
-  position = other181.position;
-  task = other181.task;
-  run = other181.run;
-  outcome = other181.outcome;
-  checkpoint = other181.checkpoint;
-  __isset = other181.__isset;
-}
-FinishedRun::FinishedRun(FinishedRun&& other182) noexcept {
-  position = other182.position;
-  task = std::move(other182.task);
-  run = other182.run;
-  outcome = other182.outcome;
-  checkpoint = std::move(other182.checkpoint);
-  __isset = other182.__isset;
-}
-FinishedRun& FinishedRun::operator=(const FinishedRun& other183) {
-  position = other183.position;
-  task = other183.task;
-  run = other183.run;
-  outcome = other183.outcome;
-  checkpoint = other183.checkpoint;
-  __isset = other183.__isset;
+FinishedRun::FinishedRun(const FinishedRun& other203) {
+  position = other203.position;
+  task = other203.task;
+  run = other203.run;
+  outcome = other203.outcome;
+  checkpoint = other203.checkpoint;
+  __isset = other203.__isset;
+}
+FinishedRun::FinishedRun(FinishedRun&& other204) noexcept {
+  position = other204.position;
+  task = std::move(other204.task);
+  run = other204.run;
+  outcome = other204.outcome;
+  checkpoint = std::move(other204.checkpoint);
+  __isset = other204.__isset;
+}
+FinishedRun& FinishedRun::operator=(const FinishedRun& other205) {
+  position = other205.position;
+  task = other205.task;
+  run = other205.run;
+  outcome = other205.outcome;
+  checkpoint = other205.checkpoint;
+  __isset = other205.__isset;
   return *this;
 }
-FinishedRun& FinishedRun::operator=(FinishedRun&& other184) noexcept {
-  position = other184.position;
-  task = std::move(other184.task);
-  run = other184.run;
-  outcome = other184.outcome;
-  checkpoint = std::move(other184.checkpoint);
-  __isset = other184.__isset;
+FinishedRun& FinishedRun::operator=(FinishedRun&& other206) noexcept {
+  position = other206.position;
+  task = std::move(other206.task);
+  run = other206.run;
+  outcome = other206.outcome;
+  checkpoint = std::move(other206.checkpoint);
+  __isset = other206.__isset;
   return *this;
 }
 void FinishedRun::printTo(std::ostream& out) const {
@@ -4690,9 +5072,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast185;
-          xfer += iprot->readI32(ecast185);
-          this->startResult = static_cast<StartResult::type>(ecast185);
+          int32_t ecast207;
+          xfer += iprot->readI32(ecast207);
+          this->startResult = static_cast<StartResult::type>(ecast207);
           this->__isset.startResult = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4718,14 +5100,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size186;
-            ::apache::thrift::protocol::TType _etype189;
-            xfer += iprot->readListBegin(_etype189, _size186);
-            this->running.resize(_size186);
-            uint32_t _i190;
-            for (_i190 = 0; _i190 < _size186; ++_i190)
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->running.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
             {
-              xfer += this->running[_i190].read(iprot);
+              xfer += this->running[_i212].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4738,14 +5120,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->finished.clear();
-            uint32_t _size191;
-            ::apache::thrift::protocol::TType _etype194;
-            xfer += iprot->readListBegin(_etype194, _size191);
-            this->finished.resize(_size191);
-            uint32_t _i195;
-            for (_i195 = 0; _i195 < _size191; ++_i195)
+            uint32_t _size213;
+            ::apache::thrift::protocol::TType _etype216;
+            xfer += iprot->readListBegin(_etype216, _size213);
+            this->finished.resize(_size213);
+            uint32_t _i217;
+            for (_i217 = 0; _i217 < _size213; ++_i217)
             {
-              xfer += this->finished[_i195].read(iprot);
+              xfer += this->finished[_i217].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4806,10 +5188,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<ListedRun> ::const_iterator _iter196;
-    for (_iter196 = this->running.begin(); _iter196 != this->running.end(); ++_iter196)
+    std::vector<ListedRun> ::const_iterator _iter218;
+    for (_iter218 = this->running.begin(); _iter218 != this->running.end(); ++_iter218)
     {
-      xfer += (*_iter196).write(oprot);
+      xfer += (*_iter218).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4818,10 +5200,10 @@
   xfer += oprot->writeFieldBegin("finished", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->finished.size()));
-    std::vector<FinishedRun> ::const_iterator _iter197;
-    for (_iter197 = this->finished.begin(); _iter197 != this->finished.end(); ++_iter197)
+    std::vector<FinishedRun> ::const_iterator _iter219;
+    for (_iter219 = this->finished.begin(); _iter219 != this->finished.end(); ++_iter219)
     {
-      xfer += (*_iter197).write(oprot);
+      xfer += (*_iter219).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4850,54 +5232,54 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerAnswer::WorkerAnswer(const WorkerAnswer& other198) {
-  id = other198.id;
-  error = other198.error;
-  reason = other198.reason;
-  startResult = other198.startResult;
-  workerTimeMs = other198.workerTimeMs;
-  startedAtMs = other198.startedAtMs;
-  running = other198.running;
-  finished = other198.finished;
-  moreFinished = other198.moreFinished;
-  __isset = other198.__isset;
+WorkerAnswer::WorkerAnswer(const WorkerAnswer& other220) {
+  id = other220.id;
+  error = other220.error;
+  reason = other220.reason;
+  startResult = other220.startResult;
+  workerTimeMs = other220.workerTimeMs;
+  startedAtMs = other220.startedAtMs;
+  running = other220.running;
+  finished = other220.finished;
+  moreFinished = other220.moreFinished;
+  __isset = other220.__isset;
 }
-WorkerAnswer::WorkerAnswer(WorkerAnswer&& other199) noexcept {
-  id = other199.id;
-  error = std::move(other199.error);
-  reason = std::move(other199.reason);
-  startResult = other199.startResult;
-  workerTimeMs = other199.workerTimeMs;
-  startedAtMs = other199.startedAtMs;
-  running = std::move(other199.running);
-  finished = std::move(other199.finished);
-  moreFinished = other199.moreFinished;
-  __isset = other199.__isset;
+WorkerAnswer::WorkerAnswer(WorkerAnswer&& other221) noexcept {
+  id = other221.id;
+  error = std::move(other221.error);
+  reason = std::move(other221.reason);
+  startResult = other221.startResult;
+  workerTimeMs = other221.workerTimeMs;
+  startedAtMs = other221.startedAtMs;
+  running = std::move(other221.running);
+  finished = std::move(other221.finished);
+  moreFinished = other221.moreFinished;
+  __isset = other221.__isset;
 }
-WorkerAnswer& WorkerAnswer::operator=(const WorkerAnswer& other200) {
-  id = other200.id;
-  error = other200.error;
-  reason = other200.reason;
-  startResult = other200.startResult;
-  workerTimeMs = other200.workerTimeMs;
-  startedAtMs = other200.startedAtMs;
-  running = other200.running;
-  finished = other200.finished;
-  moreFinished = other200.moreFinished;
-  __isset = other200.__isset;
+WorkerAnswer& WorkerAnswer::operator=(const WorkerAnswer& other222) {
+  id = other222.id;
+  error = other222.error;
+  reason = other222.reason;
+  startResult = other222.startResult;
+  workerTimeMs = other222.workerTimeMs;
+  startedAtMs = other222.startedAtMs;
+  running = other222.running;
+  finished = other222.finished;
+  moreFinished = other222.moreFinished;
+  __isset = other222.__isset;
   return *this;
 }
-WorkerAnswer& WorkerAnswer::operator=(WorkerAnswer&& other201) noexcept {
-  id = other201.id;
-  error = std::move(other201.error);
-  reason = std::move(other201.reason);
-  startResult = other201.startResult;
-  workerTimeMs = other201.workerTimeMs;
-  startedAtMs = other201.startedAtMs;
-  running = std::move(other201.running);
-  finished = std::move(other201.finished);
-  moreFinished = other201.moreFinished;
-  __isset = other201.__isset;
+WorkerAnswer& WorkerAnswer::operator=(WorkerAnswer&& other223) noexcept {
+  id = other223.id;
+  error = std::move(other223.error);
+  reason = std::move(other223.reason);
+  startResult = other223.startResult;
+  workerTimeMs = other223.workerTimeMs;
+  startedAtMs = other223.startedAtMs;
+  running = std::move(other223.running);
+  finished = std::move(other223.finished);
+  moreFinished = other223.moreFinished;
+  __isset = other223.__isset;
   return *this;
 }
 void WorkerAnswer::printTo(std::ostream& out) const {
@@ -4967,14 +5349,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size202;
-            ::apache::thrift::protocol::TType _etype205;
-            xfer += iprot->readListBegin(_etype205, _size202);
-            this->answers.resize(_size202);
-            uint32_t _i206;
-            for (_i206 = 0; _i206 < _size202; ++_i206)
+            uint32_t _size224;
+            ::apache::thrift::protocol::TType _etype227;
+            xfer += iprot->readListBegin(_etype227, _size224);
+            this->answers.resize(_size224);
+            uint32_t _i228;
+            for (_i228 = 0; _i228 < _size224; ++_i228)
             {
-              xfer += this->answers[_i206].read(iprot);
+              xfer += this->answers[_i228].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5007,10 +5389,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<WorkerAnswer> ::const_iterator _iter207;
-    for (_iter207 = this->answers.begin(); _iter207 != this->answers.end(); ++_iter207)
+    std::vector<WorkerAnswer> ::const_iterator _iter229;
+    for (_iter229 = this->answers.begin(); _iter229 != this->answers.end(); ++_iter229)
     {
-      xfer += (*_iter207).write(oprot);
+      xfer += (*_iter229).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5028,26 +5410,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerAnswers::WorkerAnswers(const WorkerAnswers& other208) {
-  session = other208.session;
-  answers = other208.answers;
-  __isset = other208.__isset;
+WorkerAnswers::WorkerAnswers(const WorkerAnswers& other230) {
+  session = other230.session;
+  answers = other230.answers;
+  __isset = other230.__isset;
 }
-WorkerAnswers::WorkerAnswers(WorkerAnswers&& other209) noexcept {
-  session = std::move(other209.session);
-  answers = std::move(other209.answers);
-  __isset = other209.__isset;
+WorkerAnswers::WorkerAnswers(WorkerAnswers&& other231) noexcept {
+  session = std::move(other231.session);
+  answers = std::move(other231.answers);
+  __isset = other231.__isset;
 }
-WorkerAnswers& WorkerAnswers::operator=(const WorkerAnswers& other210) {
-  session = other210.session;
-  answers = other210.answers;
-  __isset = other210.__isset;
+WorkerAnswers& WorkerAnswers::operator=(const WorkerAnswers& other232) {
+  session = other232.session;
+  answers = other232.answers;
+  __isset = other232.__isset;
   return *this;
 }
-WorkerAnswers& WorkerAnswers::operator=(WorkerAnswers&& other211) noexcept {
-  session = std::move(other211.session);
-  answers = std::move(other211.answers);
-  __isset = other211.__isset;
+WorkerAnswers& WorkerAnswers::operator=(WorkerAnswers&& other233) noexcept {
+  session = std::move(other233.session);
+  answers = std::move(other233.answers);
+  __isset = other233.__isset;
   return *this;
 }
 void WorkerAnswers::printTo(std::ostream& out) const {
@@ -5098,14 +5480,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->teams.clear();
-            uint32_t _size212;
-            ::apache::thrift::protocol::TType _etype215;
-            xfer += iprot->readListBegin(_etype215, _size212);
-            this->teams.resize(_size212);
-            uint32_t _i216;
-            for (_i216 = 0; _i216 < _size212; ++_i216)
+            uint32_t _size234;
+            ::apache::thrift::protocol::TType _etype237;
+            xfer += iprot->readListBegin(_etype237, _size234);
+            this->teams.resize(_size234);
+            uint32_t _i238;
+            for (_i238 = 0; _i238 < _size234; ++_i238)
             {
-              xfer += iprot->readString(this->teams[_i216]);
+              xfer += iprot->readString(this->teams[_i238]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5134,10 +5516,10 @@
   xfer += oprot->writeFieldBegin("teams", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->teams.size()));
-    std::vector<std::string> ::const_iterator _iter217;
-    for (_iter217 = this->teams.begin(); _iter217 != this->teams.end(); ++_iter217)
+    std::vector<std::string> ::const_iterator _iter239;
+    for (_iter239 = this->teams.begin(); _iter239 != this->teams.end(); ++_iter239)
     {
-      xfer += oprot->writeString((*_iter217));
+      xfer += oprot->writeString((*_iter239));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5154,22 +5536,22 @@
   swap(a.__isset, b.__isset);
 }
 
-AdvanceCancellation::AdvanceCancellation(const AdvanceCancellation& other218) {
-  teams = other218.teams;
-  __isset = other218.__isset;
+AdvanceCancellation::AdvanceCancellation(const AdvanceCancellation& other240) {
+  teams = other240.teams;
+  __isset = other240.__isset;
 }
-AdvanceCancellation::AdvanceCancellation(AdvanceCancellation&& other219) noexcept {
-  teams = std::move(other219.teams);
-  __isset = other219.__isset;
+AdvanceCancellation::AdvanceCancellation(AdvanceCancellation&& other241) noexcept {
+  teams = std::move(other241.teams);
+  __isset = other241.__isset;
 }
-AdvanceCancellation& AdvanceCancellation::operator=(const AdvanceCancellation& other220) {
-  teams = other220.teams;
-  __isset = other220.__isset;
+AdvanceCancellation& AdvanceCancellation::operator=(const AdvanceCancellation& other242) {
+  teams = other242.teams;
+  __isset = other242.__isset;
   return *this;
 }
-AdvanceCancellation& AdvanceCancellation::operator=(AdvanceCancellation&& other221) noexcept {
-  teams = std::move(other221.teams);
-  __isset = other221.__isset;
+AdvanceCancellation& AdvanceCancellation::operator=(AdvanceCancellation&& other243) noexcept {
+  teams = std::move(other243.teams);
+  __isset = other243.__isset;
   return *this;
 }
 void AdvanceCancellation::printTo(std::ostream& out) const {
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -105,6 +105,10 @@
 
 class UsedWorker;
 
+class PoolBacklog;
+
+class Backlog;
+
 class StoredRecord;
 
 class StoredRecords;
@@ -639,11 +643,12 @@
 std::ostream& operator<<(std::ostream& out, const Tenure& obj);
 
 typedef struct _Member__isset {
-  _Member__isset() : name(false), address(false), cpuMilli(false), availabilityZone(false) {}
+  _Member__isset() : name(false), address(false), cpuMilli(false), availabilityZone(false), refusesJobs(false) {}
   bool name :1;
   bool address :1;
   bool cpuMilli :1;
   bool availabilityZone :1;
+  bool refusesJobs :1;
 } _Member__isset;
 
 class Member : public virtual ::apache::thrift::TBase {
@@ -657,7 +662,8 @@
          : name(),
            address(),
            cpuMilli(0),
-           availabilityZone() {
+           availabilityZone(),
+           refusesJobs(0) {
   }
 
   virtual ~Member() noexcept;
@@ -665,6 +671,7 @@
   std::string address;
   int64_t cpuMilli;
   std::string availabilityZone;
+  bool refusesJobs;
 
   _Member__isset __isset;
 
@@ -676,6 +683,8 @@
 
   void __set_availabilityZone(const std::string& val);
 
+  void __set_refusesJobs(const bool val);
+
   bool operator == (const Member & rhs) const
   {
     if (!(name == rhs.name))
@@ -686,6 +695,10 @@
       return false;
     if (!(availabilityZone == rhs.availabilityZone))
       return false;
+    if (__isset.refusesJobs != rhs.__isset.refusesJobs)
+      return false;
+    else if (__isset.refusesJobs && !(refusesJobs == rhs.refusesJobs))
+      return false;
     return true;
   }
   bool operator != (const Member &rhs) const {
@@ -966,6 +979,122 @@
 
 std::ostream& operator<<(std::ostream& out, const UsedWorker& obj);
 
+typedef struct _PoolBacklog__isset {
+  _PoolBacklog__isset() : pool(false), account(false), coreMs(false), demandCpuMilli(false), drainCpuMilli(false) {}
+  bool pool :1;
+  bool account :1;
+  bool coreMs :1;
+  bool demandCpuMilli :1;
+  bool drainCpuMilli :1;
+} _PoolBacklog__isset;
+
+class PoolBacklog : public virtual ::apache::thrift::TBase {
+ public:
+
+  PoolBacklog(const PoolBacklog&);
+  PoolBacklog(PoolBacklog&&) noexcept;
+  PoolBacklog& operator=(const PoolBacklog&);
+  PoolBacklog& operator=(PoolBacklog&&) noexcept;
+  PoolBacklog() noexcept
+              : pool(),
+                account(),
+                demandCpuMilli(0),
+                drainCpuMilli(0) {
+  }
+
+  virtual ~PoolBacklog() noexcept;
+  std::string pool;
+  std::string account;
+  std::map<int32_t, int64_t>  coreMs;
+  int64_t demandCpuMilli;
+  int64_t drainCpuMilli;
+
+  _PoolBacklog__isset __isset;
+
+  void __set_pool(const std::string& val);
+
+  void __set_account(const std::string& val);
+
+  void __set_coreMs(const std::map<int32_t, int64_t> & val);
+
+  void __set_demandCpuMilli(const int64_t val);
+
+  void __set_drainCpuMilli(const int64_t val);
+
+  bool operator == (const PoolBacklog & rhs) const
+  {
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(account == rhs.account))
+      return false;
+    if (!(coreMs == rhs.coreMs))
+      return false;
+    if (!(demandCpuMilli == rhs.demandCpuMilli))
+      return false;
+    if (!(drainCpuMilli == rhs.drainCpuMilli))
+      return false;
+    return true;
+  }
+  bool operator != (const PoolBacklog &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PoolBacklog & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PoolBacklog &a, PoolBacklog &b);
+
+std::ostream& operator<<(std::ostream& out, const PoolBacklog& obj);
+
+typedef struct _Backlog__isset {
+  _Backlog__isset() : accounts(false) {}
+  bool accounts :1;
+} _Backlog__isset;
+
+class Backlog : public virtual ::apache::thrift::TBase {
+ public:
+
+  Backlog(const Backlog&);
+  Backlog(Backlog&&) noexcept;
+  Backlog& operator=(const Backlog&);
+  Backlog& operator=(Backlog&&) noexcept;
+  Backlog() noexcept {
+  }
+
+  virtual ~Backlog() noexcept;
+  std::vector<PoolBacklog>  accounts;
+
+  _Backlog__isset __isset;
+
+  void __set_accounts(const std::vector<PoolBacklog> & val);
+
+  bool operator == (const Backlog & rhs) const
+  {
+    if (!(accounts == rhs.accounts))
+      return false;
+    return true;
+  }
+  bool operator != (const Backlog &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Backlog & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Backlog &a, Backlog &b);
+
+std::ostream& operator<<(std::ostream& out, const Backlog& obj);
+
 typedef struct _StoredRecord__isset {
   _StoredRecord__isset() : key(false), value(false), removed(false), offset(false) {}
   bool key :1;
@@ -1033,7 +1162,7 @@
 std::ostream& operator<<(std::ostream& out, const StoredRecord& obj);
 
 typedef struct _StoredRecords__isset {
-  _StoredRecords__isset() : topic(false), records(false), topicEnd(false), relayTo(false), epoch(false), publishedAtMs(false), appendMs(false) {}
+  _StoredRecords__isset() : topic(false), records(false), topicEnd(false), relayTo(false), epoch(false), publishedAtMs(false), appendMs(false), backlog(false) {}
   bool topic :1;
   bool records :1;
   bool topicEnd :1;
@@ -1041,6 +1170,7 @@
   bool epoch :1;
   bool publishedAtMs :1;
   bool appendMs :1;
+  bool backlog :1;
 } _StoredRecords__isset;
 
 class StoredRecords : public virtual ::apache::thrift::TBase {
@@ -1066,6 +1196,7 @@
   int64_t epoch;
   int64_t publishedAtMs;
   int64_t appendMs;
+  Backlog backlog;
 
   _StoredRecords__isset __isset;
 
@@ -1083,6 +1214,8 @@
 
   void __set_appendMs(const int64_t val);
 
+  void __set_backlog(const Backlog& val);
+
   bool operator == (const StoredRecords & rhs) const
   {
     if (!(topic == rhs.topic))
@@ -1099,6 +1232,10 @@
       return false;
     if (!(appendMs == rhs.appendMs))
       return false;
+    if (__isset.backlog != rhs.__isset.backlog)
+      return false;
+    else if (__isset.backlog && !(backlog == rhs.backlog))
+      return false;
     return true;
   }
   bool operator != (const StoredRecords &rhs) const {
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -89,8 +89,15 @@
 }
 
 // An entry instance, the IP:PORT on which peers reach it, and the processor that its machine gives it
-// in thousandths of a core (0: unknown).
-struct Member { 1: string name; 2: string address; 3: i64 cpuMilli; 4: string availabilityZone; }
+// in thousandths of a core (0: unknown). `refusesJobs`: admission control is on there, so the instance
+// tells a caller that a job is accepted only once it knows that no other instance has refused it.
+struct Member {
+  1: string name;
+  2: string address;
+  3: i64 cpuMilli;
+  4: string availabilityZone;
+  5: optional bool refusesJobs;
+}
 
 // Asks an entry instance to call the policy service on the scheduler's behalf.
 // `newConnection` is set while connections that were opened before may be silent.
@@ -125,11 +132,22 @@
   7: i64 unansweredStartsExpireWithinMs;
 }
 
+// The open work of client accounts with waiting work, as in AccountBacklog (admission/backlog_summary.h).
+struct PoolBacklog {
+  1: string pool;
+  2: string account;           // empty: submitted without a key
+  3: map<i32, i64> coreMs;     // estimated processor time that is left, by priority of the route
+  4: i64 demandCpuMilli;
+  5: i64 drainCpuMilli;
+}
+struct Backlog { 1: list<PoolBacklog> accounts; }
+
 // Records of one topic of the log, as stored. `topicEnd` is the offset at which the topic ended
 // after them; 0 if unknown. The receiver sends them on to the peers in `relayTo` (IP:PORT). `epoch`
 // (of the scheduler's tenure) and `publishedAtMs` (on its monotonic clock) tell how old a relayed
 // message is; both are 0 if the sender is not the scheduler. `appendMs` is how long the scheduler's
-// appends take on average; 0 if unknown.
+// appends take on average; 0 if unknown. `backlog` is sent by the scheduler while accounts wait for
+// long, and once without accounts when that has come to an end.
 struct StoredRecord { 1: string key; 2: binary value; 3: bool removed; 4: i64 offset; }
 struct StoredRecords {
   1: string topic;
@@ -139,6 +157,7 @@
   5: i64 epoch;
   6: i64 publishedAtMs;
   7: i64 appendMs;
+  8: optional Backlog backlog;
 }
 
 // A caller's request that an instance forwards to another one, and the response. Header names are
