Refusals for load that no late append can make untrue

Cause: an attempt that got no answer may still be stored up to 12 s later, from any instance, also from one that is gone. A 429 at another instance would then be untrue.

Change: an instance refuses a job by a record of the jobs topic, appended on the condition that the log holds nothing that it has not read. A submission has no effect while the id is refused. Where refusals are possible, an instance reads what precedes its append before it tells a caller or the scheduler that a job is stored. A later attempt lifts the refusal in the append of the job; an id is refused at most once. Requests that a forwarder repeats, or that a suspended process had received, lift nothing. The scheduler tells the backlog with its publications, and instances decide by it only while all of them take part. The log of the tests checks the expected end of appends without a writer too, as the platform's does.

--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -1,5 +1,6 @@
 #include "control/instance.h"
 
+#include "control/backlog_codec.h"
 #include "logging/event_log.h"
 #include "work/codec.h"
 
@@ -78,7 +79,8 @@
         [this] {
             return LogCondition{m_jobs->availableSince() != Instant::max(), appendTime(),
                                 !forwardTarget().empty()};
-        });
+        },
+        [this] { return refusalsPossible(); });
 }
 
 std::unique_ptr<LogFollower> Instance::createOperatorFollower()
@@ -153,6 +155,32 @@
     return appendTime() >= SlowAppendTime ? forwardTarget() : "";
 }
 
+bool Instance::refusalsPossible() const
+{
+    return m_options.policies.admission || !m_work->loaded()
+           || std::ranges::any_of(m_jobTable.members(),
+                                  [](const auto &it) { return it.second.refusesJobs; });
+}
+
+// An instance without admission control may tell a caller that a job is accepted although another
+// one has just refused it.
+bool Instance::mayRefuse() const
+{
+    const auto &members = m_jobTable.members();
+    return m_options.policies.admission && members.contains(m_options.name)
+           && std::ranges::all_of(members, [](const auto &it) { return it.second.refusesJobs; });
+}
+
+AdmissionDecision Instance::decideAdmission(const AdmissionRequest &request) const
+{
+    if (!mayRefuse())
+        return {};
+    const work::Tenure &tenure = m_jobTable.tenure();
+    const AdmissionPolicy policy(m_options.policies.admission->maxStateAge);
+    return policy.decide(request, m_backlog ? &*m_backlog : nullptr,
+                         tenure.released ? 0 : tenure.epoch, now());
+}
+
 void Instance::onWorkRecord(const KeyedRecord &record)
 {
     const Instant now = m_context.scheduler.clock.now();
@@ -175,6 +203,8 @@
         armTick(std::clamp(claimTimeout(), Duration::zero(), TickInterval));
     if (*change == JobTable::Change::Submitted)
         m_submitter->jobRead(id);
+    if (*change == JobTable::Change::Refused)
+        m_submitter->refusalRead(id);
     if (m_scheduler)
         m_scheduler->jobTableChanged(*change, id);
 }
@@ -249,6 +279,8 @@
     out.address = m_options.peerAddress;
     out.cpuMilli = m_options.cpuMilli;
     out.availabilityZone = m_options.availabilityZone;
+    if (m_options.policies.admission)
+        out.__set_refusesJobs(true);
     return out;
 }
 
@@ -302,6 +334,8 @@
     m_schedulerActiveAt = std::max(m_schedulerActiveAt, *at);
     m_publishReceivedAt = std::max(m_publishReceivedAt, *at);
     m_publishedAppendTime = Duration(records.appendMs);
+    if (records.__isset.backlog)
+        m_backlog = decodeBacklog(records.backlog, records.epoch, *at);
 }
 
 void Instance::onJobsStored(const std::vector<KeyedRecord> &records)
@@ -321,13 +355,17 @@
         if (name != m_options.name)
             peers.push_back({member.address, member.cpuMilli, member.availabilityZone});
     }
+    auto backlog = m_scheduler->takeBacklog();
+    if (backlog)
+        m_backlog = backlog;
     m_publisher.publish(peers, {epoch, m_scheduler->lastStoredAt(), m_scheduler->appendTime(),
-                                m_context.scheduler.workTopic, records, end});
+                                m_context.scheduler.workTopic, records, end, std::move(backlog)});
 }
 
 void Instance::tick()
 {
     checkTenure();
+    m_submitter->tick();
     const Instant present = now();
     m_configuration.refreshIfOutdated(present);
     if (const bool ready = isReady(); ready != m_wasReady) {
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -7,6 +7,7 @@
 // it. Not thread-safe: use it only on the event loop's thread.
 #pragma once
 
+#include "admission/admission_policy.h"
 #include "control/configuration_guard.h"
 #include "control/job_submitter.h"
 #include "control/peer_probe.h"
@@ -97,6 +98,9 @@
     // Address of the instance that appends what the callers of this one hand in, because the log is
     // slow and takes one append at a time; empty if this instance appends it itself.
     std::string collector() const;
+    // Decides whether a job is refused because of its account's backlog, by the newest summary that
+    // is known. Unless admission control is on at all instances, every job is admitted.
+    AdmissionDecision decideAdmission(const AdmissionRequest &request) const;
     // Calls the policy service on behalf of the scheduler of another instance.
     void approve(const work::ApprovalRequest &request,
                  std::function<void(work::ApprovalAnswer)> done);
@@ -152,6 +156,10 @@
     // Whether the scheduler has published recently stored records.
     bool schedulerReachesLog() const;
     work::Member ownMember() const;
+    // Whether some instance may refuse jobs because of the backlog.
+    bool refusalsPossible() const;
+    // Whether this one may: all instances know how to handle it.
+    bool mayRefuse() const;
     void updateClaimWait();
     // Time for which the scheduler has to be inactive before this instance claims the tenure.
     Duration claimTimeout() const;
@@ -195,6 +203,7 @@
     Instant m_publishReceivedAt = Instant::min();
     Duration m_publishedAppendTime{0}; // of the scheduler's appends, as it has last published
     PublicationClock m_publicationClock;
+    std::optional<BacklogSummary> m_backlog; // the newest one that is known
     int64_t m_publishedEnd = 0; // highest end of the work topic that the scheduler has published
     // Last refresh of the work topic because the scheduler had stopped publishing.
     Instant m_inactivityRefreshAt = Instant::min();
--- a/src/control/instance_testing.h
+++ b/src/control/instance_testing.h
@@ -97,6 +97,7 @@
         options.maxLease = m_maxLease;
         options.cpuMilli = cpuMilli;
         options.terminalRetention = m_terminalRetention;
+        options.policies = m_policies;
         node.instance = std::make_unique<Instance>(
             [this, &node, name](const JobTable &jobTable) {
                 SchedulerContext context{m_io,
@@ -216,7 +217,7 @@
     {
         m_outcomes.erase(id);
         node.instance->submitter().submit(
-            makeJob(id, tasks), m_clock.now() + Duration(2'500),
+            makeJob(id, tasks), false, m_clock.now() + Duration(2'500),
             [this, id](SubmitOutcome it, const std::string &) { m_outcomes[id] = it; });
     }
     // Submits a job and waits for its outcome; returns none if it does not arrive in time.
@@ -253,6 +254,7 @@
     LogLimits m_logLimits; // as the instances know them
     Duration m_terminalRetention{120'000};
     std::string m_team; // of submitted jobs
+    SchedulingPolicies m_policies;
     int64_t m_unixMs = 1'000'000; // true time of day; accepted jobs are of that time
     // By how much the time of day of an instance's machine differs from the true one, by name.
     std::map<std::string, int64_t> m_unixOffsetsMs;
--- a/src/control/job_garbage_collector.cc
+++ b/src/control/job_garbage_collector.cc
@@ -14,7 +14,7 @@
 constexpr Duration CollectInterval{2'000};
 constexpr Duration AppendTimeout{900};
 constexpr size_t MaxJobsPerRun = 200;
-constexpr size_t MaxCancellationsPerRun = 500;
+constexpr size_t MaxIdleRecordsPerRun = 500; // of each kind
 constexpr size_t MaxRecordsPerRun = 1'000; // of the work topic, before the last job
 
 struct ForgottenJob
@@ -70,10 +70,13 @@
         forgotten.push_back({id, entry.endedAtHeldMs()});
         jobs.records.push_back({work_key::cancel(id), "", true, 0});
         jobs.records.push_back({work_key::job(id), "", true, 0});
+        if (entry.admission != JobAdmission::Open)
+            jobs.records.push_back({work_key::admission(id), "", true, 0});
         for (const work::Progress *part : entry.progressParts())
             work.records.push_back({work_key::progress(id, part->part), "", true, 0});
     }
     collectCancellations(heldMs, jobs.records);
+    collectRefusals(heldMs, jobs.records);
     if (jobs.records.empty())
         return;
     // Remove the submission before the progress: a submission without progress would look like a
@@ -90,22 +93,38 @@
                  });
 }
 
-void JobGarbageCollector::collectCancellations(int64_t heldMs, std::vector<KeyedRecord> &out)
+std::vector<std::string>
+JobGarbageCollector::IdleRecords::expired(const std::set<std::string> &idle, int64_t heldMs)
 {
-    const std::set<std::string> &idle = m_jobTable.idleCancellations();
-    std::erase_if(m_idleSinceHeldMs, [&idle](const auto &it) { return !idle.contains(it.first); });
-    size_t removed = 0;
+    std::erase_if(sinceHeldMs, [&idle](const auto &it) { return !idle.contains(it.first); });
+    std::vector<std::string> out;
     for (const std::string &id : idle) {
-        const int64_t since = m_idleSinceHeldMs.try_emplace(id, heldMs).first->second;
+        const int64_t since = sinceHeldMs.try_emplace(id, heldMs).first->second;
         if (heldMs - since < AdvanceCancellationRetention.count())
             continue;
-        out.push_back({work_key::cancel(id), "", true, 0});
-        if (++removed >= MaxCancellationsPerRun)
+        out.push_back(id);
+        if (out.size() >= MaxIdleRecordsPerRun)
             break;
     }
-    if (removed > 0)
-        logInfo("cancellations_forgotten", "count=" + std::to_string(removed)
-                                               + " left=" + std::to_string(idle.size() - removed));
+    return out;
+}
+
+void JobGarbageCollector::collectCancellations(int64_t heldMs, std::vector<KeyedRecord> &out)
+{
+    const std::set<std::string> &idle = m_jobTable.idleCancellations();
+    const std::vector<std::string> expired = m_idleCancellations.expired(idle, heldMs);
+    for (const std::string &id : expired)
+        out.push_back({work_key::cancel(id), "", true, 0});
+    if (!expired.empty())
+        logInfo("cancellations_forgotten", "count=" + std::to_string(expired.size()) + " left="
+                                               + std::to_string(idle.size() - expired.size()));
+}
+
+// A refusal with a submission that has no effect is kept: without it the job would run.
+void JobGarbageCollector::collectRefusals(int64_t heldMs, std::vector<KeyedRecord> &out)
+{
+    for (const std::string &id : m_idleRefusals.expired(m_jobTable.idleRefusals(), heldMs))
+        out.push_back({work_key::admission(id), "", true, 0});
 }
 
 } // namespace cardamompaddle
--- a/src/control/job_submitter.cc
+++ b/src/control/job_submitter.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -19,6 +20,11 @@
 constexpr Duration LatestAppend{12'000};
 // An append that took this long is logged.
 constexpr Duration LateAppendTime{200};
+// A refusal is stored only if no record is appended between the read before it and its append. It
+// is tried anew for this time.
+constexpr Duration RefusalPatience{200};
+constexpr Duration RefusalTimeout{350};
+constexpr int NewRefusalTicks = 3;
 
 AppendEnd appendEnd(AppendOutcome outcome)
 {
@@ -34,14 +40,22 @@
     }
 }
 
+KeyedRecord admissionRecord(const std::string &id, JobAdmission admission)
+{
+    const std::string_view value = JobAdmissionNames[static_cast<size_t>(admission)];
+    return {work_key::admission(id), std::string(value), false, 0};
+}
+
 } // namespace
 
 JobSubmitter::JobSubmitter(boost::asio::io_context &io, const Clock &clock, KeyedLog &log,
                            const JobTable &jobTable, LogFollower &follower, std::string topic,
-                           LogLimits limits, Stored stored, std::function<LogCondition()> condition)
+                           LogLimits limits, Stored stored, std::function<LogCondition()> condition,
+                           std::function<bool()> refusalsPossible)
     : m_clock(clock), m_log(log), m_jobTable(jobTable), m_follower(follower),
       m_topic(std::move(topic)), m_limits(limits), m_stored(std::move(stored)),
-      m_condition(std::move(condition)), m_queue(limits.maxAppendBytes), m_timer(io)
+      m_condition(std::move(condition)), m_refusalsPossible(std::move(refusalsPossible)),
+      m_queue(limits.maxAppendBytes), m_timer(io)
 { }
 
 JobSubmitter::~JobSubmitter()
@@ -49,7 +63,7 @@
     *m_alive = false;
 }
 
-void JobSubmitter::submit(const work::Submission &job, Instant deadline, Done done)
+void JobSubmitter::submit(const work::Submission &job, bool repeated, Instant deadline, Done done)
 {
     if (m_jobTable.find(job.id) != nullptr)
         return done(SubmitOutcome::Accepted, "known");
@@ -58,7 +72,46 @@
         return done(SubmitOutcome::Invalid, "the job takes " + std::to_string(storedBytes(record))
                                                 + " bytes, more than "
                                                 + std::to_string(m_limits.maxRecordBytes));
-    enqueue({std::move(record), job.id, std::move(done)}, deadline);
+    const bool refused = m_jobTable.admissionOf(job.id) == JobAdmission::Refused;
+    if (refused && (repeated || m_newRefusals.contains(job.id)))
+        return done(SubmitOutcome::Shed, "an earlier attempt was refused");
+    enqueue({std::move(record), job.id, std::move(done), refused}, deadline);
+}
+
+void JobSubmitter::refuse(const std::string &id, std::function<void(bool)> done)
+{
+    tryRefuse(id, m_clock.now() + RefusalPatience, std::move(done));
+}
+
+// The condition of the append makes sure that the log holds no submission before the refusal, so an
+// accepted job is never refused.
+void JobSubmitter::tryRefuse(const std::string &id, Instant until, std::function<void(bool)> done)
+{
+    if (m_clock.now() >= until || isLogUnresponsive())
+        return done(false);
+    m_follower.refresh([this, id, until, done = std::move(done)](bool current) {
+        const bool open = m_jobTable.admissionOf(id) == JobAdmission::Open;
+        if (!current || !open || m_jobTable.find(id) != nullptr || isInDoubt(id))
+            return done(false);
+        AppendRequest request;
+        request.topic = m_topic;
+        request.expectedEnd = m_follower.nextOffset();
+        request.records.push_back(admissionRecord(id, JobAdmission::Refused));
+        const auto ended = [this, alive = m_alive, id, until, done,
+                            records = request.records](const AppendResult &answer) {
+            if (!*alive)
+                return;
+            if (answer.outcome == AppendOutcome::ConditionFailed)
+                return tryRefuse(id, until, done);
+            if (answer.outcome != AppendOutcome::Stored)
+                return done(false);
+            std::vector<KeyedRecord> stored = records;
+            assignOffsets(stored, answer);
+            m_follower.applyReceived(stored);
+            done(true);
+        };
+        m_log.append(std::move(request), RefusalTimeout, ended);
+    });
 }
 
 void JobSubmitter::cancel(const std::string &id, const std::string &team, Instant deadline,
@@ -151,8 +204,10 @@
 void JobSubmitter::enqueue(Entry entry, Instant deadline)
 {
     const Instant now = m_clock.now();
-    const auto number =
-        m_queue.add(std::min(deadline, now + MaxSubmitTime), now, storedBytes(entry.record));
+    size_t bytes = storedBytes(entry.record);
+    if (entry.liftsRefusal)
+        bytes += storedBytes(admissionRecord(entry.id, JobAdmission::Lifted));
+    const auto number = m_queue.add(std::min(deadline, now + MaxSubmitTime), now, bytes);
     m_entries.emplace(number, std::move(entry));
     armTimer(BatchDelay);
 }
@@ -190,8 +245,12 @@
     request.topic = m_topic;
     // AppendQueue repeats appends too: the records of a job and of a cancel are idempotent.
     request.repeatable = true;
-    for (const AppendQueue::RecordNumber number : append.records)
-        request.records.push_back(m_entries.at(number).record);
+    for (const AppendQueue::RecordNumber number : append.records) {
+        const Entry &entry = m_entries.at(number);
+        if (entry.liftsRefusal)
+            request.records.push_back(admissionRecord(entry.id, JobAdmission::Lifted));
+        request.records.push_back(entry.record);
+    }
     m_log.append(
         request, append.timeout,
         [this, alive = m_alive, append, records = request.records](const AppendResult &answer) {
@@ -203,11 +262,6 @@
 void JobSubmitter::onAppend(const AppendQueue::Append &append,
                             const std::vector<KeyedRecord> &records, const AppendResult &answer)
 {
-    if (answer.outcome == AppendOutcome::Stored) {
-        std::vector<KeyedRecord> stored = records;
-        assignOffsets(stored, answer);
-        m_stored(stored);
-    }
     const Instant now = m_clock.now();
     const Duration took = now - append.sentAt;
     if (answer.outcome != AppendOutcome::Stored || took >= LateAppendTime)
@@ -215,16 +269,72 @@
                                    + " outcome=" + std::string(appendOutcomeName(answer.outcome))
                                    + " took_ms=" + std::to_string(took.count()) + " reason=\""
                                    + answer.reason + "\"");
+    if (answer.outcome == AppendOutcome::Stored) {
+        std::vector<KeyedRecord> stored = records;
+        assignOffsets(stored, answer);
+        return m_refusalsPossible() ? confirmStored(append.number, stored)
+                                    : onStored(append.number, stored);
+    }
     m_queue.appendEnded(append.number, appendEnd(answer.outcome), answer.reason, now);
     update();
 }
 
+void JobSubmitter::tick()
+{
+    for (auto it = m_newRefusals.begin(); it != m_newRefusals.end();)
+        it = ++it->second > NewRefusalTicks ? m_newRefusals.erase(it) : std::next(it);
+}
+
+// Whether the record submits a job that was refused.
+bool JobSubmitter::hasNoEffect(const KeyedRecord &record) const
+{
+    const auto id = work_key::jobOfSubmission(record.key);
+    return id && m_jobTable.admissionOf(*id) == JobAdmission::Refused;
+}
+
+// A peer may not know the refusal of a job yet, so jobs without effect are not passed on.
+void JobSubmitter::onStored(AppendQueue::AppendNumber number,
+                            const std::vector<KeyedRecord> &records)
+{
+    m_follower.applyReceived(records);
+    std::vector<KeyedRecord> effective;
+    std::ranges::copy_if(records, std::back_inserter(effective),
+                         [this](const KeyedRecord &it) { return !hasNoEffect(it); });
+    m_stored(effective);
+    m_queue.appendEnded(number, AppendEnd::Stored, "", m_clock.now());
+    update();
+}
+
+// A job that another instance has refused before the append has no effect, so what precedes the
+// append is read before a caller or a peer is told that the job is stored.
+void JobSubmitter::confirmStored(AppendQueue::AppendNumber number,
+                                 const std::vector<KeyedRecord> &records)
+{
+    const bool unreadBefore = records.empty() || records.front().offset > m_follower.nextOffset();
+    if (!unreadBefore)
+        return onStored(number, records);
+    m_follower.refresh([this, alive = m_alive, number, records](bool current) {
+        if (!*alive)
+            return;
+        if (current)
+            return onStored(number, records);
+        m_queue.appendEnded(number, AppendEnd::Unanswered, "the log does not answer reads",
+                            m_clock.now());
+        update();
+    });
+}
+
 void JobSubmitter::settle(const AppendQueue::Settled &settled)
 {
     auto node = m_entries.extract(settled.record);
     const Entry &entry = node.mapped();
     const bool isJob = entry.record.key == work_key::job(entry.id);
     const bool inJobTable = isJob && m_jobTable.find(entry.id) != nullptr;
+    // An append that was stored, or may still be, has no effect after a refusal. The caller may
+    // have been told so, and this attempt may be older than the refusal.
+    const bool refused = isJob && m_jobTable.admissionOf(entry.id) == JobAdmission::Refused;
+    if (refused && !entry.liftsRefusal && settled.outcome != SubmitOutcome::Invalid)
+        return entry.done(SubmitOutcome::Shed, "refused by another instance meanwhile");
     if (isJob && !inJobTable && settled.outcome == SubmitOutcome::Unknown) {
         const Instant now = m_clock.now();
         std::erase_if(m_inDoubtUntil, [now](const auto &it) { return it.second <= now; });
--- a/src/control/job_table.cc
+++ b/src/control/job_table.cc
@@ -38,11 +38,22 @@
     return "cancel/" + id;
 }
 
+std::string admission(const std::string &id)
+{
+    return "admit/" + id;
+}
+
 std::string progress(const std::string &id, int32_t part)
 {
     return part == 0 ? "progress/" + id : "part/" + std::to_string(part) + "/" + id;
 }
 
+std::optional<std::string> jobOfSubmission(const std::string &key)
+{
+    constexpr std::string_view Prefix = "job/";
+    return key.starts_with(Prefix) ? std::optional(key.substr(Prefix.size())) : std::nullopt;
+}
+
 std::optional<std::string> jobOfProgress(const std::string &key)
 {
     const size_t slash = key.find('/');
@@ -219,6 +230,9 @@
 {
     if (kind == "job") {
         entry.submission.reset();
+        entry.refusedSubmission.reset();
+    } else if (kind == "admit") {
+        entry.admission = JobAdmission::Open;
     } else if (kind == "cancel") {
         entry.cancellation.reset();
     } else if (part == 0) {
@@ -241,8 +255,9 @@
         JobEntry &entry = it->second;
         removeFromCounts(id, entry);
         removePart(entry, kind, part);
-        const bool empty =
-            !entry.submission && !entry.cancellation && !entry.progress && !entry.laterParts;
+        const bool empty = !entry.submission && !entry.refusedSubmission && !entry.cancellation
+                           && !entry.progress && !entry.laterParts
+                           && entry.admission == JobAdmission::Open;
         if (empty)
             m_entries.erase(it);
         else
@@ -260,24 +275,59 @@
         change = progress ? Result<Change>(Change::Progressed) : progress.error();
         if (progress)
             setPart(entry, std::move(*progress));
-    } else if (kind == "job" && entry.submission) {
-        change = Change::None; // a repeated submission is ignored
+    } else if (kind == "admit") {
+        const bool lifted =
+            record.value == JobAdmissionNames[static_cast<size_t>(JobAdmission::Lifted)];
+        change = setAdmission(entry, lifted ? JobAdmission::Lifted : JobAdmission::Refused);
     } else if (kind == "job") {
-        auto submission = decodeJob(id, record.value);
-        if (submission) {
-            entry.submission = std::make_shared<work::Submission>(std::move(*submission));
-            entry.offset = record.offset;
-        }
-        change = submission ? Result<Change>(Change::Submitted) : submission.error();
+        change = addSubmission(entry, record, id);
     }
     addToCounts(id, entry);
     return change;
 }
 
+JobTable::Change JobTable::setAdmission(JobEntry &entry, JobAdmission admission)
+{
+    // Records may be received ahead of reading those before them. A refusal is never renewed.
+    if (entry.admission == JobAdmission::Lifted)
+        return Change::None;
+    entry.admission = admission;
+    if (admission == JobAdmission::Lifted) {
+        if (!entry.refusedSubmission)
+            return Change::None;
+        entry.submission = std::exchange(entry.refusedSubmission, nullptr);
+        return Change::Submitted;
+    }
+    // A refusal is stored only before any submission, but a load may find the submission first.
+    if (entry.submission)
+        entry.refusedSubmission = std::exchange(entry.submission, nullptr);
+    return Change::Refused;
+}
+
+Result<JobTable::Change> JobTable::addSubmission(JobEntry &entry, const KeyedRecord &record,
+                                                 const std::string &id)
+{
+    if (entry.submission || entry.refusedSubmission)
+        return Change::None; // a repeated submission is ignored
+    auto decoded = decodeJob(id, record.value);
+    if (!decoded)
+        return decoded.error();
+    auto submission = std::make_shared<const work::Submission>(std::move(*decoded));
+    entry.offset = record.offset;
+    if (entry.admission == JobAdmission::Refused) {
+        entry.refusedSubmission = std::move(submission);
+        return Change::None;
+    }
+    entry.submission = std::move(submission);
+    return Change::Submitted;
+}
+
 void JobTable::count(const std::string &id, const JobEntry &entry, int64_t delta)
 {
     if (isWaiting(entry))
         m_waitingCounts[entry.submission->route] += delta;
+    if (entry.admission == JobAdmission::Refused && !entry.refusedSubmission)
+        delta > 0 ? (void)m_idleRefusals.insert(id) : (void)m_idleRefusals.erase(id);
     if (!entry.cancellation || entry.isCancelled())
         return;
     delta > 0 ? (void)m_idleCancellations.insert(id) : (void)m_idleCancellations.erase(id);
@@ -301,6 +351,12 @@
     return it == m_entries.end() || it->second.submission ? nullptr : it->second.cancellation.get();
 }
 
+JobAdmission JobTable::admissionOf(const std::string &id) const
+{
+    const auto it = m_entries.find(id);
+    return it == m_entries.end() ? JobAdmission::Open : it->second.admission;
+}
+
 int64_t JobTable::advanceCancellationCount(const std::string &team) const
 {
     const auto it = m_advanceCancellationCounts.find(team);
--- a/src/control/job_table.h
+++ b/src/control/job_table.h
@@ -9,22 +9,29 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cardamompaddle {
 
-// Keys of the records in the jobs topic (job, cancel) and in the work topic (all others).
+// Keys of the records in the jobs topic (job, cancel, admit) and in the work topic (all
+// others).
 namespace work_key {
 std::string job(const std::string &id);
 std::string cancel(const std::string &id);
+// Sorts before job(), so that a load by keys finds the refusal of a job before the job.
+std::string admission(const std::string &id);
 // `part` is that of work::Progress.
 std::string progress(const std::string &id, int32_t part = 0);
+// Returns the job of a key that job() has returned; none for any other key.
+std::optional<std::string> jobOfSubmission(const std::string &key);
 // Returns the job of a key that progress() has returned; none for any other key.
 std::optional<std::string> jobOfProgress(const std::string &key);
 std::string member(const std::string &name);
@@ -41,9 +48,22 @@
     std::set<std::string> teams; // otherwise on a job of these client accounts
 };
 
+// Whether a job with the id has been refused because of its account's backlog. Each id is refused
+// at most once: an instance that accepts it afterwards lifts the refusal.
+enum class JobAdmission : uint8_t {
+    Open, // not refused
+    Refused, // a submission has no effect
+    Lifted, // submissions have effect again
+};
+// Values of the records of these states.
+inline constexpr std::array<std::string_view, 3> JobAdmissionNames = {"open", "refused", "lifted"};
+
 struct JobEntry
 {
-    std::shared_ptr<const work::Submission> submission; // null if not read yet, or removed
+    // Null if not read yet, removed, or without effect because of a refusal.
+    std::shared_ptr<const work::Submission> submission;
+    std::shared_ptr<const work::Submission> refusedSubmission; // takes effect if that is lifted
+    JobAdmission admission = JobAdmission::Open;
     std::unique_ptr<JobCancellation> cancellation; // null if none is stored
     std::unique_ptr<work::Progress> progress; // part 0; null if none is stored
     // The other parts by number; null if there are none.
@@ -64,7 +84,16 @@
 {
 public:
     // The part of the table that a record changed.
-    enum class Change { None, Submitted, Cancelled, Progressed, Tenure, Member, UsedWorker };
+    enum class Change {
+        None,
+        Submitted,
+        Cancelled,
+        Refused,
+        Progressed,
+        Tenure,
+        Member,
+        UsedWorker
+    };
     // Applies a record and sets `id` to the job, member or worker that it concerns. A record that
     // cannot be decoded changes no state. Errors: InvalidArgument if it cannot be decoded.
     Result<Change> apply(const KeyedRecord &record, std::string &id);
@@ -83,6 +112,9 @@
     const work::Tenure &tenure() const { return m_tenure; } // epoch 0 if none is stored
     const std::map<std::string, work::Member> &members() const { return m_members; }
     const std::map<std::string, work::UsedWorker> &usedWorkers() const { return m_usedWorkers; }
+    JobAdmission admissionOf(const std::string &id) const;
+    // Ids that have been refused and of which no submission is known.
+    const std::set<std::string> &idleRefusals() const { return m_idleRefusals; }
     // At most `limit` jobs that ended before the held time `heldMs`, in no particular order.
     // Includes jobs of which a record is left although the submission has been removed.
     std::vector<std::string> endedBefore(int64_t heldMs, size_t limit) const;
@@ -90,6 +122,9 @@
 private:
     Result<Change> applyJob(const KeyedRecord &record, const std::string &kind,
                             const std::string &id, int32_t part);
+    // Lets submissions of the entry have effect or not.
+    static Change setAdmission(JobEntry &entry, JobAdmission admission);
+    Result<Change> addSubmission(JobEntry &entry, const KeyedRecord &record, const std::string &id);
     static void setPart(JobEntry &entry, work::Progress progress);
     // Removes the part of the entry that a record of this kind and part number holds.
     static void removePart(JobEntry &entry, const std::string &kind, int32_t part);
@@ -101,6 +136,7 @@
     boost::unordered_flat_map<std::string, JobEntry> m_entries;
     std::map<std::string, int64_t> m_waitingCounts; // by route
     std::set<std::string> m_idleCancellations;
+    std::set<std::string> m_idleRefusals;
     std::map<std::string, int64_t> m_advanceCancellationCounts; // by team
     work::Tenure m_tenure;
     std::map<std::string, work::Member> m_members;
--- a/src/control/job_table_test.cc
+++ b/src/control/job_table_test.cc
@@ -312,5 +312,31 @@
     EXPECT_EQ(m_jobTable.endedBefore(501, 2).size(), 2U);
 }
 
+// Guards against a refused job that runs after a load, which finds the records of a key in another
+// order than they were stored in.
+TEST_F(JobTableTest, ARefusalHidesTheJobInWhateverOrderTheyAreRead)
+{
+    put(work_key::admission("a"), "refused");
+    EXPECT_THAT(m_jobTable.idleRefusals(), ::testing::ElementsAre("a"));
+    putJob("a");
+    putJob("b");
+    put(work_key::admission("b"), "refused");
+    for (const char *id : {"a", "b"})
+        EXPECT_EQ(m_jobTable.find(id), nullptr) << id;
+    EXPECT_EQ(m_jobTable.waitingCount("r"), 0);
+    EXPECT_TRUE(m_jobTable.idleRefusals().empty()) << "they hide a job";
+    put(work_key::admission("a"), "lifted");
+    EXPECT_NE(m_jobTable.find("a"), nullptr);
+    EXPECT_EQ(m_jobTable.waitingCount("r"), 1);
+    put(work_key::admission("a"), "refused"); // read late
+    EXPECT_NE(m_jobTable.find("a"), nullptr);
+}
+
+// Guards against a load that finds a submission before the refusal which hides it.
+TEST_F(JobTableTest, TheKeyOfARefusalSortsBeforeThatOfTheJob)
+{
+    EXPECT_LT(work_key::admission("z"), work_key::job("a"));
+}
+
 } // namespace
 } // namespace cardamompaddle
--- a/src/control/record_publisher.cc
+++ b/src/control/record_publisher.cc
@@ -1,5 +1,6 @@
 #include "control/record_publisher.h"
 
+#include "control/backlog_codec.h"
 #include "logging/event_log.h"
 
 #include <algorithm>
@@ -39,12 +40,16 @@
 {
     into.topic = from.topic;
     into.topicEnd = std::max(into.topicEnd, from.topicEnd);
-    if (from.epoch > into.epoch)
+    if (from.epoch > into.epoch) {
         into.publishedAtMs = 0;
+        into.__isset.backlog = false;
+    }
     if (from.epoch >= into.epoch) {
         into.epoch = from.epoch;
         into.publishedAtMs = std::max(into.publishedAtMs, from.publishedAtMs);
         into.appendMs = from.appendMs;
+        if (from.__isset.backlog)
+            into.__set_backlog(from.backlog);
     }
     const size_t room = MaxPendingRecords - std::min(MaxPendingRecords, into.records.size());
     const size_t taken = std::min(room, from.records.size());
@@ -82,6 +87,8 @@
     message.epoch = publication.epoch;
     message.appendMs = publication.appendTime.count();
     message.publishedAtMs = toMs(publication.activeAt);
+    if (publication.backlog)
+        message.__set_backlog(encodeBacklog(*publication.backlog));
     for (PublicationRoute &route : m_tree.routes(peers, now)) {
         message.relayTo = std::move(route.relayTo);
         enqueue(route.address, message);
--- a/src/control/record_publisher.h
+++ b/src/control/record_publisher.h
@@ -5,12 +5,14 @@
 // Not thread-safe: use it only on the event loop's thread.
 #pragma once
 
+#include "admission/backlog_summary.h"
 #include "control/gateways.h"
 #include "control/publication_tree.h"
 #include "platform/worker.h"
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,6 +28,7 @@
     std::string topic;
     std::vector<KeyedRecord> records;
     int64_t end = 0; // of the topic after the records
+    std::optional<BacklogSummary> backlog; // set if it is to be told
 };
 
 class RecordPublisher
--- a/src/control/record_publisher_test.cc
+++ b/src/control/record_publisher_test.cc
@@ -239,6 +239,40 @@
     EXPECT_EQ(peers.calls[1].publishedAtMs, 5);
 }
 
+// Guards against a peer that goes on refusing jobs, because the end of the backlog was lost among
+// messages that were put together, or by the backlog of an earlier tenure.
+TEST(RecordPublisherTest, AMergedMessageHoldsTheNewestBacklogOfItsTenure)
+{
+    ManualClock clock;
+    HeldPeers peers;
+    RecordPublisher publisher(clock, peers);
+    const auto relay = [&publisher](int64_t epoch, std::optional<int> accounts) {
+        work::StoredRecords message;
+        message.topic = "work";
+        message.relayTo = {"p"};
+        message.epoch = epoch;
+        if (accounts) {
+            work::Backlog backlog;
+            backlog.accounts.resize(static_cast<size_t>(*accounts));
+            message.__set_backlog(backlog);
+        }
+        publisher.relay(message);
+    };
+    relay(Epoch, std::nullopt); // in flight
+    relay(Epoch, 2);
+    relay(Epoch, 1);
+    relay(Epoch, std::nullopt); // tells nothing
+    std::exchange(peers.answer, nullptr)(Result<void>{});
+    ASSERT_EQ(peers.calls.size(), 2U);
+    ASSERT_TRUE(peers.calls[1].__isset.backlog);
+    EXPECT_EQ(peers.calls[1].backlog.accounts.size(), 1U);
+    relay(Epoch, 2);
+    relay(Epoch + 1, std::nullopt);
+    std::exchange(peers.answer, nullptr)(Result<void>{});
+    ASSERT_EQ(peers.calls.size(), 3U);
+    EXPECT_FALSE(peers.calls[2].__isset.backlog);
+}
+
 // Guards against calls that pile up for a peer that does not answer.
 TEST(RecordPublisherTest, QueuesRecordsDuringACallAndBacksOffAfterAFailure)
 {
--- a/src/control/request_forwarder.cc
+++ b/src/control/request_forwarder.cc
@@ -71,10 +71,19 @@
     target.empty() ? tryHere(exchange) : tryPeer(exchange, target, ForwardTimeout);
 }
 
+HttpRequest RequestForwarder::nextTry(Exchange &exchange)
+{
+    HttpRequest out = exchange.request;
+    out.headers.erase(RepeatedHeader);
+    if (exchange.tries++ > 0)
+        out.headers[RepeatedHeader] = "1";
+    return out;
+}
+
 void RequestForwarder::tryHere(const ExchangePtr &exchange)
 {
     exchange->triedHere = true;
-    m_localHandler(exchange->request, [this, alive = m_alive, exchange](HttpResponse response) {
+    m_localHandler(nextTry(*exchange), [this, alive = m_alive, exchange](HttpResponse response) {
         if (*alive)
             onLocalResponse(exchange, std::move(response));
     });
@@ -95,7 +104,7 @@
                                Duration timeout)
 {
     exchange->triedPeer = true;
-    const HttpRequest &request = exchange->request;
+    const HttpRequest request = nextTry(*exchange);
     work::CallerRequest out;
     out.method = request.method;
     out.path = request.path;
--- a/src/control/request_forwarder.h
+++ b/src/control/request_forwarder.h
@@ -24,6 +24,10 @@
 
 namespace cardamompaddle {
 
+// Header of a request that a forwarder has made before on behalf of the same caller, here or at a
+// peer. In lower case, as in HttpRequest::headers.
+inline constexpr const char *RepeatedHeader = "cardamompaddle-repeated";
+
 class RequestForwarder
 {
 public:
@@ -60,6 +64,7 @@
         HttpRequest request;
         HttpRespond respond;
         Instant deadline;
+        int tries = 0;
         bool inDoubt = false; // an earlier try may have carried the request out
         bool triedHere = false; // in this round
         bool triedPeer = false;
@@ -70,6 +75,8 @@
     using ExchangePtr = std::shared_ptr<Exchange>;
 
     void beginRound(const ExchangePtr &exchange);
+    // Returns the request for the next try.
+    static HttpRequest nextTry(Exchange &exchange);
     void tryHere(const ExchangePtr &exchange);
     void onLocalResponse(const ExchangePtr &exchange, HttpResponse response);
     void tryPeer(const ExchangePtr &exchange, const std::string &target, Duration timeout);
--- a/src/control/request_forwarder_test.cc
+++ b/src/control/request_forwarder_test.cc
@@ -22,7 +22,7 @@
     // the peer with status `peer`; without one, the peer does not answer.
     int send(const std::string &method, int local, bool logReachable, std::optional<int> peer)
     {
-        m_localCalls = 0;
+        m_localCalls = m_repeatedLocalCalls = 0;
         m_peers.forwardedRequests.clear();
         m_peers.forwardResponse.reset();
         if (peer) {
@@ -37,14 +37,16 @@
              [this](const HttpRequest &) { return m_clock.now() + CallerWait; },
              [this] { return m_configurationVersion; },
              [this](int64_t version) { m_configurationVersion = version; }},
-            [this, local](const HttpRequest &, const HttpRespond &respond) {
+            [this, local](const HttpRequest &request, const HttpRespond &respond) {
                 ++m_localCalls;
+                m_repeatedLocalCalls += request.headers.contains(RepeatedHeader) ? 1 : 0;
                 const bool settled = m_localCalls > m_unsettledLocalCalls;
                 respond(responseWith(settled ? m_settledStatus.value_or(local) : local));
             });
         HttpRequest request;
         request.method = method;
         request.path = "/r/1";
+        request.headers[RepeatedHeader] = "1"; // by the caller: means nothing
         int status = 0;
         forwarder.handle(request, [&status](const HttpResponse &it) { status = it.status; });
         m_io.run_for(std::chrono::milliseconds(1'400));
@@ -60,6 +62,7 @@
     int64_t m_configurationVersion = 0; // the newest that this instance knows
     int64_t m_peerVersion = 0; // by which the peer decides
     int m_localCalls = 0;
+    int m_repeatedLocalCalls = 0;
     // If set, the status of the local handler after the first calls.
     std::optional<int> m_settledStatus;
     int m_unsettledLocalCalls = 1;
@@ -127,6 +130,21 @@
     EXPECT_EQ(send("POST", 504, true, 403), 504);
 }
 
+// Guards against a refusal for load that is lifted by what a forwarder repeats for a caller who has
+// given up, and against one that another instance is asked to reconsider.
+TEST_F(RequestForwarderTest, MarksWhatItTriesAgain)
+{
+    EXPECT_EQ(send("POST", 429, true, 200), 429);
+    EXPECT_EQ(m_localCalls, 1);
+    EXPECT_EQ(m_repeatedLocalCalls, 0);
+    EXPECT_TRUE(m_peers.forwardedRequests.empty());
+    m_settledStatus = 429;
+    m_unsettledLocalCalls = 1;
+    EXPECT_EQ(send("POST", 504, true, 504), 504) << "the first try may have stored the job";
+    EXPECT_GT(m_localCalls, 1);
+    EXPECT_EQ(m_repeatedLocalCalls, m_localCalls - 1);
+}
+
 // Guards against an append for each job while the log is so slow that it takes only a few.
 TEST_F(RequestForwarderTest, ACollectorGetsWhatCallersHandIn)
 {
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -490,6 +490,14 @@
     return m_dispatcher.approvalLoad(m_context.clock.now(), m_context.unixClock());
 }
 
+std::optional<BacklogSummary> Scheduler::takeBacklog()
+{
+    const Instant now = m_context.clock.now();
+    if (!m_options.policies.admission || !m_backlogFeed.isDue(now))
+        return std::nullopt;
+    return m_backlogFeed.next(m_dispatcher.backlog(now, m_context.unixClock()));
+}
+
 void Scheduler::updateWorkerGateway()
 {
     // Until the registry is loaded, the workers in use tell about how many there are.
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -6,6 +6,7 @@
 // thread-safe: use it only on the event loop's thread.
 #pragma once
 
+#include "admission/backlog_feed.h"
 #include "control/approval_requester.h"
 #include "control/fenced_writer.h"
 #include "control/gateways.h"
@@ -22,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -103,6 +105,9 @@
     // Ready steps that wait; see Dispatcher::waitingSteps().
     WaitingStepsByReason waitingSteps() const;
     ApprovalLoad approvalLoad() const;
+    // Returns the summary of the backlog that the peers are to be told now; none if there is none.
+    // Without admission control there is none.
+    std::optional<BacklogSummary> takeBacklog();
     // How long instances have held the tenure; see TenureClock.
     int64_t heldMs() const { return m_tenureClock.heldMs(); }
     // Releases the tenure as release() does, and records that the holder was overloaded.
@@ -212,6 +217,7 @@
     Timer m_tickTimer;
     Instant m_tickDue;
     double m_averageLagMs = 0; // lateness of ticks, as an exponential moving average
+    BacklogFeed m_backlogFeed;
     LoadMeter m_load;
     Instant m_loadLoggedAt;
     Instant m_tenureRecordedAt; // when the tenure record last went into an append
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -66,6 +66,8 @@
         if (!takes(request))
             return {AppendOutcome::Rejected, "records"};
         Topic &topic = topics[request.topic];
+        const bool endMoved = request.expectedEnd
+                              && *request.expectedEnd != static_cast<int64_t>(topic.records.size());
         if (request.writer) {
             const auto &[name, epoch, sequence] = *request.writer;
             int64_t &highest = topic.epochs[name];
@@ -78,12 +80,13 @@
                 return {AppendOutcome::Stored, "repeated", -1};
             if (epoch == last.first && sequence != last.second + 1)
                 return {AppendOutcome::Fenced, "sequence"};
-            if (request.expectedEnd
-                && *request.expectedEnd != static_cast<int64_t>(topic.records.size()))
+            if (endMoved)
                 return {AppendOutcome::ConditionFailed, "end"};
             highest = epoch;
             last = {epoch, sequence};
         }
+        if (endMoved)
+            return {AppendOutcome::ConditionFailed, "end"};
         const auto offset = static_cast<int64_t>(topic.records.size());
         for (const KeyedRecord &record : request.records)
             put(request.topic, record.key, record.removed ? "" : record.value);
--- a/src/dispatch/dispatcher_backlog.cc
+++ b/src/dispatch/dispatcher_backlog.cc
@@ -51,12 +51,12 @@
 }
 
 // Sets what each account gets of its pool. Returns the accounts with waiting work.
-std::vector<AccountBacklog> withDrains(WorkByAccount work, const Catalog &catalog,
+std::vector<AccountBacklog> withDrains(const WorkByAccount &work, const Catalog &catalog,
                                        const std::map<std::string, int64_t> &capacity)
 {
     std::map<std::string, std::vector<AccountBacklog>> accounts; // by pool
     std::map<std::string, std::vector<DrainClaim>> claims; // in the same order
-    for (auto &[key, account] : work) {
+    for (const auto &[key, account] : work) {
         if (!account.hasWaiting)
             continue;
         const auto team = catalog.teams.find(key.second);
@@ -65,8 +65,8 @@
         const int64_t demand = account.backlog.demandCpuMilli;
         claims[key.first].push_back(
             {weight > 0 ? weight : 1, limit > 0 ? std::min(limit, demand) : demand});
-        std::tie(account.backlog.pool, account.backlog.account) = key;
-        accounts[key.first].push_back(std::move(account.backlog));
+        AccountBacklog &backlog = accounts[key.first].emplace_back(account.backlog);
+        std::tie(backlog.pool, backlog.account) = key;
     }
     std::vector<AccountBacklog> out;
     for (auto &[pool, backlogs] : accounts) {
@@ -126,7 +126,7 @@
     BacklogSummary out;
     out.epoch = m_options.epoch;
     out.computedAt = now;
-    out.accounts = withDrains(std::move(work), *m_catalog, drainCapacity());
+    out.accounts = withDrains(work, *m_catalog, drainCapacity());
     return out;
 }
 
--- a/src/intake/append_queue.cc
+++ b/src/intake/append_queue.cc
@@ -48,8 +48,8 @@
 
 std::string_view submitOutcomeName(SubmitOutcome outcome)
 {
-    static constexpr std::array<std::string_view, 6> Names = {
-        "accepted", "refused", "unknown", "not_found", "invalid", "limit_reached"};
+    static constexpr std::array<std::string_view, 7> Names = {
+        "accepted", "refused", "unknown", "not_found", "invalid", "limit_reached", "shed"};
     return Names[static_cast<size_t>(outcome)];
 }
 
--- a/src/intake/append_queue.h
+++ b/src/intake/append_queue.h
@@ -29,6 +29,7 @@
     NotFound, // the job to cancel does not exist
     Invalid, // certainly not stored, and never will be: the log does not take such a record
     LimitReached, // certainly not stored: the client account has too many such records
+    Shed, // refused because of its account's backlog: it never runs unless it is submitted again
 };
 // Returns the stable lower-case name, for example "not_found".
 std::string_view submitOutcomeName(SubmitOutcome outcome);
