--- a/testing/soak/caller.cc
+++ b/testing/soak/caller.cc
@@ -38,6 +38,9 @@
 constexpr Duration MaxThinkTime{120};
 constexpr size_t RememberedJobs = 400;
 constexpr double CancelInDoubtShare = 0.3;
+constexpr int StatusRejected = 429; // for load
+// Share of the callers that do not send a rejected job again.
+constexpr double GiveUpRejectedShare = 0.5;
 
 Instant now()
 {
@@ -237,7 +240,10 @@
         const auto records = co_await exchange(std::move(requests));
         const int status = records.empty() ? 0 : records.front().status;
         accepted = status >= 200 && status < 300;
-        if (!accepted && !isUnknown(status) && i == 0)
+        // A refusal for load is final also if an earlier attempt has got no answer. A later attempt
+        // may be accepted.
+        const bool rejected = status == StatusRejected && chance(GiveUpRejectedShare);
+        if (!accepted && ((!isUnknown(status) && i == 0) || rejected))
             co_return m_context.oracle.refused(request.job);
         if (!accepted)
             co_await pause(RetryDelay);
--- a/testing/soak/oracle.h
+++ b/testing/soak/oracle.h
@@ -86,7 +86,8 @@
     // A cancellation is about to be sent.
     void cancelling(const std::string &job);
     void called(const CallRecord &record);
-    // The first attempt to hand the job in was refused, so it must never run.
+    // The first attempt to hand the job in, or for load the last one, was refused, so it must never
+    // run.
     void refused(const std::string &job);
     // No instance has told the state of an accepted job.
     void unanswered(const std::string &job, Instant at);
