Admission: the test of an unread refusal keeps the instance from reading it

Cause: without the read before a job is accepted the test passed, since the instance had read the refusal by then.

Measured: fails without that read, passes with it. Two more changes of the decision (no expected end of the append of a refusal, any attempt lifts a refusal) each fail one test.

--- a/src/control/admission_instance_test.cc
+++ b/src/control/admission_instance_test.cc
@@ -132,12 +132,16 @@
     begin();
     Node &first = follower();
     Node &second = followerBut(first);
+    // Its reads that wait for records get no answer, and the one in progress ends.
+    second.log->silentTopic = JobsTopic;
+    runFor(Duration(1'600));
     // The caller has got no answer from the second instance and repeats its attempt at once.
     second.log->appendTime = Duration(30);
     startSubmission(second, "job");
     ASSERT_TRUE(refuse(first, "job"));
     ASSERT_TRUE(runUntil([this] { return m_outcomes.contains("job"); }));
     EXPECT_EQ(m_outcomes["job"], SubmitOutcome::Shed);
+    second.log->silentTopic.clear();
     runFor(Duration(3'000));
     EXPECT_EQ(m_workers.starts, 0);
     EXPECT_EQ(submit(second, "job"), SubmitOutcome::Accepted);
