--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -1842,6 +1842,11 @@
 void Member::__set_availabilityZone(const std::string& val) {
   this->availabilityZone = val;
 }
+
+void Member::__set_refusesJobs(const bool val) {
+  this->refusesJobs = val;
+__isset.refusesJobs = true;
+}
 std::ostream& operator<<(std::ostream& out, const Member& obj)
 {
   obj.printTo(out);
@@ -1902,6 +1907,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->refusesJobs);
+          this->__isset.refusesJobs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1935,6 +1948,11 @@
   xfer += oprot->writeString(this->availabilityZone);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.refusesJobs) {
+    xfer += oprot->writeFieldBegin("refusesJobs", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->refusesJobs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1946,6 +1964,7 @@
   swap(a.address, b.address);
   swap(a.cpuMilli, b.cpuMilli);
   swap(a.availabilityZone, b.availabilityZone);
+  swap(a.refusesJobs, b.refusesJobs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1954,6 +1973,7 @@
   address = other95.address;
   cpuMilli = other95.cpuMilli;
   availabilityZone = other95.availabilityZone;
+  refusesJobs = other95.refusesJobs;
   __isset = other95.__isset;
 }
 Member::Member(Member&& other96) noexcept {
@@ -1961,6 +1981,7 @@
   address = std::move(other96.address);
   cpuMilli = other96.cpuMilli;
   availabilityZone = std::move(other96.availabilityZone);
+  refusesJobs = other96.refusesJobs;
   __isset = other96.__isset;
 }
 Member& Member::operator=(const Member& other97) {
@@ -1968,6 +1989,7 @@
   address = other97.address;
   cpuMilli = other97.cpuMilli;
   availabilityZone = other97.availabilityZone;
+  refusesJobs = other97.refusesJobs;
   __isset = other97.__isset;
   return *this;
 }
@@ -1976,6 +1998,7 @@
   address = std::move(other98.address);
   cpuMilli = other98.cpuMilli;
   availabilityZone = std::move(other98.availabilityZone);
+  refusesJobs = other98.refusesJobs;
   __isset = other98.__isset;
   return *this;
 }
@@ -1986,6 +2009,7 @@
   out << ", " << "address=" << to_string(address);
   out << ", " << "cpuMilli=" << to_string(cpuMilli);
   out << ", " << "availabilityZone=" << to_string(availabilityZone);
+  out << ", " << "refusesJobs="; (__isset.refusesJobs ? (out << to_string(refusesJobs)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2698,6 +2722,340 @@
 }
 
 
+PoolBacklog::~PoolBacklog() noexcept {
+}
+
+
+void PoolBacklog::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void PoolBacklog::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void PoolBacklog::__set_coreMs(const std::map<int32_t, int64_t> & val) {
+  this->coreMs = val;
+}
+
+void PoolBacklog::__set_demandCpuMilli(const int64_t val) {
+  this->demandCpuMilli = val;
+}
+
+void PoolBacklog::__set_drainCpuMilli(const int64_t val) {
+  this->drainCpuMilli = val;
+}
+std::ostream& operator<<(std::ostream& out, const PoolBacklog& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PoolBacklog::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->coreMs.clear();
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _ktype128;
+            ::apache::thrift::protocol::TType _vtype129;
+            xfer += iprot->readMapBegin(_ktype128, _vtype129, _size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
+            {
+              int32_t _key132;
+              xfer += iprot->readI32(_key132);
+              int64_t& _val133 = this->coreMs[_key132];
+              xfer += iprot->readI64(_val133);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.coreMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->demandCpuMilli);
+          this->__isset.demandCpuMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->drainCpuMilli);
+          this->__isset.drainCpuMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PoolBacklog::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PoolBacklog");
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coreMs", ::apache::thrift::protocol::T_MAP, 3);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->coreMs.size()));
+    std::map<int32_t, int64_t> ::const_iterator _iter134;
+    for (_iter134 = this->coreMs.begin(); _iter134 != this->coreMs.end(); ++_iter134)
+    {
+      xfer += oprot->writeI32(_iter134->first);
+      xfer += oprot->writeI64(_iter134->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demandCpuMilli", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->demandCpuMilli);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drainCpuMilli", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->drainCpuMilli);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PoolBacklog &a, PoolBacklog &b) {
+  using ::std::swap;
+  swap(a.pool, b.pool);
+  swap(a.account, b.account);
+  swap(a.coreMs, b.coreMs);
+  swap(a.demandCpuMilli, b.demandCpuMilli);
+  swap(a.drainCpuMilli, b.drainCpuMilli);
+  swap(a.__isset, b.__isset);
+}
+
+PoolBacklog::PoolBacklog(const PoolBacklog& other135) {
+  pool = other135.pool;
+  account = other135.account;
+  coreMs = other135.coreMs;
+  demandCpuMilli = other135.demandCpuMilli;
+  drainCpuMilli = other135.drainCpuMilli;
+  __isset = other135.__isset;
+}
+PoolBacklog::PoolBacklog(PoolBacklog&& other136) noexcept {
+  pool = std::move(other136.pool);
+  account = std::move(other136.account);
+  coreMs = std::move(other136.coreMs);
+  demandCpuMilli = other136.demandCpuMilli;
+  drainCpuMilli = other136.drainCpuMilli;
+  __isset = other136.__isset;
+}
+PoolBacklog& PoolBacklog::operator=(const PoolBacklog& other137) {
+  pool = other137.pool;
+  account = other137.account;
+  coreMs = other137.coreMs;
+  demandCpuMilli = other137.demandCpuMilli;
+  drainCpuMilli = other137.drainCpuMilli;
+  __isset = other137.__isset;
+  return *this;
+}
+PoolBacklog& PoolBacklog::operator=(PoolBacklog&& other138) noexcept {
+  pool = std::move(other138.pool);
+  account = std::move(other138.account);
+  coreMs = std::move(other138.coreMs);
+  demandCpuMilli = other138.demandCpuMilli;
+  drainCpuMilli = other138.drainCpuMilli;
+  __isset = other138.__isset;
+  return *this;
+}
+void PoolBacklog::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PoolBacklog(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "account=" << to_string(account);
+  out << ", " << "coreMs=" << to_string(coreMs);
+  out << ", " << "demandCpuMilli=" << to_string(demandCpuMilli);
+  out << ", " << "drainCpuMilli=" << to_string(drainCpuMilli);
+  out << ")";
+}
+
+
+Backlog::~Backlog() noexcept {
+}
+
+
+void Backlog::__set_accounts(const std::vector<PoolBacklog> & val) {
+  this->accounts = val;
+}
+std::ostream& operator<<(std::ostream& out, const Backlog& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Backlog::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->accounts.clear();
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->accounts.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
+            {
+              xfer += this->accounts[_i143].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.accounts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Backlog::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Backlog");
+
+  xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
+    std::vector<PoolBacklog> ::const_iterator _iter144;
+    for (_iter144 = this->accounts.begin(); _iter144 != this->accounts.end(); ++_iter144)
+    {
+      xfer += (*_iter144).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Backlog &a, Backlog &b) {
+  using ::std::swap;
+  swap(a.accounts, b.accounts);
+  swap(a.__isset, b.__isset);
+}
+
+Backlog::Backlog(const Backlog& other145) {
+  accounts = other145.accounts;
+  __isset = other145.__isset;
+}
+Backlog::Backlog(Backlog&& other146) noexcept {
+  accounts = std::move(other146.accounts);
+  __isset = other146.__isset;
+}
+Backlog& Backlog::operator=(const Backlog& other147) {
+  accounts = other147.accounts;
+  __isset = other147.__isset;
+  return *this;
+}
+Backlog& Backlog::operator=(Backlog&& other148) noexcept {
+  accounts = std::move(other148.accounts);
+  __isset = other148.__isset;
+  return *this;
+}
+void Backlog::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Backlog(";
+  out << "accounts=" << to_string(accounts);
+  out << ")";
+}
+
+
 StoredRecord::~StoredRecord() noexcept {
 }
 
@@ -2824,34 +3182,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredRecord::StoredRecord(const StoredRecord& other127) {
-  key = other127.key;
-  value = other127.value;
-  removed = other127.removed;
-  offset = other127.offset;
-  __isset = other127.__isset;
-}
-StoredRecord::StoredRecord(StoredRecord&& other128) noexcept {
-  key = std::move(other128.key);
-  value = std::move(other128.value);
-  removed = other128.removed;
-  offset = other128.offset;
-  __isset = other128.__isset;
-}
-StoredRecord& StoredRecord::operator=(const StoredRecord& other129) {
-  key = other129.key;
-  value = other129.value;
-  removed = other129.removed;
-  offset = other129.offset;
-  __isset = other129.__isset;
+StoredRecord::StoredRecord(const StoredRecord& other149) {
+  key = other149.key;
+  value = other149.value;
+  removed = other149.removed;
+  offset = other149.offset;
+  __isset = other149.__isset;
+}
+StoredRecord::StoredRecord(StoredRecord&& other150) noexcept {
+  key = std::move(other150.key);
+  value = std::move(other150.value);
+  removed = other150.removed;
+  offset = other150.offset;
+  __isset = other150.__isset;
+}
+StoredRecord& StoredRecord::operator=(const StoredRecord& other151) {
+  key = other151.key;
+  value = other151.value;
+  removed = other151.removed;
+  offset = other151.offset;
+  __isset = other151.__isset;
   return *this;
 }
-StoredRecord& StoredRecord::operator=(StoredRecord&& other130) noexcept {
-  key = std::move(other130.key);
-  value = std::move(other130.value);
-  removed = other130.removed;
-  offset = other130.offset;
-  __isset = other130.__isset;
+StoredRecord& StoredRecord::operator=(StoredRecord&& other152) noexcept {
+  key = std::move(other152.key);
+  value = std::move(other152.value);
+  removed = other152.removed;
+  offset = other152.offset;
+  __isset = other152.__isset;
   return *this;
 }
 void StoredRecord::printTo(std::ostream& out) const {
@@ -2896,6 +3254,11 @@
 void StoredRecords::__set_appendMs(const int64_t val) {
   this->appendMs = val;
 }
+
+void StoredRecords::__set_backlog(const Backlog& val) {
+  this->backlog = val;
+__isset.backlog = true;
+}
 std::ostream& operator<<(std::ostream& out, const StoredRecords& obj)
 {
   obj.printTo(out);
@@ -2936,14 +3299,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size131;
-            ::apache::thrift::protocol::TType _etype134;
-            xfer += iprot->readListBegin(_etype134, _size131);
-            this->records.resize(_size131);
-            uint32_t _i135;
-            for (_i135 = 0; _i135 < _size131; ++_i135)
+            uint32_t _size153;
+            ::apache::thrift::protocol::TType _etype156;
+            xfer += iprot->readListBegin(_etype156, _size153);
+            this->records.resize(_size153);
+            uint32_t _i157;
+            for (_i157 = 0; _i157 < _size153; ++_i157)
             {
-              xfer += this->records[_i135].read(iprot);
+              xfer += this->records[_i157].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2964,14 +3327,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relayTo.clear();
-            uint32_t _size136;
-            ::apache::thrift::protocol::TType _etype139;
-            xfer += iprot->readListBegin(_etype139, _size136);
-            this->relayTo.resize(_size136);
-            uint32_t _i140;
-            for (_i140 = 0; _i140 < _size136; ++_i140)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->relayTo.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += iprot->readString(this->relayTo[_i140]);
+              xfer += iprot->readString(this->relayTo[_i162]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3004,6 +3367,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->backlog.read(iprot);
+          this->__isset.backlog = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3028,10 +3399,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StoredRecord> ::const_iterator _iter141;
-    for (_iter141 = this->records.begin(); _iter141 != this->records.end(); ++_iter141)
+    std::vector<StoredRecord> ::const_iterator _iter163;
+    for (_iter163 = this->records.begin(); _iter163 != this->records.end(); ++_iter163)
     {
-      xfer += (*_iter141).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3044,10 +3415,10 @@
   xfer += oprot->writeFieldBegin("relayTo", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->relayTo.size()));
-    std::vector<std::string> ::const_iterator _iter142;
-    for (_iter142 = this->relayTo.begin(); _iter142 != this->relayTo.end(); ++_iter142)
+    std::vector<std::string> ::const_iterator _iter164;
+    for (_iter164 = this->relayTo.begin(); _iter164 != this->relayTo.end(); ++_iter164)
     {
-      xfer += oprot->writeString((*_iter142));
+      xfer += oprot->writeString((*_iter164));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3065,6 +3436,11 @@
   xfer += oprot->writeI64(this->appendMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.backlog) {
+    xfer += oprot->writeFieldBegin("backlog", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->backlog.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3079,49 +3455,54 @@
   swap(a.epoch, b.epoch);
   swap(a.publishedAtMs, b.publishedAtMs);
   swap(a.appendMs, b.appendMs);
+  swap(a.backlog, b.backlog);
   swap(a.__isset, b.__isset);
 }
 
-StoredRecords::StoredRecords(const StoredRecords& other143) {
-  topic = other143.topic;
-  records = other143.records;
-  topicEnd = other143.topicEnd;
-  relayTo = other143.relayTo;
-  epoch = other143.epoch;
-  publishedAtMs = other143.publishedAtMs;
-  appendMs = other143.appendMs;
-  __isset = other143.__isset;
-}
-StoredRecords::StoredRecords(StoredRecords&& other144) noexcept {
-  topic = std::move(other144.topic);
-  records = std::move(other144.records);
-  topicEnd = other144.topicEnd;
-  relayTo = std::move(other144.relayTo);
-  epoch = other144.epoch;
-  publishedAtMs = other144.publishedAtMs;
-  appendMs = other144.appendMs;
-  __isset = other144.__isset;
-}
-StoredRecords& StoredRecords::operator=(const StoredRecords& other145) {
-  topic = other145.topic;
-  records = other145.records;
-  topicEnd = other145.topicEnd;
-  relayTo = other145.relayTo;
-  epoch = other145.epoch;
-  publishedAtMs = other145.publishedAtMs;
-  appendMs = other145.appendMs;
-  __isset = other145.__isset;
+StoredRecords::StoredRecords(const StoredRecords& other165) {
+  topic = other165.topic;
+  records = other165.records;
+  topicEnd = other165.topicEnd;
+  relayTo = other165.relayTo;
+  epoch = other165.epoch;
+  publishedAtMs = other165.publishedAtMs;
+  appendMs = other165.appendMs;
+  backlog = other165.backlog;
+  __isset = other165.__isset;
+}
+StoredRecords::StoredRecords(StoredRecords&& other166) noexcept {
+  topic = std::move(other166.topic);
+  records = std::move(other166.records);
+  topicEnd = other166.topicEnd;
+  relayTo = std::move(other166.relayTo);
+  epoch = other166.epoch;
+  publishedAtMs = other166.publishedAtMs;
+  appendMs = other166.appendMs;
+  backlog = std::move(other166.backlog);
+  __isset = other166.__isset;
+}
+StoredRecords& StoredRecords::operator=(const StoredRecords& other167) {
+  topic = other167.topic;
+  records = other167.records;
+  topicEnd = other167.topicEnd;
+  relayTo = other167.relayTo;
+  epoch = other167.epoch;
+  publishedAtMs = other167.publishedAtMs;
+  appendMs = other167.appendMs;
+  backlog = other167.backlog;
+  __isset = other167.__isset;
   return *this;
 }
-StoredRecords& StoredRecords::operator=(StoredRecords&& other146) noexcept {
-  topic = std::move(other146.topic);
-  records = std::move(other146.records);
-  topicEnd = other146.topicEnd;
-  relayTo = std::move(other146.relayTo);
-  epoch = other146.epoch;
-  publishedAtMs = other146.publishedAtMs;
-  appendMs = other146.appendMs;
-  __isset = other146.__isset;
+StoredRecords& StoredRecords::operator=(StoredRecords&& other168) noexcept {
+  topic = std::move(other168.topic);
+  records = std::move(other168.records);
+  topicEnd = other168.topicEnd;
+  relayTo = std::move(other168.relayTo);
+  epoch = other168.epoch;
+  publishedAtMs = other168.publishedAtMs;
+  appendMs = other168.appendMs;
+  backlog = std::move(other168.backlog);
+  __isset = other168.__isset;
   return *this;
 }
 void StoredRecords::printTo(std::ostream& out) const {
@@ -3134,6 +3515,7 @@
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "publishedAtMs=" << to_string(publishedAtMs);
   out << ", " << "appendMs=" << to_string(appendMs);
+  out << ", " << "backlog="; (__isset.backlog ? (out << to_string(backlog)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3209,17 +3591,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size147;
-            ::apache::thrift::protocol::TType _ktype148;
-            ::apache::thrift::protocol::TType _vtype149;
-            xfer += iprot->readMapBegin(_ktype148, _vtype149, _size147);
-            uint32_t _i151;
-            for (_i151 = 0; _i151 < _size147; ++_i151)
+            uint32_t _size169;
+            ::apache::thrift::protocol::TType _ktype170;
+            ::apache::thrift::protocol::TType _vtype171;
+            xfer += iprot->readMapBegin(_ktype170, _vtype171, _size169);
+            uint32_t _i173;
+            for (_i173 = 0; _i173 < _size169; ++_i173)
             {
-              std::string _key152;
-              xfer += iprot->readString(_key152);
-              std::string& _val153 = this->headers[_key152];
-              xfer += iprot->readString(_val153);
+              std::string _key174;
+              xfer += iprot->readString(_key174);
+              std::string& _val175 = this->headers[_key174];
+              xfer += iprot->readString(_val175);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3272,11 +3654,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter154;
-    for (_iter154 = this->headers.begin(); _iter154 != this->headers.end(); ++_iter154)
+    std::map<std::string, std::string> ::const_iterator _iter176;
+    for (_iter176 = this->headers.begin(); _iter176 != this->headers.end(); ++_iter176)
     {
-      xfer += oprot->writeString(_iter154->first);
-      xfer += oprot->writeString(_iter154->second);
+      xfer += oprot->writeString(_iter176->first);
+      xfer += oprot->writeString(_iter176->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3305,38 +3687,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CallerRequest::CallerRequest(const CallerRequest& other155) {
-  method = other155.method;
-  path = other155.path;
-  headers = other155.headers;
-  body = other155.body;
-  configurationVersion = other155.configurationVersion;
-  __isset = other155.__isset;
-}
-CallerRequest::CallerRequest(CallerRequest&& other156) noexcept {
-  method = std::move(other156.method);
-  path = std::move(other156.path);
-  headers = std::move(other156.headers);
-  body = std::move(other156.body);
-  configurationVersion = other156.configurationVersion;
-  __isset = other156.__isset;
-}
-CallerRequest& CallerRequest::operator=(const CallerRequest& other157) {
-  method = other157.method;
-  path = other157.path;
-  headers = other157.headers;
-  body = other157.body;
-  configurationVersion = other157.configurationVersion;
-  __isset = other157.__isset;
+CallerRequest::CallerRequest(const CallerRequest& other177) {
+  method = other177.method;
+  path = other177.path;
+  headers = other177.headers;
+  body = other177.body;
+  configurationVersion = other177.configurationVersion;
+  __isset = other177.__isset;
+}
+CallerRequest::CallerRequest(CallerRequest&& other178) noexcept {
+  method = std::move(other178.method);
+  path = std::move(other178.path);
+  headers = std::move(other178.headers);
+  body = std::move(other178.body);
+  configurationVersion = other178.configurationVersion;
+  __isset = other178.__isset;
+}
+CallerRequest& CallerRequest::operator=(const CallerRequest& other179) {
+  method = other179.method;
+  path = other179.path;
+  headers = other179.headers;
+  body = other179.body;
+  configurationVersion = other179.configurationVersion;
+  __isset = other179.__isset;
   return *this;
 }
-CallerRequest& CallerRequest::operator=(CallerRequest&& other158) noexcept {
-  method = std::move(other158.method);
-  path = std::move(other158.path);
-  headers = std::move(other158.headers);
-  body = std::move(other158.body);
-  configurationVersion = other158.configurationVersion;
-  __isset = other158.__isset;
+CallerRequest& CallerRequest::operator=(CallerRequest&& other180) noexcept {
+  method = std::move(other180.method);
+  path = std::move(other180.path);
+  headers = std::move(other180.headers);
+  body = std::move(other180.body);
+  configurationVersion = other180.configurationVersion;
+  __isset = other180.__isset;
   return *this;
 }
 void CallerRequest::printTo(std::ostream& out) const {
@@ -3477,34 +3859,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CallerResponse::CallerResponse(const CallerResponse& other159) {
-  status = other159.status;
-  body = other159.body;
-  retryAfterMs = other159.retryAfterMs;
-  configurationVersion = other159.configurationVersion;
-  __isset = other159.__isset;
-}
-CallerResponse::CallerResponse(CallerResponse&& other160) noexcept {
-  status = other160.status;
-  body = std::move(other160.body);
-  retryAfterMs = other160.retryAfterMs;
-  configurationVersion = other160.configurationVersion;
-  __isset = other160.__isset;
-}
-CallerResponse& CallerResponse::operator=(const CallerResponse& other161) {
-  status = other161.status;
-  body = other161.body;
-  retryAfterMs = other161.retryAfterMs;
-  configurationVersion = other161.configurationVersion;
-  __isset = other161.__isset;
+CallerResponse::CallerResponse(const CallerResponse& other181) {
+  status = other181.status;
+  body = other181.body;
+  retryAfterMs = other181.retryAfterMs;
+  configurationVersion = other181.configurationVersion;
+  __isset = other181.__isset;
+}
+CallerResponse::CallerResponse(CallerResponse&& other182) noexcept {
+  status = other182.status;
+  body = std::move(other182.body);
+  retryAfterMs = other182.retryAfterMs;
+  configurationVersion = other182.configurationVersion;
+  __isset = other182.__isset;
+}
+CallerResponse& CallerResponse::operator=(const CallerResponse& other183) {
+  status = other183.status;
+  body = other183.body;
+  retryAfterMs = other183.retryAfterMs;
+  configurationVersion = other183.configurationVersion;
+  __isset = other183.__isset;
   return *this;
 }
-CallerResponse& CallerResponse::operator=(CallerResponse&& other162) noexcept {
-  status = other162.status;
-  body = std::move(other162.body);
-  retryAfterMs = other162.retryAfterMs;
-  configurationVersion = other162.configurationVersion;
-  __isset = other162.__isset;
+CallerResponse& CallerResponse::operator=(CallerResponse&& other184) noexcept {
+  status = other184.status;
+  body = std::move(other184.body);
+  retryAfterMs = other184.retryAfterMs;
+  configurationVersion = other184.configurationVersion;
+  __isset = other184.__isset;
   return *this;
 }
 void CallerResponse::printTo(std::ostream& out) const {
@@ -3615,9 +3997,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast163;
-          xfer += iprot->readI32(ecast163);
-          this->kind = static_cast<WorkerCallKind::type>(ecast163);
+          int32_t ecast185;
+          xfer += iprot->readI32(ecast185);
+          this->kind = static_cast<WorkerCallKind::type>(ecast185);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3816,74 +4198,74 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerCall::WorkerCall(const WorkerCall& other164) {
-  id = other164.id;
-  kind = other164.kind;
-  worker = other164.worker;
-  address = other164.address;
-  leaseEndMs = other164.leaseEndMs;
-  timeoutMs = other164.timeoutMs;
-  waitMs = other164.waitMs;
-  acknowledged = other164.acknowledged;
-  task = other164.task;
-  run = other164.run;
-  speedPercent = other164.speedPercent;
-  checkpoint = other164.checkpoint;
-  ticket = other164.ticket;
-  fencingToken = other164.fencingToken;
-  __isset = other164.__isset;
-}
-WorkerCall::WorkerCall(WorkerCall&& other165) noexcept {
-  id = other165.id;
-  kind = other165.kind;
-  worker = std::move(other165.worker);
-  address = std::move(other165.address);
-  leaseEndMs = other165.leaseEndMs;
-  timeoutMs = other165.timeoutMs;
-  waitMs = other165.waitMs;
-  acknowledged = other165.acknowledged;
-  task = std::move(other165.task);
-  run = other165.run;
-  speedPercent = other165.speedPercent;
-  checkpoint = std::move(other165.checkpoint);
-  ticket = std::move(other165.ticket);
-  fencingToken = other165.fencingToken;
-  __isset = other165.__isset;
+WorkerCall::WorkerCall(const WorkerCall& other186) {
+  id = other186.id;
+  kind = other186.kind;
+  worker = other186.worker;
+  address = other186.address;
+  leaseEndMs = other186.leaseEndMs;
+  timeoutMs = other186.timeoutMs;
+  waitMs = other186.waitMs;
+  acknowledged = other186.acknowledged;
+  task = other186.task;
+  run = other186.run;
+  speedPercent = other186.speedPercent;
+  checkpoint = other186.checkpoint;
+  ticket = other186.ticket;
+  fencingToken = other186.fencingToken;
+  __isset = other186.__isset;
 }
-WorkerCall& WorkerCall::operator=(const WorkerCall& other166) {
-  id = other166.id;
-  kind = other166.kind;
-  worker = other166.worker;
-  address = other166.address;
-  leaseEndMs = other166.leaseEndMs;
-  timeoutMs = other166.timeoutMs;
-  waitMs = other166.waitMs;
-  acknowledged = other166.acknowledged;
-  task = other166.task;
-  run = other166.run;
-  speedPercent = other166.speedPercent;
-  checkpoint = other166.checkpoint;
-  ticket = other166.ticket;
-  fencingToken = other166.fencingToken;
-  __isset = other166.__isset;
+WorkerCall::WorkerCall(WorkerCall&& other187) noexcept {
+  id = other187.id;
+  kind = other187.kind;
+  worker = std::move(other187.worker);
+  address = std::move(other187.address);
+  leaseEndMs = other187.leaseEndMs;
+  timeoutMs = other187.timeoutMs;
+  waitMs = other187.waitMs;
+  acknowledged = other187.acknowledged;
+  task = std::move(other187.task);
+  run = other187.run;
+  speedPercent = other187.speedPercent;
+  checkpoint = std::move(other187.checkpoint);
+  ticket = std::move(other187.ticket);
+  fencingToken = other187.fencingToken;
+  __isset = other187.__isset;
+}
+WorkerCall& WorkerCall::operator=(const WorkerCall& other188) {
+  id = other188.id;
+  kind = other188.kind;
+  worker = other188.worker;
+  address = other188.address;
+  leaseEndMs = other188.leaseEndMs;
+  timeoutMs = other188.timeoutMs;
+  waitMs = other188.waitMs;
+  acknowledged = other188.acknowledged;
+  task = other188.task;
+  run = other188.run;
+  speedPercent = other188.speedPercent;
+  checkpoint = other188.checkpoint;
+  ticket = other188.ticket;
+  fencingToken = other188.fencingToken;
+  __isset = other188.__isset;
   return *this;
 }
-WorkerCall& WorkerCall::operator=(WorkerCall&& other167) noexcept {
-  id = other167.id;
-  kind = other167.kind;
-  worker = std::move(other167.worker);
-  address = std::move(other167.address);
-  leaseEndMs = other167.leaseEndMs;
-  timeoutMs = other167.timeoutMs;
-  waitMs = other167.waitMs;
-  acknowledged = other167.acknowledged;
-  task = std::move(other167.task);
-  run = other167.run;
-  speedPercent = other167.speedPercent;
-  checkpoint = std::move(other167.checkpoint);
-  ticket = std::move(other167.ticket);
-  fencingToken = other167.fencingToken;
-  __isset = other167.__isset;
+WorkerCall& WorkerCall::operator=(WorkerCall&& other189) noexcept {
+  id = other189.id;
+  kind = other189.kind;
+  worker = std::move(other189.worker);
+  address = std::move(other189.address);
+  leaseEndMs = other189.leaseEndMs;
+  timeoutMs = other189.timeoutMs;
+  waitMs = other189.waitMs;
+  acknowledged = other189.acknowledged;
+  task = std::move(other189.task);
+  run = other189.run;
+  speedPercent = other189.speedPercent;
+  checkpoint = std::move(other189.checkpoint);
+  ticket = std::move(other189.ticket);
+  fencingToken = other189.fencingToken;
+  __isset = other189.__isset;
   return *this;
 }
 void WorkerCall::printTo(std::ostream& out) const {
@@ -3998,14 +4380,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->calls.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->calls.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size190;
+            ::apache::thrift::protocol::TType _etype193;
+            xfer += iprot->readListBegin(_etype193, _size190);
+            this->calls.resize(_size190);
+            uint32_t _i194;
+            for (_i194 = 0; _i194 < _size190; ++_i194)
             {
-              xfer += this->calls[_i172].read(iprot);
+              xfer += this->calls[_i194].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4018,17 +4400,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->payloads.clear();
-            uint32_t _size173;
-            ::apache::thrift::protocol::TType _ktype174;
-            ::apache::thrift::protocol::TType _vtype175;
-            xfer += iprot->readMapBegin(_ktype174, _vtype175, _size173);
-            uint32_t _i177;
-            for (_i177 = 0; _i177 < _size173; ++_i177)
+            uint32_t _size195;
+            ::apache::thrift::protocol::TType _ktype196;
+            ::apache::thrift::protocol::TType _vtype197;
+            xfer += iprot->readMapBegin(_ktype196, _vtype197, _size195);
+            uint32_t _i199;
+            for (_i199 = 0; _i199 < _size195; ++_i199)
             {
-              std::string _key178;
-              xfer += iprot->readString(_key178);
-              std::string& _val179 = this->payloads[_key178];
-              xfer += iprot->readBinary(_val179);
+              std::string _key200;
+              xfer += iprot->readString(_key200);
+              std::string& _val201 = this->payloads[_key200];
+              xfer += iprot->readBinary(_val201);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4073,10 +4455,10 @@
   xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->calls.size()));
-    std::vector<WorkerCall> ::const_iterator _iter180;
-    for (_iter180 = this->calls.begin(); _iter180 != this->calls.end(); ++_iter180)
+    std::vector<WorkerCall> ::const_iterator _iter202;
+    for (_iter202 = this->calls.begin(); _iter202 != this->calls.end(); ++_iter202)
     {
-      xfer += (*_iter180).write(oprot);
+      xfer += (*_iter202).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4085,11 +4467,11 @@
   xfer += oprot->writeFieldBegin("payloads", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->payloads.size()));
-    std::map<std::string, std::string> ::const_iterator _iter181;
-    for (_iter181 = this->payloads.begin(); _iter181 != this->payloads.end(); ++_iter181)
+    std::map<std::string, std::string> ::const_iterator _iter203;
+    for (_iter203 = this->payloads.begin(); _iter203 != this->payloads.end(); ++_iter203)
     {
-      xfer += oprot->writeString(_iter181->first);
-      xfer += oprot->writeBinary(_iter181->second);
+      xfer += oprot->writeString(_iter203->first);
+      xfer += oprot->writeBinary(_iter203->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -4111,42 +4493,42 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerCalls::WorkerCalls(const WorkerCalls& other182) {
-  session = other182.session;
-  epoch = other182.epoch;
-  replyTo = other182.replyTo;
-  sentAtMs = other182.sentAtMs;
-  calls = other182.calls;
-  payloads = other182.payloads;
-  __isset = other182.__isset;
-}
-WorkerCalls::WorkerCalls(WorkerCalls&& other183) noexcept {
-  session = std::move(other183.session);
-  epoch = other183.epoch;
-  replyTo = std::move(other183.replyTo);
-  sentAtMs = other183.sentAtMs;
-  calls = std::move(other183.calls);
-  payloads = std::move(other183.payloads);
-  __isset = other183.__isset;
-}
-WorkerCalls& WorkerCalls::operator=(const WorkerCalls& other184) {
-  session = other184.session;
-  epoch = other184.epoch;
-  replyTo = other184.replyTo;
-  sentAtMs = other184.sentAtMs;
-  calls = other184.calls;
-  payloads = other184.payloads;
-  __isset = other184.__isset;
+WorkerCalls::WorkerCalls(const WorkerCalls& other204) {
+  session = other204.session;
+  epoch = other204.epoch;
+  replyTo = other204.replyTo;
+  sentAtMs = other204.sentAtMs;
+  calls = other204.calls;
+  payloads = other204.payloads;
+  __isset = other204.__isset;
+}
+WorkerCalls::WorkerCalls(WorkerCalls&& other205) noexcept {
+  session = std::move(other205.session);
+  epoch = other205.epoch;
+  replyTo = std::move(other205.replyTo);
+  sentAtMs = other205.sentAtMs;
+  calls = std::move(other205.calls);
+  payloads = std::move(other205.payloads);
+  __isset = other205.__isset;
+}
+WorkerCalls& WorkerCalls::operator=(const WorkerCalls& other206) {
+  session = other206.session;
+  epoch = other206.epoch;
+  replyTo = other206.replyTo;
+  sentAtMs = other206.sentAtMs;
+  calls = other206.calls;
+  payloads = other206.payloads;
+  __isset = other206.__isset;
   return *this;
 }
-WorkerCalls& WorkerCalls::operator=(WorkerCalls&& other185) noexcept {
-  session = std::move(other185.session);
-  epoch = other185.epoch;
-  replyTo = std::move(other185.replyTo);
-  sentAtMs = other185.sentAtMs;
-  calls = std::move(other185.calls);
-  payloads = std::move(other185.payloads);
-  __isset = other185.__isset;
+WorkerCalls& WorkerCalls::operator=(WorkerCalls&& other207) noexcept {
+  session = std::move(other207.session);
+  epoch = other207.epoch;
+  replyTo = std::move(other207.replyTo);
+  sentAtMs = other207.sentAtMs;
+  calls = std::move(other207.calls);
+  payloads = std::move(other207.payloads);
+  __isset = other207.__isset;
   return *this;
 }
 void WorkerCalls::printTo(std::ostream& out) const {
@@ -4254,26 +4636,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerCallsReceived::WorkerCallsReceived(const WorkerCallsReceived& other186) {
-  incarnation = other186.incarnation;
-  sendsFencingTokens = other186.sendsFencingTokens;
-  __isset = other186.__isset;
+WorkerCallsReceived::WorkerCallsReceived(const WorkerCallsReceived& other208) {
+  incarnation = other208.incarnation;
+  sendsFencingTokens = other208.sendsFencingTokens;
+  __isset = other208.__isset;
 }
-WorkerCallsReceived::WorkerCallsReceived(WorkerCallsReceived&& other187) noexcept {
-  incarnation = std::move(other187.incarnation);
-  sendsFencingTokens = other187.sendsFencingTokens;
-  __isset = other187.__isset;
+WorkerCallsReceived::WorkerCallsReceived(WorkerCallsReceived&& other209) noexcept {
+  incarnation = std::move(other209.incarnation);
+  sendsFencingTokens = other209.sendsFencingTokens;
+  __isset = other209.__isset;
 }
-WorkerCallsReceived& WorkerCallsReceived::operator=(const WorkerCallsReceived& other188) {
-  incarnation = other188.incarnation;
-  sendsFencingTokens = other188.sendsFencingTokens;
-  __isset = other188.__isset;
+WorkerCallsReceived& WorkerCallsReceived::operator=(const WorkerCallsReceived& other210) {
+  incarnation = other210.incarnation;
+  sendsFencingTokens = other210.sendsFencingTokens;
+  __isset = other210.__isset;
   return *this;
 }
-WorkerCallsReceived& WorkerCallsReceived::operator=(WorkerCallsReceived&& other189) noexcept {
-  incarnation = std::move(other189.incarnation);
-  sendsFencingTokens = other189.sendsFencingTokens;
-  __isset = other189.__isset;
+WorkerCallsReceived& WorkerCallsReceived::operator=(WorkerCallsReceived&& other211) noexcept {
+  incarnation = std::move(other211.incarnation);
+  sendsFencingTokens = other211.sendsFencingTokens;
+  __isset = other211.__isset;
   return *this;
 }
 void WorkerCallsReceived::printTo(std::ostream& out) const {
@@ -4428,38 +4810,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ListedRun::ListedRun(const ListedRun& other190) {
-  task = other190.task;
-  run = other190.run;
-  checkpoint = other190.checkpoint;
-  percent = other190.percent;
-  loadMetric = other190.loadMetric;
-  __isset = other190.__isset;
-}
-ListedRun::ListedRun(ListedRun&& other191) noexcept {
-  task = std::move(other191.task);
-  run = other191.run;
-  checkpoint = std::move(other191.checkpoint);
-  percent = other191.percent;
-  loadMetric = other191.loadMetric;
-  __isset = other191.__isset;
-}
-ListedRun& ListedRun::operator=(const ListedRun& other192) {
-  task = other192.task;
-  run = other192.run;
-  checkpoint = other192.checkpoint;
-  percent = other192.percent;
-  loadMetric = other192.loadMetric;
-  __isset = other192.__isset;
+ListedRun::ListedRun(const ListedRun& other212) {
+  task = other212.task;
+  run = other212.run;
+  checkpoint = other212.checkpoint;
+  percent = other212.percent;
+  loadMetric = other212.loadMetric;
+  __isset = other212.__isset;
+}
+ListedRun::ListedRun(ListedRun&& other213) noexcept {
+  task = std::move(other213.task);
+  run = other213.run;
+  checkpoint = std::move(other213.checkpoint);
+  percent = other213.percent;
+  loadMetric = other213.loadMetric;
+  __isset = other213.__isset;
+}
+ListedRun& ListedRun::operator=(const ListedRun& other214) {
+  task = other214.task;
+  run = other214.run;
+  checkpoint = other214.checkpoint;
+  percent = other214.percent;
+  loadMetric = other214.loadMetric;
+  __isset = other214.__isset;
   return *this;
 }
-ListedRun& ListedRun::operator=(ListedRun&& other193) noexcept {
-  task = std::move(other193.task);
-  run = other193.run;
-  checkpoint = std::move(other193.checkpoint);
-  percent = other193.percent;
-  loadMetric = other193.loadMetric;
-  __isset = other193.__isset;
+ListedRun& ListedRun::operator=(ListedRun&& other215) noexcept {
+  task = std::move(other215.task);
+  run = other215.run;
+  checkpoint = std::move(other215.checkpoint);
+  percent = other215.percent;
+  loadMetric = other215.loadMetric;
+  __isset = other215.__isset;
   return *this;
 }
 void ListedRun::printTo(std::ostream& out) const {
@@ -4551,9 +4933,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast194;
-          xfer += iprot->readI32(ecast194);
-          this->outcome = static_cast<RunEnd::type>(ecast194);
+          int32_t ecast216;
+          xfer += iprot->readI32(ecast216);
+          this->outcome = static_cast<RunEnd::type>(ecast216);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4619,38 +5001,38 @@
   swap(a.__isset, b.__isset);
 }
 
-FinishedRun::FinishedRun(const FinishedRun& other195) {
-  position = other195.position;
-  task = other195.task;
-  run = other195.run;
-  outcome = other195.outcome;
-  checkpoint = other195.checkpoint;
-  __isset = other195.__isset;
-}
-FinishedRun::FinishedRun(FinishedRun&& other196) noexcept {
-  position = other196.position;
-  task = std::move(other196.task);
-  run = other196.run;
-  outcome = other196.outcome;
-  checkpoint = std::move(other196.checkpoint);
-  __isset = other196.__isset;
-}
-FinishedRun& FinishedRun::operator=(const FinishedRun& other197) {
-  position = other197.position;
-  task = other197.task;
-  run = other197.run;
-  outcome = other197.outcome;
-  checkpoint = other197.checkpoint;
-  __isset = other197.__isset;
+FinishedRun::FinishedRun(const FinishedRun& other217) {
+  position = other217.position;
+  task = other217.task;
+  run = other217.run;
+  outcome = other217.outcome;
+  checkpoint = other217.checkpoint;
+  __isset = other217.__isset;
+}
+FinishedRun::FinishedRun(FinishedRun&& other218) noexcept {
+  position = other218.position;
+  task = std::move(other218.task);
+  run = other218.run;
+  outcome = other218.outcome;
+  checkpoint = std::move(other218.checkpoint);
+  __isset = other218.__isset;
+}
+FinishedRun& FinishedRun::operator=(const FinishedRun& other219) {
+  position = other219.position;
+  task = other219.task;
+  run = other219.run;
+  outcome = other219.outcome;
+  checkpoint = other219.checkpoint;
+  __isset = other219.__isset;
   return *this;
 }
-FinishedRun& FinishedRun::operator=(FinishedRun&& other198) noexcept {
-  position = other198.position;
-  task = std::move(other198.task);
-  run = other198.run;
-  outcome = other198.outcome;
-  checkpoint = std::move(other198.checkpoint);
-  __isset = other198.__isset;
+FinishedRun& FinishedRun::operator=(FinishedRun&& other220) noexcept {
+  position = other220.position;
+  task = std::move(other220.task);
+  run = other220.run;
+  outcome = other220.outcome;
+  checkpoint = std::move(other220.checkpoint);
+  __isset = other220.__isset;
   return *this;
 }
 void FinishedRun::printTo(std::ostream& out) const {
@@ -4758,9 +5140,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast199;
-          xfer += iprot->readI32(ecast199);
-          this->startResult = static_cast<StartResult::type>(ecast199);
+          int32_t ecast221;
+          xfer += iprot->readI32(ecast221);
+          this->startResult = static_cast<StartResult::type>(ecast221);
           this->__isset.startResult = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4786,14 +5168,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size200;
-            ::apache::thrift::protocol::TType _etype203;
-            xfer += iprot->readListBegin(_etype203, _size200);
-            this->running.resize(_size200);
-            uint32_t _i204;
-            for (_i204 = 0; _i204 < _size200; ++_i204)
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->running.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
             {
-              xfer += this->running[_i204].read(iprot);
+              xfer += this->running[_i226].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4806,14 +5188,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->finished.clear();
-            uint32_t _size205;
-            ::apache::thrift::protocol::TType _etype208;
-            xfer += iprot->readListBegin(_etype208, _size205);
-            this->finished.resize(_size205);
-            uint32_t _i209;
-            for (_i209 = 0; _i209 < _size205; ++_i209)
+            uint32_t _size227;
+            ::apache::thrift::protocol::TType _etype230;
+            xfer += iprot->readListBegin(_etype230, _size227);
+            this->finished.resize(_size227);
+            uint32_t _i231;
+            for (_i231 = 0; _i231 < _size227; ++_i231)
             {
-              xfer += this->finished[_i209].read(iprot);
+              xfer += this->finished[_i231].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4874,10 +5256,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<ListedRun> ::const_iterator _iter210;
-    for (_iter210 = this->running.begin(); _iter210 != this->running.end(); ++_iter210)
+    std::vector<ListedRun> ::const_iterator _iter232;
+    for (_iter232 = this->running.begin(); _iter232 != this->running.end(); ++_iter232)
     {
-      xfer += (*_iter210).write(oprot);
+      xfer += (*_iter232).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4886,10 +5268,10 @@
   xfer += oprot->writeFieldBegin("finished", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->finished.size()));
-    std::vector<FinishedRun> ::const_iterator _iter211;
-    for (_iter211 = this->finished.begin(); _iter211 != this->finished.end(); ++_iter211)
+    std::vector<FinishedRun> ::const_iterator _iter233;
+    for (_iter233 = this->finished.begin(); _iter233 != this->finished.end(); ++_iter233)
     {
-      xfer += (*_iter211).write(oprot);
+      xfer += (*_iter233).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4918,54 +5300,54 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerAnswer::WorkerAnswer(const WorkerAnswer& other212) {
-  id = other212.id;
-  error = other212.error;
-  reason = other212.reason;
-  startResult = other212.startResult;
-  workerTimeMs = other212.workerTimeMs;
-  startedAtMs = other212.startedAtMs;
-  running = other212.running;
-  finished = other212.finished;
-  moreFinished = other212.moreFinished;
-  __isset = other212.__isset;
+WorkerAnswer::WorkerAnswer(const WorkerAnswer& other234) {
+  id = other234.id;
+  error = other234.error;
+  reason = other234.reason;
+  startResult = other234.startResult;
+  workerTimeMs = other234.workerTimeMs;
+  startedAtMs = other234.startedAtMs;
+  running = other234.running;
+  finished = other234.finished;
+  moreFinished = other234.moreFinished;
+  __isset = other234.__isset;
 }
-WorkerAnswer::WorkerAnswer(WorkerAnswer&& other213) noexcept {
-  id = other213.id;
-  error = std::move(other213.error);
-  reason = std::move(other213.reason);
-  startResult = other213.startResult;
-  workerTimeMs = other213.workerTimeMs;
-  startedAtMs = other213.startedAtMs;
-  running = std::move(other213.running);
-  finished = std::move(other213.finished);
-  moreFinished = other213.moreFinished;
-  __isset = other213.__isset;
+WorkerAnswer::WorkerAnswer(WorkerAnswer&& other235) noexcept {
+  id = other235.id;
+  error = std::move(other235.error);
+  reason = std::move(other235.reason);
+  startResult = other235.startResult;
+  workerTimeMs = other235.workerTimeMs;
+  startedAtMs = other235.startedAtMs;
+  running = std::move(other235.running);
+  finished = std::move(other235.finished);
+  moreFinished = other235.moreFinished;
+  __isset = other235.__isset;
 }
-WorkerAnswer& WorkerAnswer::operator=(const WorkerAnswer& other214) {
-  id = other214.id;
-  error = other214.error;
-  reason = other214.reason;
-  startResult = other214.startResult;
-  workerTimeMs = other214.workerTimeMs;
-  startedAtMs = other214.startedAtMs;
-  running = other214.running;
-  finished = other214.finished;
-  moreFinished = other214.moreFinished;
-  __isset = other214.__isset;
+WorkerAnswer& WorkerAnswer::operator=(const WorkerAnswer& other236) {
+  id = other236.id;
+  error = other236.error;
+  reason = other236.reason;
+  startResult = other236.startResult;
+  workerTimeMs = other236.workerTimeMs;
+  startedAtMs = other236.startedAtMs;
+  running = other236.running;
+  finished = other236.finished;
+  moreFinished = other236.moreFinished;
+  __isset = other236.__isset;
   return *this;
 }
-WorkerAnswer& WorkerAnswer::operator=(WorkerAnswer&& other215) noexcept {
-  id = other215.id;
-  error = std::move(other215.error);
-  reason = std::move(other215.reason);
-  startResult = other215.startResult;
-  workerTimeMs = other215.workerTimeMs;
-  startedAtMs = other215.startedAtMs;
-  running = std::move(other215.running);
-  finished = std::move(other215.finished);
-  moreFinished = other215.moreFinished;
-  __isset = other215.__isset;
+WorkerAnswer& WorkerAnswer::operator=(WorkerAnswer&& other237) noexcept {
+  id = other237.id;
+  error = std::move(other237.error);
+  reason = std::move(other237.reason);
+  startResult = other237.startResult;
+  workerTimeMs = other237.workerTimeMs;
+  startedAtMs = other237.startedAtMs;
+  running = std::move(other237.running);
+  finished = std::move(other237.finished);
+  moreFinished = other237.moreFinished;
+  __isset = other237.__isset;
   return *this;
 }
 void WorkerAnswer::printTo(std::ostream& out) const {
@@ -5035,14 +5417,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size216;
-            ::apache::thrift::protocol::TType _etype219;
-            xfer += iprot->readListBegin(_etype219, _size216);
-            this->answers.resize(_size216);
-            uint32_t _i220;
-            for (_i220 = 0; _i220 < _size216; ++_i220)
+            uint32_t _size238;
+            ::apache::thrift::protocol::TType _etype241;
+            xfer += iprot->readListBegin(_etype241, _size238);
+            this->answers.resize(_size238);
+            uint32_t _i242;
+            for (_i242 = 0; _i242 < _size238; ++_i242)
             {
-              xfer += this->answers[_i220].read(iprot);
+              xfer += this->answers[_i242].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5075,10 +5457,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<WorkerAnswer> ::const_iterator _iter221;
-    for (_iter221 = this->answers.begin(); _iter221 != this->answers.end(); ++_iter221)
+    std::vector<WorkerAnswer> ::const_iterator _iter243;
+    for (_iter243 = this->answers.begin(); _iter243 != this->answers.end(); ++_iter243)
     {
-      xfer += (*_iter221).write(oprot);
+      xfer += (*_iter243).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5096,26 +5478,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerAnswers::WorkerAnswers(const WorkerAnswers& other222) {
-  session = other222.session;
-  answers = other222.answers;
-  __isset = other222.__isset;
+WorkerAnswers::WorkerAnswers(const WorkerAnswers& other244) {
+  session = other244.session;
+  answers = other244.answers;
+  __isset = other244.__isset;
 }
-WorkerAnswers::WorkerAnswers(WorkerAnswers&& other223) noexcept {
-  session = std::move(other223.session);
-  answers = std::move(other223.answers);
-  __isset = other223.__isset;
+WorkerAnswers::WorkerAnswers(WorkerAnswers&& other245) noexcept {
+  session = std::move(other245.session);
+  answers = std::move(other245.answers);
+  __isset = other245.__isset;
 }
-WorkerAnswers& WorkerAnswers::operator=(const WorkerAnswers& other224) {
-  session = other224.session;
-  answers = other224.answers;
-  __isset = other224.__isset;
+WorkerAnswers& WorkerAnswers::operator=(const WorkerAnswers& other246) {
+  session = other246.session;
+  answers = other246.answers;
+  __isset = other246.__isset;
   return *this;
 }
-WorkerAnswers& WorkerAnswers::operator=(WorkerAnswers&& other225) noexcept {
-  session = std::move(other225.session);
-  answers = std::move(other225.answers);
-  __isset = other225.__isset;
+WorkerAnswers& WorkerAnswers::operator=(WorkerAnswers&& other247) noexcept {
+  session = std::move(other247.session);
+  answers = std::move(other247.answers);
+  __isset = other247.__isset;
   return *this;
 }
 void WorkerAnswers::printTo(std::ostream& out) const {
@@ -5166,14 +5548,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->teams.clear();
-            uint32_t _size226;
-            ::apache::thrift::protocol::TType _etype229;
-            xfer += iprot->readListBegin(_etype229, _size226);
-            this->teams.resize(_size226);
-            uint32_t _i230;
-            for (_i230 = 0; _i230 < _size226; ++_i230)
+            uint32_t _size248;
+            ::apache::thrift::protocol::TType _etype251;
+            xfer += iprot->readListBegin(_etype251, _size248);
+            this->teams.resize(_size248);
+            uint32_t _i252;
+            for (_i252 = 0; _i252 < _size248; ++_i252)
             {
-              xfer += iprot->readString(this->teams[_i230]);
+              xfer += iprot->readString(this->teams[_i252]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5202,10 +5584,10 @@
   xfer += oprot->writeFieldBegin("teams", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->teams.size()));
-    std::vector<std::string> ::const_iterator _iter231;
-    for (_iter231 = this->teams.begin(); _iter231 != this->teams.end(); ++_iter231)
+    std::vector<std::string> ::const_iterator _iter253;
+    for (_iter253 = this->teams.begin(); _iter253 != this->teams.end(); ++_iter253)
     {
-      xfer += oprot->writeString((*_iter231));
+      xfer += oprot->writeString((*_iter253));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5222,22 +5604,22 @@
   swap(a.__isset, b.__isset);
 }
 
-AdvanceCancellation::AdvanceCancellation(const AdvanceCancellation& other232) {
-  teams = other232.teams;
-  __isset = other232.__isset;
+AdvanceCancellation::AdvanceCancellation(const AdvanceCancellation& other254) {
+  teams = other254.teams;
+  __isset = other254.__isset;
 }
-AdvanceCancellation::AdvanceCancellation(AdvanceCancellation&& other233) noexcept {
-  teams = std::move(other233.teams);
-  __isset = other233.__isset;
+AdvanceCancellation::AdvanceCancellation(AdvanceCancellation&& other255) noexcept {
+  teams = std::move(other255.teams);
+  __isset = other255.__isset;
 }
-AdvanceCancellation& AdvanceCancellation::operator=(const AdvanceCancellation& other234) {
-  teams = other234.teams;
-  __isset = other234.__isset;
+AdvanceCancellation& AdvanceCancellation::operator=(const AdvanceCancellation& other256) {
+  teams = other256.teams;
+  __isset = other256.__isset;
   return *this;
 }
-AdvanceCancellation& AdvanceCancellation::operator=(AdvanceCancellation&& other235) noexcept {
-  teams = std::move(other235.teams);
-  __isset = other235.__isset;
+AdvanceCancellation& AdvanceCancellation::operator=(AdvanceCancellation&& other257) noexcept {
+  teams = std::move(other257.teams);
+  __isset = other257.__isset;
   return *this;
 }
 void AdvanceCancellation::printTo(std::ostream& out) const {
