--- a/src/dispatch/dispatcher_backlog_test.cc
+++ b/src/dispatch/dispatcher_backlog_test.cc
@@ -28,6 +28,7 @@
     const auto starts = startAll();
     ASSERT_EQ(starts.size(), 8U);
     std::vector<ActiveRun> runs;
+    runs.reserve(starts.size());
     for (const StartOrder &start : starts)
         runs.push_back(running(start, 50));
     report("w", runs);
