Past usage in the order of waiting work

Cause: steps of equal priority and urgency are ordered by the present share of their account, so an account that has filled the fleet for hours counts like one that was idle.

Change: with SchedulingPolicies::fairShare the dispatcher integrates what accounts use and orders by the weighted present share times the bounded factor of past usage, then by past usage. The event step_waits tells it. takeUsage() and restoreUsage() exchange it as work::Usage with the log. A weight below 0.001, the least that a configuration is read with, no longer divides by 0.

--- a/src/dispatch/contention_simulation.h
+++ b/src/dispatch/contention_simulation.h
@@ -95,7 +95,8 @@
         for (const Instant end = m_now + time; m_now < end;)
             step();
     }
-    Instant now() const { return m_now; }
+    // Lets runs take up to this much less or more than TaskTime.
+    void setTaskTimeSpread(Duration spread) { m_taskTimeSpread = spread; }
     Dispatcher &dispatcher() { return m_dispatcher; }
     // Returns the mean wait of the account's tasks that have started since the last call, in ms.
     double takeMeanWaitMs(const std::string &account)
@@ -134,11 +135,17 @@
         addToDigest(std::to_string(toMs(m_now)) + " " + order.task.toString() + " "
                     + std::to_string(order.run) + " " + order.worker);
         m_dispatcher.startAnswered(order, StartOutcome::Started, m_now);
-        m_workers[order.worker].push_back({order, m_now + TaskTime});
+        m_workers[order.worker].push_back({order, m_now + taskTime(order.task)});
         m_waits[order.job->team].push_back(m_now - m_submittedAt.at(job));
         if (m_startedJobs.empty() || m_startedJobs.back() != job)
             m_startedJobs.push_back(job);
     }
+    Duration taskTime(const TaskRef &task) const
+    {
+        const auto range = static_cast<uint64_t>(2 * m_taskTimeSpread.count() + 1);
+        const auto offset = static_cast<int64_t>(stableHash(task.toString()) % range);
+        return TaskTime - m_taskTimeSpread + Duration(offset);
+    }
     void report(const WorkerId &id)
     {
         RunReport out;
@@ -157,6 +164,7 @@
     }
 
     Instant m_now = instantFromMs(100'000);
+    Duration m_taskTimeSpread{0};
     uint64_t m_digest = 0;
     std::vector<DispatchEvent> m_events;
     Dispatcher m_dispatcher;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -16,6 +16,7 @@
 void Dispatcher::setCatalog(std::shared_ptr<const Catalog> catalog)
 {
     m_impl->m_catalog = std::move(catalog);
+    m_impl->updateUsageWeights();
 }
 
 void Dispatcher::setZonesOut(std::set<std::string> zones)
@@ -282,6 +283,21 @@
     return m_impl->waitingSteps(now, unixMs);
 }
 
+void Dispatcher::restoreUsage(const work::Usage &usage, int64_t heldMs)
+{
+    m_impl->restoreUsage(usage, heldMs);
+}
+
+std::optional<work::Usage> Dispatcher::takeUsage(int64_t heldMs)
+{
+    return m_impl->takeUsage(heldMs);
+}
+
+std::map<std::string, double> Dispatcher::relativeUses() const
+{
+    return m_impl->m_usage ? m_impl->m_usage->relativeUses() : std::map<std::string, double>{};
+}
+
 void Dispatcher::reportOverdueTasks(Instant now, int64_t unixMs)
 {
     m_impl->reportOverdueTasks(now, unixMs);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -187,6 +188,15 @@
     // a later event, ask again then.
     std::optional<Instant> nextEvent(Instant now, int64_t unixMs) const;
 
+    // Adds the usage that an earlier scheduler has stored, decayed up to `heldMs`, the present held
+    // time of the tenure. Does nothing without SchedulingPolicies::fairShare, as the next two.
+    void restoreUsage(const work::Usage &usage, int64_t heldMs);
+    // Returns the usage of client accounts to store; none if nothing was used since the last call.
+    std::optional<work::Usage> takeUsage(int64_t heldMs);
+    // Returns the past use of the client accounts relative to their share; see
+    // UsageHistory::relativeUse().
+    std::map<std::string, double> relativeUses() const;
+
     // Returns how many ready steps have nothing starting, for which reason and for how long.
     WaitingStepsByReason waitingSteps(Instant now, int64_t unixMs) const;
     // Emits a "task_overdue" event, with what they lack, for ready steps that have had nothing
--- a/src/dispatch/dispatcher_jobs.cc
+++ b/src/dispatch/dispatcher_jobs.cc
@@ -27,7 +27,10 @@
 
 Dispatcher::Impl::Impl(DispatchOptions options, EventSink events)
     : m_options(std::move(options)), m_events(std::move(events))
-{ }
+{
+    if (m_options.policies.fairShare)
+        m_usage.emplace(m_options.policies.fairShare->halfLife);
+}
 
 void Dispatcher::Impl::emitEvent(std::string_view name, const std::string &job,
                                  std::string detail) const
--- a/src/dispatch/dispatcher_order.cc
+++ b/src/dispatch/dispatcher_order.cc
@@ -99,7 +99,7 @@
 Dispatcher::Impl::stepsByUrgency(Instant now, int64_t unixMs,
                                  const std::function<bool(const Step &)> &accepts)
 {
-    using Key = std::tuple<bool, int32_t, Instant, UrgencyClass, int64_t, int64_t, uint64_t>;
+    using Key = std::tuple<bool, int32_t, Instant, UrgencyClass, AccountRank, int64_t, uint64_t>;
     std::vector<std::pair<Key, Step *>> keyed;
     for (const auto &[id, job] : m_jobs) {
         const WorkRoute *route = job->isTerminal() ? nullptr : routeOf(*job);
@@ -110,12 +110,8 @@
                 continue;
             const int64_t slack = slackMs(*step, *route, unixMs);
             const UrgencyClass urgency = urgencyClass(*step, *route, slack, unixMs);
-            const auto team = m_catalog->teams.find(job->spec->team);
-            const double weight = team == m_catalog->teams.end() ? 1 : team->second.weight;
-            const int64_t share = dominantShareMillionths(*job->teamUse, m_total);
-            const auto weightedShare = static_cast<int64_t>(static_cast<double>(share) / weight);
             keyed.push_back({{!isInterrupted(*step), route->priority, precedenceOf(*step, now),
-                              urgency, weightedShare, slack, job->sequence},
+                              urgency, accountRank(*job), slack, job->sequence},
                              step.get()});
         }
     }
--- a/src/dispatch/dispatcher_place.cc
+++ b/src/dispatch/dispatcher_place.cc
@@ -275,7 +275,8 @@
               "step=" + ref.toString() + " for=" + std::string(waitReasonName(reason))
                   + " tasks=" + std::to_string(step.waiting) + " team=" + step.job->spec->team
                   + " team_cpu_milli=" + std::to_string(step.job->teamUse->cpuMilli)
-                  + " team_memory_mb=" + std::to_string(step.job->teamUse->memoryMb));
+                  + " team_memory_mb=" + std::to_string(step.job->teamUse->memoryMb)
+                  + describePastUse(*step.job));
 }
 
 // Finds a worker for every member of the gang; returns false if not all of them fit. While it
@@ -355,6 +356,7 @@
 Orders Dispatcher::Impl::decide(Instant now, int64_t unixMs)
 {
     Orders out;
+    countUsage(now);
     resetHolds();
     updateUnreportedUse(unixMs);
     updateDemand(now, unixMs);
@@ -367,6 +369,7 @@
         step->spec->gang ? placeGang(*step, route, now, unixMs, out)
                          : placeIndependent(*step, route, now, unixMs, out);
     }
+    updateShares();
     collectStops(now, out);
     out.throttles = std::exchange(m_throttles, {});
     return out;
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "dispatch/internal/state.h"
+#include "fairshare/usage_history.h"
 
 #include <functional>
 #include <optional>
@@ -61,6 +62,11 @@
     // dispatcher_overdue.cc
     void reportOverdueTasks(Instant now, int64_t unixMs);
 
+    // dispatcher_usage.cc
+    void updateUsageWeights();
+    void restoreUsage(const work::Usage &usage, int64_t heldMs);
+    std::optional<work::Usage> takeUsage(int64_t heldMs);
+
 private:
     friend class Dispatcher;
     using Step = dispatch::Step;
@@ -237,6 +243,13 @@
     Resources reserveForUrgentWork(const Job &job, const WorkRoute &route) const;
     void preemptLessUrgent(const Step &step, const WorkRoute &route, int64_t unixMs);
 
+    // dispatcher_usage.cc
+    void countUsage(Instant now);
+    void updateShares();
+    double weightOf(const Job &job) const;
+    dispatch::AccountRank accountRank(const Job &job) const;
+    std::string describePastUse(const Job &job) const;
+
     DispatchOptions m_options;
     EventSink m_events;
     std::shared_ptr<const Catalog> m_catalog = std::make_shared<Catalog>();
@@ -251,6 +264,7 @@
     // Unreconciled workers on which tasks may run whose progress does not tell.
     std::set<WorkerId> m_unrecorded;
     std::map<std::string, Resources> m_teamUse; // resources in use, by team
+    std::optional<UsageHistory> m_usage; // set with SchedulingPolicies::fairShare
     // What runs of an earlier scheduler that no report has shown may use, by team; updated by
     // decide().
     std::map<std::string, Resources> m_unreportedUse;
--- a/src/dispatch/internal/state.h
+++ b/src/dispatch/internal/state.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/dispatcher.h"
 
+#include <compare>
 #include <map>
 #include <memory>
 #include <optional>
@@ -231,6 +232,15 @@
     Instant at; // when `peak` was last updated
 };
 
+// The place of an account in the order of waiting work, the lowest first.
+struct AccountRank
+{
+    int64_t weightedShareMillionths = 0; // of the fleet at present, by weight and past use
+    int64_t pastUseMillionths = 0; // see UsageHistory::relativeUse(); 0 if it is not considered
+    friend auto operator<=>(const AccountRank &,
+                            const AccountRank &) = default; // NOLINT(modernize-use-nullptr)
+};
+
 using JobSet = std::set<Job *, CompareByMember<&Job::sequence>>;
 
 struct Worker
--- a/src/fairshare/usage_history.cc
+++ b/src/fairshare/usage_history.cc
@@ -40,8 +40,7 @@
 
 double UsageHistory::usableWeight(double weight)
 {
-    // Also true for a weight that is no number.
-    return weight >= MinWeight ? weight : MinWeight;
+    return weight >= MinWeight ? std::min(weight, MaxWeight) : MinWeight;
 }
 
 double UsageHistory::weightOf(const std::string &account) const
--- a/src/fairshare/usage_history.h
+++ b/src/fairshare/usage_history.h
@@ -29,8 +29,10 @@
     // `halfLife` must be positive.
     explicit UsageHistory(Duration halfLife);
 
-    // Sets the weights of the configured accounts. Any other account has DefaultWeight, and a
-    // weight below MinWeight, or none at all, counts as MinWeight.
+    // Returns the weight that counts for a configured one: at least MinWeight, also for a weight
+    // that is no number, and at most MaxWeight.
+    static double usableWeight(double weight);
+    // Sets the weights of the configured accounts. Any other account has DefaultWeight.
     void setWeights(std::map<std::string, double> weights);
     // Counts the time since the last call with the shares that were set then. Does nothing if
     // `now` is earlier. Drops accounts that are not configured once their usage is negligible.
@@ -54,6 +56,7 @@
 
     static constexpr double DefaultWeight = 1;
     static constexpr double MinWeight = 0.001;
+    static constexpr double MaxWeight = 1e9;
 
 private:
     struct Account
@@ -62,7 +65,6 @@
         double share = 0; // since m_countedTo
     };
 
-    static double usableWeight(double weight);
     double weightOf(const std::string &account) const;
     double decayFactor(Duration elapsed) const;
     void dropNegligible();
--- a/src/fairshare/usage_history_test.cc
+++ b/src/fairshare/usage_history_test.cc
@@ -79,6 +79,14 @@
     }
 }
 
+TEST(UsageHistoryTest, AnInfiniteWeightIsBounded)
+{
+    const double infinity = std::numeric_limits<double>::infinity();
+    const UsageHistory history = historyOf({{"a", 0.2}, {"b", 0.2}}, {{"a", infinity}, {"b", 1}});
+    EXPECT_NEAR(history.relativeUse("a"), 0.5, 1e-6);
+    EXPECT_TRUE(std::isfinite(history.relativeUse("b")));
+}
+
 // Guards against accounts that are left out of the order because no configuration names them.
 TEST(UsageHistoryTest, AnAccountThatIsNotConfiguredHasTheDefaultWeight)
 {
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -5179,4 +5179,270 @@
   out << ")";
 }
 
+
+AccountUsage::~AccountUsage() noexcept {
+}
+
+
+void AccountUsage::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void AccountUsage::__set_shareSecondsMillionths(const int64_t val) {
+  this->shareSecondsMillionths = val;
+}
+std::ostream& operator<<(std::ostream& out, const AccountUsage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AccountUsage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->shareSecondsMillionths);
+          this->__isset.shareSecondsMillionths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AccountUsage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AccountUsage");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shareSecondsMillionths", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->shareSecondsMillionths);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AccountUsage &a, AccountUsage &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.shareSecondsMillionths, b.shareSecondsMillionths);
+  swap(a.__isset, b.__isset);
+}
+
+AccountUsage::AccountUsage(const AccountUsage& other222) {
+  account = other222.account;
+  shareSecondsMillionths = other222.shareSecondsMillionths;
+  __isset = other222.__isset;
+}
+AccountUsage::AccountUsage(AccountUsage&& other223) noexcept {
+  account = std::move(other223.account);
+  shareSecondsMillionths = other223.shareSecondsMillionths;
+  __isset = other223.__isset;
+}
+AccountUsage& AccountUsage::operator=(const AccountUsage& other224) {
+  account = other224.account;
+  shareSecondsMillionths = other224.shareSecondsMillionths;
+  __isset = other224.__isset;
+  return *this;
+}
+AccountUsage& AccountUsage::operator=(AccountUsage&& other225) noexcept {
+  account = std::move(other225.account);
+  shareSecondsMillionths = other225.shareSecondsMillionths;
+  __isset = other225.__isset;
+  return *this;
+}
+void AccountUsage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AccountUsage(";
+  out << "account=" << to_string(account);
+  out << ", " << "shareSecondsMillionths=" << to_string(shareSecondsMillionths);
+  out << ")";
+}
+
+
+Usage::~Usage() noexcept {
+}
+
+
+void Usage::__set_accounts(const std::vector<AccountUsage> & val) {
+  this->accounts = val;
+}
+
+void Usage::__set_heldMs(const int64_t val) {
+  this->heldMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const Usage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Usage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->accounts.clear();
+            uint32_t _size226;
+            ::apache::thrift::protocol::TType _etype229;
+            xfer += iprot->readListBegin(_etype229, _size226);
+            this->accounts.resize(_size226);
+            uint32_t _i230;
+            for (_i230 = 0; _i230 < _size226; ++_i230)
+            {
+              xfer += this->accounts[_i230].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.accounts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heldMs);
+          this->__isset.heldMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Usage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Usage");
+
+  xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
+    std::vector<AccountUsage> ::const_iterator _iter231;
+    for (_iter231 = this->accounts.begin(); _iter231 != this->accounts.end(); ++_iter231)
+    {
+      xfer += (*_iter231).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heldMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->heldMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Usage &a, Usage &b) {
+  using ::std::swap;
+  swap(a.accounts, b.accounts);
+  swap(a.heldMs, b.heldMs);
+  swap(a.__isset, b.__isset);
+}
+
+Usage::Usage(const Usage& other232) {
+  accounts = other232.accounts;
+  heldMs = other232.heldMs;
+  __isset = other232.__isset;
+}
+Usage::Usage(Usage&& other233) noexcept {
+  accounts = std::move(other233.accounts);
+  heldMs = other233.heldMs;
+  __isset = other233.__isset;
+}
+Usage& Usage::operator=(const Usage& other234) {
+  accounts = other234.accounts;
+  heldMs = other234.heldMs;
+  __isset = other234.__isset;
+  return *this;
+}
+Usage& Usage::operator=(Usage&& other235) noexcept {
+  accounts = std::move(other235.accounts);
+  heldMs = other235.heldMs;
+  __isset = other235.__isset;
+  return *this;
+}
+void Usage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Usage(";
+  out << "accounts=" << to_string(accounts);
+  out << ", " << "heldMs=" << to_string(heldMs);
+  out << ")";
+}
+
 }} // namespace
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -129,6 +129,10 @@
 
 class AdvanceCancellation;
 
+class AccountUsage;
+
+class Usage;
+
 typedef struct _StepSpec__isset {
   _StepSpec__isset() : tasks(false), cpuMilli(false), memoryMb(false), accelerators(false), estimatedMs(false), after(false), checkpointing(false), gang(false), sameRack(false), requiredLabel(false), preferredRack(false), maxPerWorker(false), copiesAllowed(false), longRunning(false), image(false), latencyObjectiveMs(false), usesIdleCpu(false), mayBeAway(false) {}
   bool tasks :1;
@@ -1873,6 +1877,109 @@
 
 std::ostream& operator<<(std::ostream& out, const AdvanceCancellation& obj);
 
+typedef struct _AccountUsage__isset {
+  _AccountUsage__isset() : account(false), shareSecondsMillionths(false) {}
+  bool account :1;
+  bool shareSecondsMillionths :1;
+} _AccountUsage__isset;
+
+class AccountUsage : public virtual ::apache::thrift::TBase {
+ public:
+
+  AccountUsage(const AccountUsage&);
+  AccountUsage(AccountUsage&&) noexcept;
+  AccountUsage& operator=(const AccountUsage&);
+  AccountUsage& operator=(AccountUsage&&) noexcept;
+  AccountUsage() noexcept
+               : account(),
+                 shareSecondsMillionths(0) {
+  }
+
+  virtual ~AccountUsage() noexcept;
+  std::string account;
+  int64_t shareSecondsMillionths;
+
+  _AccountUsage__isset __isset;
+
+  void __set_account(const std::string& val);
+
+  void __set_shareSecondsMillionths(const int64_t val);
+
+  bool operator == (const AccountUsage & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(shareSecondsMillionths == rhs.shareSecondsMillionths))
+      return false;
+    return true;
+  }
+  bool operator != (const AccountUsage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AccountUsage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AccountUsage &a, AccountUsage &b);
+
+std::ostream& operator<<(std::ostream& out, const AccountUsage& obj);
+
+typedef struct _Usage__isset {
+  _Usage__isset() : accounts(false), heldMs(false) {}
+  bool accounts :1;
+  bool heldMs :1;
+} _Usage__isset;
+
+class Usage : public virtual ::apache::thrift::TBase {
+ public:
+
+  Usage(const Usage&);
+  Usage(Usage&&) noexcept;
+  Usage& operator=(const Usage&);
+  Usage& operator=(Usage&&) noexcept;
+  Usage() noexcept
+        : heldMs(0) {
+  }
+
+  virtual ~Usage() noexcept;
+  std::vector<AccountUsage>  accounts;
+  int64_t heldMs;
+
+  _Usage__isset __isset;
+
+  void __set_accounts(const std::vector<AccountUsage> & val);
+
+  void __set_heldMs(const int64_t val);
+
+  bool operator == (const Usage & rhs) const
+  {
+    if (!(accounts == rhs.accounts))
+      return false;
+    if (!(heldMs == rhs.heldMs))
+      return false;
+    return true;
+  }
+  bool operator != (const Usage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Usage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Usage &a, Usage &b);
+
+std::ostream& operator<<(std::ostream& out, const Usage& obj);
+
 }} // namespace
 
 #endif
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -216,3 +216,14 @@
 // The cancellation of a known job is stored as the text "1", which acts on whatever job has the id; so
 // does any value in versions before 2026-12-07.
 struct AdvanceCancellation { 1: list<string> teams; }
+
+// The usage of the fleet by client accounts, as the scheduler last stored it. It decays by the tenure's
+// held time. Versions that do not know the record ignore it.
+struct AccountUsage {
+  1: string account;           // Submission.team
+  2: i64 shareSecondsMillionths; // decayed dominant share x seconds
+}
+struct Usage {
+  1: list<AccountUsage> accounts;
+  2: i64 heldMs;               // of the tenure when the usage was taken
+}
