Past usage survives takeovers and is shown to operators

Cause: the history of use was kept in the memory of one scheduler only.

Earlier versions reject the key as unknown and change nothing. A test now checks that the metrics of the entry program are documented too.

--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -126,6 +126,13 @@
         return m_scheduler ? m_scheduler->approvalLoad() : ApprovalLoad{};
     }
 
+    // Past use of client accounts, as Dispatcher::relativeUses(); none while this instance does not
+    // schedule.
+    std::map<std::string, double> relativeUses() const
+    {
+        return m_scheduler ? m_scheduler->relativeUses() : std::map<std::string, double>{};
+    }
+
 private:
     // Of the topics, while this instance is not the scheduler.
     static constexpr Duration FollowerPollInterval{800};
--- a/src/control/instance_testing.h
+++ b/src/control/instance_testing.h
@@ -97,6 +97,7 @@
         options.maxLease = m_maxLease;
         options.cpuMilli = cpuMilli;
         options.terminalRetention = m_terminalRetention;
+        options.policies = m_policies;
         node.instance = std::make_unique<Instance>(
             [this, &node, name](const JobTable &jobTable) {
                 SchedulerContext context{m_io,
@@ -252,6 +253,7 @@
     int64_t m_cpuMilli = 1'000; // of each task
     LogLimits m_logLimits; // as the instances know them
     Duration m_terminalRetention{120'000};
+    SchedulingPolicies m_policies; // of the instances that are added from now on
     std::string m_team; // of submitted jobs
     int64_t m_unixMs = 1'000'000; // true time of day; accepted jobs are of that time
     // By how much the time of day of an instance's machine differs from the true one, by name.
--- a/src/control/job_table.cc
+++ b/src/control/job_table.cc
@@ -63,7 +63,8 @@
 
 bool isOfScheduler(const std::string &key)
 {
-    return key == Tenure || key.starts_with("worker/") || jobOfProgress(key).has_value();
+    return key == Tenure || key == Usage || key.starts_with("worker/")
+           || jobOfProgress(key).has_value();
 }
 
 std::string usedWorker(const std::string &id)
@@ -181,6 +182,8 @@
         m_tenure = std::move(*tenure);
         return Change::Tenure;
     }
+    if (record.key == work_key::Usage)
+        return applyUsage(record);
     const size_t slash = record.key.find('/');
     if (slash == std::string::npos)
         return Error{ErrorCode::InvalidArgument, "unknown key " + record.key};
@@ -203,6 +206,19 @@
     return applyJob(record, kind, id, parsed->first);
 }
 
+Result<JobTable::Change> JobTable::applyUsage(const KeyedRecord &record)
+{
+    if (record.removed) {
+        m_usage = {};
+        return Change::Usage;
+    }
+    auto usage = decodeRecord<work::Usage>(record.value);
+    if (!usage)
+        return usage.error();
+    m_usage = std::move(*usage);
+    return Change::Usage;
+}
+
 void JobTable::setPart(JobEntry &entry, work::Progress progress)
 {
     if (progress.part == 0) {
--- a/src/control/job_table.h
+++ b/src/control/job_table.h
@@ -32,6 +32,7 @@
 // Returns whether only a scheduler stores and removes records of this key.
 bool isOfScheduler(const std::string &key);
 inline constexpr const char *Tenure = "tenure";
+inline constexpr const char *Usage = "usage";
 } // namespace work_key
 
 // The stored cancellation of a job.
@@ -64,7 +65,7 @@
 {
 public:
     // The part of the table that a record changed.
-    enum class Change { None, Submitted, Cancelled, Progressed, Tenure, Member, UsedWorker };
+    enum class Change { None, Submitted, Cancelled, Progressed, Tenure, Member, UsedWorker, Usage };
     // Applies a record and sets `id` to the job, member or worker that it concerns. A record that
     // cannot be decoded changes no state. Errors: InvalidArgument if it cannot be decoded.
     Result<Change> apply(const KeyedRecord &record, std::string &id);
@@ -83,6 +84,7 @@
     const work::Tenure &tenure() const { return m_tenure; } // epoch 0 if none is stored
     const std::map<std::string, work::Member> &members() const { return m_members; }
     const std::map<std::string, work::UsedWorker> &usedWorkers() const { return m_usedWorkers; }
+    const work::Usage &usage() const { return m_usage; } // without accounts if none is stored
     // At most `limit` jobs that ended before the held time `heldMs`, in no particular order.
     // Includes jobs of which a record is left although the submission has been removed.
     std::vector<std::string> endedBefore(int64_t heldMs, size_t limit) const;
@@ -90,6 +92,7 @@
 private:
     Result<Change> applyJob(const KeyedRecord &record, const std::string &kind,
                             const std::string &id, int32_t part);
+    Result<Change> applyUsage(const KeyedRecord &record);
     static void setPart(JobEntry &entry, work::Progress progress);
     // Removes the part of the entry that a record of this kind and part number holds.
     static void removePart(JobEntry &entry, const std::string &kind, int32_t part);
@@ -105,6 +108,7 @@
     work::Tenure m_tenure;
     std::map<std::string, work::Member> m_members;
     std::map<std::string, work::UsedWorker> m_usedWorkers;
+    work::Usage m_usage;
 };
 
 } // namespace cardamompaddle
--- a/src/control/job_table_test.cc
+++ b/src/control/job_table_test.cc
@@ -110,12 +110,39 @@
 TEST_F(JobTableTest, UndecodableRecordsChangeNothing)
 {
     std::string id;
-    for (const char *key : {"job/a", "progress/a", "tenure", "member/m", "worker/w", "odd", "x/y"})
+    for (const char *key :
+         {"job/a", "progress/a", "tenure", "member/m", "worker/w", "usage", "odd", "x/y"})
         EXPECT_FALSE(m_jobTable.apply({key, "\xff", false, 1}, id)) << key;
     EXPECT_EQ(m_jobTable.find("a"), nullptr);
     EXPECT_EQ(m_jobTable.tenure().epoch, 0);
 }
 
+// Guards against an update during which the instances of the earlier version fail: to them, the
+// record of usage has an unknown key.
+TEST_F(JobTableTest, AnUnknownKeyWithoutAnIdChangesNothing)
+{
+    std::string id;
+    EXPECT_FALSE(m_jobTable.apply({"unknown", encodeRecord(work::Usage()), false, 1}, id));
+    EXPECT_TRUE(m_jobTable.entries().empty());
+    EXPECT_TRUE(id.empty());
+}
+
+TEST_F(JobTableTest, TheNewestUsageIsKept)
+{
+    for (const int64_t heldMs : {5, 10}) {
+        work::Usage usage;
+        usage.heldMs = heldMs;
+        put(work_key::Usage, encodeRecord(usage));
+        EXPECT_EQ(m_jobTable.usage().heldMs, heldMs);
+    }
+    std::string id;
+    EXPECT_FALSE(m_jobTable.apply({work_key::Usage, "\xff", false, m_offset}, id));
+    EXPECT_EQ(m_jobTable.usage().heldMs, 10);
+    put(work_key::Usage, "");
+    EXPECT_EQ(m_jobTable.usage(), work::Usage());
+    EXPECT_TRUE(work_key::isOfScheduler(work_key::Usage));
+}
+
 // Guards against a record that ends every instance that reads it, although it can be decoded.
 TEST_F(JobTableTest, RecordsBeyondTheLimitsChangeNothing)
 {
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -97,7 +97,7 @@
             m_suspendedLeases[id] = former.expiry;
     }
     m_startedAt = m_lastStoredAt = m_lastPublishedAt = m_loadLoggedAt = m_context.clock.now();
-    m_tenureRecordedAt = m_startedAt;
+    m_tenureRecordedAt = m_usageTakenAt = m_startedAt;
     WorkerLinks::Callbacks links;
     links.report = [this](const WorkerId &id, const RunReport &report) { onReport(id, report); };
     links.startWanted = [this](const StartOrder &order) {
@@ -198,6 +198,7 @@
     }
     m_dispatcher.setRecordedWorkers(m_recordedWorkers);
     m_dispatcher.setUnreconciledWorkers(m_unreconciled);
+    m_dispatcher.restoreUsage(m_context.jobTable.usage(), m_tenureClock.heldMs());
     logInfo("scheduling_began",
             "epoch=" + std::to_string(m_options.tenure.epoch)
                 + " open_jobs=" + std::to_string(open.size())
@@ -485,6 +486,11 @@
     return m_dispatcher.waitingSteps(m_context.clock.now(), m_context.unixClock());
 }
 
+std::map<std::string, double> Scheduler::relativeUses() const
+{
+    return m_dispatcher.relativeUses();
+}
+
 ApprovalLoad Scheduler::approvalLoad() const
 {
     return m_dispatcher.approvalLoad(m_context.clock.now(), m_context.unixClock());
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -103,6 +103,8 @@
     // Ready steps that wait; see Dispatcher::waitingSteps().
     WaitingStepsByReason waitingSteps() const;
     ApprovalLoad approvalLoad() const;
+    // Past use of client accounts; see Dispatcher::relativeUses().
+    std::map<std::string, double> relativeUses() const;
     // How long instances have held the tenure; see TenureClock.
     int64_t heldMs() const { return m_tenureClock.heldMs(); }
     // Releases the tenure as release() does, and records that the holder was overloaded.
@@ -152,6 +154,7 @@
     void reportSlowAppend(Instant now);
     void updateWorkerGateway();
     void addWorkerRecords(std::vector<KeyedRecord> &records);
+    void addUsageRecord(std::vector<KeyedRecord> &records, Instant now);
     void tick();
     void armTickTimer();
     void logLoad(Instant now);
@@ -215,6 +218,7 @@
     LoadMeter m_load;
     Instant m_loadLoggedAt;
     Instant m_tenureRecordedAt; // when the tenure record last went into an append
+    Instant m_usageTakenAt; // when the usage last went into an append, or the start of the tenure
 
     std::vector<StartOrder> m_startsToRecord; // to be recorded in the next append
     std::vector<StartOrder> m_startsInBatch; // recorded by the append in flight, sent once stored
--- a/src/control/scheduler_records.cc
+++ b/src/control/scheduler_records.cc
@@ -28,6 +28,8 @@
 // The time that is left of the leases is stored again this often, so that an instance which starts
 // meanwhile does not count the whole of it.
 constexpr Duration SuspensionStoreInterval{500};
+// Bounds the usage of client accounts that a takeover loses, and the bytes that are stored for it.
+constexpr Duration UsageRecordInterval{5'000};
 
 // Returns 0 if the time has passed.
 int64_t millisecondsUntil(Instant time, Instant now)
@@ -117,7 +119,9 @@
         return;
     }
     m_startsInBatch = std::exchange(m_startsToRecord, {});
-    if (records.empty() || m_onReleased || std::exchange(m_tenureDirty, false)) {
+    const bool heartbeat = records.empty();
+    addUsageRecord(records, now);
+    if (heartbeat || m_onReleased || std::exchange(m_tenureDirty, false)) {
         work::Tenure tenure = m_options.tenure;
         tenure.released = m_onReleased != nullptr;
         // Nothing is started after a release, and the records before this one tell of all starts.
@@ -133,6 +137,18 @@
                     [this](const std::vector<KeyedRecord> &stored) { onStored(stored); });
 }
 
+// Adds the usage of client accounts to an append that is due anyway.
+void Scheduler::addUsageRecord(std::vector<KeyedRecord> &records, Instant now)
+{
+    if (now - m_usageTakenAt < UsageRecordInterval)
+        return;
+    const auto usage = m_dispatcher.takeUsage(m_tenureClock.heldMs());
+    if (!usage)
+        return;
+    m_usageTakenAt = now;
+    records.push_back({work_key::Usage, encodeRecord(*usage), false, 0});
+}
+
 void Scheduler::publish(const std::vector<KeyedRecord> &records)
 {
     std::vector<KeyedRecord> urgent;
--- a/src/metrics/registry_test.cc
+++ b/src/metrics/registry_test.cc
@@ -123,5 +123,21 @@
     EXPECT_GE(found, 20);
 }
 
+// Guards against the same for the program on the users' platform. The page names labels too.
+TEST(NamesTest, EveryEntryMetricIsDocumented)
+{
+    const std::string names = readSourceFile("platform/entry_metrics.h");
+    const std::string page = readSourceFile("docs/OPERATIONS.md");
+    int found = 0;
+    for (size_t at = names.find("\"cardamompaddle_entry_"); at != std::string::npos;
+         at = names.find("\"cardamompaddle_entry_", at + 1)) {
+        const std::string name = names.substr(at + 1, names.find('"', at + 1) - at - 1);
+        EXPECT_THAT(page,
+                    ::testing::AnyOf(HasSubstr("`" + name + "`"), HasSubstr("`" + name + "{")));
+        ++found;
+    }
+    EXPECT_GE(found, 12);
+}
+
 } // namespace
 } // namespace cardamompaddle
