--- a/src/control/instance_testing.h
+++ b/src/control/instance_testing.h
@@ -253,6 +253,7 @@
     int64_t m_cpuMilli = 1'000; // of each task
     LogLimits m_logLimits; // as the instances know them
     Duration m_terminalRetention{120'000};
+    SchedulingPolicies m_policies; // of the instances that are added from now on
     std::string m_team; // of submitted jobs
     SchedulingPolicies m_policies;
     int64_t m_unixMs = 1'000'000; // true time of day; accepted jobs are of that time
--- a/src/control/job_table.h
+++ b/src/control/job_table.h
@@ -39,6 +39,7 @@
 // Returns whether only a scheduler stores and removes records of this key.
 bool isOfScheduler(const std::string &key);
 inline constexpr const char *Tenure = "tenure";
+inline constexpr const char *Usage = "usage";
 } // namespace work_key
 
 // The stored cancellation of a job.
@@ -92,7 +93,8 @@
         Progressed,
         Tenure,
         Member,
-        UsedWorker
+        UsedWorker,
+        Usage
     };
     // Applies a record and sets `id` to the job, member or worker that it concerns. A record that
     // cannot be decoded changes no state. Errors: InvalidArgument if it cannot be decoded.
@@ -115,6 +117,7 @@
     JobAdmission admissionOf(const std::string &id) const;
     // Ids that have been refused and of which no submission is known.
     const std::set<std::string> &idleRefusals() const { return m_idleRefusals; }
+    const work::Usage &usage() const { return m_usage; } // without accounts if none is stored
     // At most `limit` jobs that ended before the held time `heldMs`, in no particular order.
     // Includes jobs of which a record is left although the submission has been removed.
     std::vector<std::string> endedBefore(int64_t heldMs, size_t limit) const;
@@ -125,6 +128,7 @@
     // Lets submissions of the entry have effect or not.
     static Change setAdmission(JobEntry &entry, JobAdmission admission);
     Result<Change> addSubmission(JobEntry &entry, const KeyedRecord &record, const std::string &id);
+    Result<Change> applyUsage(const KeyedRecord &record);
     static void setPart(JobEntry &entry, work::Progress progress);
     // Removes the part of the entry that a record of this kind and part number holds.
     static void removePart(JobEntry &entry, const std::string &kind, int32_t part);
@@ -141,6 +145,7 @@
     work::Tenure m_tenure;
     std::map<std::string, work::Member> m_members;
     std::map<std::string, work::UsedWorker> m_usedWorkers;
+    work::Usage m_usage;
 };
 
 } // namespace cardamompaddle
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -108,6 +108,8 @@
     // Returns the summary of the backlog that the peers are to be told now; none if there is none.
     // Without admission control there is none.
     std::optional<BacklogSummary> takeBacklog();
+    // Past use of client accounts; see Dispatcher::relativeUses().
+    std::map<std::string, double> relativeUses() const;
     // How long instances have held the tenure; see TenureClock.
     int64_t heldMs() const { return m_tenureClock.heldMs(); }
     // Releases the tenure as release() does, and records that the holder was overloaded.
@@ -157,6 +159,7 @@
     void reportSlowAppend(Instant now);
     void updateWorkerGateway();
     void addWorkerRecords(std::vector<KeyedRecord> &records);
+    void addUsageRecord(std::vector<KeyedRecord> &records, Instant now);
     void tick();
     void armTickTimer();
     void logLoad(Instant now);
@@ -221,6 +224,7 @@
     LoadMeter m_load;
     Instant m_loadLoggedAt;
     Instant m_tenureRecordedAt; // when the tenure record last went into an append
+    Instant m_usageTakenAt; // when the usage last went into an append, or the start of the tenure
 
     std::vector<StartOrder> m_startsToRecord; // to be recorded in the next append
     std::vector<StartOrder> m_startsInBatch; // recorded by the append in flight, sent once stored
--- a/src/dispatch/internal/impl.h
+++ b/src/dispatch/internal/impl.h
@@ -5,6 +5,7 @@
 #include "dispatch/internal/copy_room.h"
 #include "dispatch/internal/room_search.h"
 #include "dispatch/internal/state.h"
+#include "fairshare/usage_history.h"
 #include "speculation/straggler_policy.h"
 
 #include <functional>
@@ -66,6 +67,10 @@
 
     // dispatcher_backlog.cc
     BacklogSummary backlog(Instant now, int64_t unixMs) const;
+    // dispatcher_usage.cc
+    void updateUsageWeights();
+    void restoreUsage(const work::Usage &usage, int64_t heldMs);
+    std::optional<work::Usage> takeUsage(int64_t heldMs);
 
 private:
     friend class Dispatcher;
@@ -352,6 +357,12 @@
     int modelSpeedClass(const Worker &worker, const Step &step) const;
     void refreshFromModel(Instant now);
     void reportModel(Instant now);
+    // dispatcher_usage.cc
+    void countUsage(Instant now);
+    void updateShares();
+    double weightOf(const Job &job) const;
+    dispatch::AccountRank accountRank(const Job &job) const;
+    std::string describePastUse(const Job &job) const;
 
     DispatchOptions m_options;
     const EstimateFunctions &m_estimates = estimateFunctions(m_options.policies.estimates);
@@ -369,6 +380,7 @@
     // Unreconciled workers on which tasks may run whose progress does not tell.
     std::set<WorkerId> m_unrecorded;
     std::map<std::string, Resources> m_teamUse; // resources in use, by team
+    std::optional<UsageHistory> m_usage; // set with SchedulingPolicies::fairShare
     // What runs of an earlier scheduler that no report has shown may use, by team; updated by
     // decide().
     std::map<std::string, Resources> m_unreportedUse;
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -5629,4 +5629,270 @@
   out << ")";
 }
 
+
+AccountUsage::~AccountUsage() noexcept {
+}
+
+
+void AccountUsage::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void AccountUsage::__set_shareSecondsMillionths(const int64_t val) {
+  this->shareSecondsMillionths = val;
+}
+std::ostream& operator<<(std::ostream& out, const AccountUsage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AccountUsage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->shareSecondsMillionths);
+          this->__isset.shareSecondsMillionths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AccountUsage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AccountUsage");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shareSecondsMillionths", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->shareSecondsMillionths);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AccountUsage &a, AccountUsage &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.shareSecondsMillionths, b.shareSecondsMillionths);
+  swap(a.__isset, b.__isset);
+}
+
+AccountUsage::AccountUsage(const AccountUsage& other258) {
+  account = other258.account;
+  shareSecondsMillionths = other258.shareSecondsMillionths;
+  __isset = other258.__isset;
+}
+AccountUsage::AccountUsage(AccountUsage&& other259) noexcept {
+  account = std::move(other259.account);
+  shareSecondsMillionths = other259.shareSecondsMillionths;
+  __isset = other259.__isset;
+}
+AccountUsage& AccountUsage::operator=(const AccountUsage& other260) {
+  account = other260.account;
+  shareSecondsMillionths = other260.shareSecondsMillionths;
+  __isset = other260.__isset;
+  return *this;
+}
+AccountUsage& AccountUsage::operator=(AccountUsage&& other261) noexcept {
+  account = std::move(other261.account);
+  shareSecondsMillionths = other261.shareSecondsMillionths;
+  __isset = other261.__isset;
+  return *this;
+}
+void AccountUsage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AccountUsage(";
+  out << "account=" << to_string(account);
+  out << ", " << "shareSecondsMillionths=" << to_string(shareSecondsMillionths);
+  out << ")";
+}
+
+
+Usage::~Usage() noexcept {
+}
+
+
+void Usage::__set_accounts(const std::vector<AccountUsage> & val) {
+  this->accounts = val;
+}
+
+void Usage::__set_heldMs(const int64_t val) {
+  this->heldMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const Usage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Usage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->accounts.clear();
+            uint32_t _size262;
+            ::apache::thrift::protocol::TType _etype265;
+            xfer += iprot->readListBegin(_etype265, _size262);
+            this->accounts.resize(_size262);
+            uint32_t _i266;
+            for (_i266 = 0; _i266 < _size262; ++_i266)
+            {
+              xfer += this->accounts[_i266].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.accounts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heldMs);
+          this->__isset.heldMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Usage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Usage");
+
+  xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
+    std::vector<AccountUsage> ::const_iterator _iter267;
+    for (_iter267 = this->accounts.begin(); _iter267 != this->accounts.end(); ++_iter267)
+    {
+      xfer += (*_iter267).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heldMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->heldMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Usage &a, Usage &b) {
+  using ::std::swap;
+  swap(a.accounts, b.accounts);
+  swap(a.heldMs, b.heldMs);
+  swap(a.__isset, b.__isset);
+}
+
+Usage::Usage(const Usage& other268) {
+  accounts = other268.accounts;
+  heldMs = other268.heldMs;
+  __isset = other268.__isset;
+}
+Usage::Usage(Usage&& other269) noexcept {
+  accounts = std::move(other269.accounts);
+  heldMs = other269.heldMs;
+  __isset = other269.__isset;
+}
+Usage& Usage::operator=(const Usage& other270) {
+  accounts = other270.accounts;
+  heldMs = other270.heldMs;
+  __isset = other270.__isset;
+  return *this;
+}
+Usage& Usage::operator=(Usage&& other271) noexcept {
+  accounts = std::move(other271.accounts);
+  heldMs = other271.heldMs;
+  __isset = other271.__isset;
+  return *this;
+}
+void Usage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Usage(";
+  out << "accounts=" << to_string(accounts);
+  out << ", " << "heldMs=" << to_string(heldMs);
+  out << ")";
+}
+
 }} // namespace
