--- a/src/control/instance_testing.h
+++ b/src/control/instance_testing.h
@@ -255,7 +255,6 @@
     Duration m_terminalRetention{120'000};
     SchedulingPolicies m_policies; // of the instances that are added from now on
     std::string m_team; // of submitted jobs
-    SchedulingPolicies m_policies;
     int64_t m_unixMs = 1'000'000; // true time of day; accepted jobs are of that time
     // By how much the time of day of an instance's machine differs from the true one, by name.
     std::map<std::string, int64_t> m_unixOffsetsMs;
