--- a/src/bench/dispatcher_bench.cc
+++ b/src/bench/dispatcher_bench.cc
@@ -513,7 +513,7 @@
     if (state.range(1) != 0)
         policies.preemption = PreemptionScope::Pool;
     while (state.KeepRunning()) {
-        Fleet fleet(static_cast<int>(state.range(0)), 1, policies);
+        Fleet fleet(static_cast<int>(state.range(0)), 1, false, policies);
         fleet.fillAll(QuickJobs);
         state.counters["decide_ms"] = fleet.costs.decide;
         state.counters["stops"] = static_cast<double>(fleet.stops);
--- a/src/control/usage_instance_test.cc
+++ b/src/control/usage_instance_test.cc
@@ -43,7 +43,7 @@
         work::Submission job = makeJob(id, Places);
         job.steps[0].longRunning = longRunning;
         scheduler().instance->submitter().submit(
-            job, m_clock.now() + Duration(2'500),
+            job, false, m_clock.now() + Duration(2'500),
             [this, id](SubmitOutcome it, const std::string &) { m_outcomes[id] = it; });
         return runUntil(
             [&] { return m_outcomes.contains(id) && m_outcomes[id] == SubmitOutcome::Accepted; });
