--- a/src/control/usage_instance_test.cc
+++ b/src/control/usage_instance_test.cc
@@ -105,7 +105,7 @@
         endJob("other");
         EXPECT_TRUE(runUntil([this] { return m_workers.runningCount() == Places; }));
         const auto &running = m_workers.workers["w1"].running;
-        const std::string first = running.empty() ? "" : running.front().task.step.job;
+        std::string first = running.empty() ? "" : running.front().task.step.job;
         EXPECT_TRUE(std::ranges::all_of(
             running, [&first](const auto &run) { return run.task.step.job == first; }));
         return first;
--- a/src/dispatch/dispatcher_preemption.cc
+++ b/src/dispatch/dispatcher_preemption.cc
@@ -465,6 +465,7 @@
     const int64_t maxBeingFreed = pool.capacity / PoolPartBeingFreed;
     PreemptionRequest request;
     request.account = m_roomSearch.accounts.at(step.job->spec->team);
+    request.ignoresShares = isInterrupted(step);
     request.taskResources = step.taskResources;
     request.tasks = missing;
     request.maxFreedCpuMilli =
--- a/src/dispatch/room_preemption.cc
+++ b/src/dispatch/room_preemption.cc
@@ -83,7 +83,9 @@
             return std::nullopt;
         std::vector<size_t> candidates;
         for (size_t i = 0; i < worker.runs.size(); ++i) {
-            if (!choice.chosen[i] && m_shares.mayPreempt(m_request.account, worker.runs[i].account))
+            const bool allowed = m_request.ignoresShares
+                                 || m_shares.mayPreempt(m_request.account, worker.runs[i].account);
+            if (!choice.chosen[i] && allowed)
                 candidates.push_back(i);
         }
         std::stable_sort(candidates.begin(), candidates.end(), [&worker](size_t a, size_t b) {
--- a/src/dispatch/room_preemption.h
+++ b/src/dispatch/room_preemption.h
@@ -57,6 +57,9 @@
 struct PreemptionRequest
 {
     size_t account = 0; // of the step
+    // Whether runs of any account may be stopped, as the step has been promised a place however
+    // full the pool is.
+    bool ignoresShares = false;
     Resources taskResources;
     int64_t tasks = 0; // that lack room
     int64_t maxFreedCpuMilli = 0; // that may be freed
--- a/src/dispatch/room_preemption_test.cc
+++ b/src/dispatch/room_preemption_test.cc
@@ -103,6 +103,15 @@
     EXPECT_EQ(stopped(planRoomPreemption(request, weighted)), 1) << "60% is within its share";
 }
 
+// Guards against a service that stays down because its account uses more than its share.
+TEST(RoomPreemptionTest, AStepWithAPromisedPlaceIgnoresShares)
+{
+    PreemptionRequest request = requestFor(2, {workerWith({0})});
+    ASSERT_TRUE(planRoomPreemption(request, sharesOf(60'000, 30'000)).empty());
+    request.ignoresShares = true;
+    EXPECT_EQ(stopped(planRoomPreemption(request, sharesOf(60'000, 30'000))), 1);
+}
+
 // Guards against a plan that goes on after the account has got beyond its share.
 TEST(RoomPreemptionTest, TheShareRuleCountsWhatThePlanTakes)
 {
