review 12: late starts in the next life of a worker, after the end was acknowledged

Cause: an end is acknowledged while an earlier, unanswered try of the start may still be carried out; a worker that is back under its id takes it until the scheduler has called it.

--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -151,10 +151,10 @@
 };
 const std::vector<Scenario> &scenarios();
 
-Verdict crashedThrice();
 Verdict lostLongAfterRestart();
 Verdict otherKind();
 Verdict awakenedScheduler();
 Verdict unansweredStart();
+Verdict lateStartAfterSuccess();
 
 } // namespace review
