--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -5,7 +5,7 @@
 for it in target/platform/cardamompaddle-entry target/review-3/review-3; do
     [ -x "$it" ] || { echo "$it is missing: build the deploy file and run review/build-3.sh"; exit 2; }
 done
-RECORD=review/12/record.txt timeout 115 target/review-3/review-3 late-start-after-success
+RECORD=review/12/record.txt timeout 115 target/review-3/review-3 awakened-scheduler
 status=$?
 [ "$status" -le 1 ] && exit "$status"
 exit 2
