--- a/review/lab-3/lab.cc
+++ b/review/lab-3/lab.cc
@@ -189,7 +189,8 @@
 {
     ++m_version;
     const std::string manifest = R"({"Version": )" + std::to_string(m_version) + R"(, "Routes": [)"
-                                 + routes + R"(], "Services": [{"Name": "s"}], "Tenants": [{"Name":)"
+                                 + routes
+                                 + R"(], "Services": [{"Name": "s"}], "Tenants": [{"Name":)"
                                  + R"( "team", "ApiKeys": ["key"], "Weight": 1}]})";
     onLoop([&] { m_platform->put("keyed.op", "config", manifest); });
     record("operator: manifest version " + std::to_string(m_version));
@@ -204,8 +205,7 @@
 int Lab::scheduler()
 {
     for (size_t i = 0; i < m_instances.size(); ++i) {
-        const Answer answer =
-            callAddress(m_instances[i].peers, "GET", "/metrics", "", {}, 500);
+        const Answer answer = callAddress(m_instances[i].peers, "GET", "/metrics", "", {}, 500);
         if (answer.body.find("\ncardamompaddle_entry_schedules 1") != std::string::npos)
             return static_cast<int>(i);
     }
@@ -273,16 +273,17 @@
     auto all = headers;
     all["Content-Type"] = "application/json";
     asio::post(m_io, [&] {
-        m_http->request(address, method, path, body, cp::Duration(timeoutMs),
-                        [answered](const cp::Result<cp::HttpResponse> &response, bool) {
-                            Answer out;
-                            if (response) {
-                                out.status = response->status;
-                                out.body = response->body;
-                            }
-                            answered->set_value(std::move(out));
-                        },
-                        all);
+        m_http->request(
+            address, method, path, body, cp::Duration(timeoutMs),
+            [answered](const cp::Result<cp::HttpResponse> &response, bool) {
+                Answer out;
+                if (response) {
+                    out.status = response->status;
+                    out.body = response->body;
+                }
+                answered->set_value(std::move(out));
+            },
+            all);
     });
     return answered->get_future().get();
 }
@@ -291,10 +292,10 @@
                  const std::string &body, int timeoutMs)
 {
     const Instance &it = m_instances.at(instance);
-    Answer out = callAddress(it.callers, method, path, body,
-                             {{"Authorization", "Bearer key"},
-                              {"Cardamompaddle-Deadline-Milliseconds", "3000"}},
-                             timeoutMs);
+    Answer out = callAddress(
+        it.callers, method, path, body,
+        {{"Authorization", "Bearer key"}, {"Cardamompaddle-Deadline-Milliseconds", "3000"}},
+        timeoutMs);
     record("client: " + method + " " + path + " to " + it.name + " -> "
            + (out.status == 0 ? "no answer" : std::to_string(out.status)) + " " + out.body
            + (body.empty() ? "" : "  sent: " + body));
@@ -319,8 +320,8 @@
             continue;
         boost::system::error_code ec;
         const json::value body = json::parse(answer.body, ec);
-        const json::value *state = !ec && body.is_object() ? body.as_object().if_contains("State")
-                                                           : nullptr;
+        const json::value *state =
+            !ec && body.is_object() ? body.as_object().if_contains("State") : nullptr;
         if (state != nullptr && state->is_string())
             return std::string(state->as_string());
     }
@@ -357,7 +358,8 @@
         }
     }
     m_record << now << " ms  worker " << event.worker << ": task " << event.task << " run "
-             << event.run << " " << emu::runEventKindName(event.kind) << " " << event.how << std::endl;
+             << event.run << " " << emu::runEventKindName(event.kind) << " " << event.how
+             << std::endl;
 }
 
 std::vector<Run> Lab::runs(const std::string &taskPrefix)
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -101,9 +101,9 @@
     Answer call(size_t instance, const std::string &method, const std::string &path,
                 const std::string &body = "", int timeoutMs = 4'000);
     // Sends a call to any address.
-    Answer callAddress(const std::string &address, const std::string &method, const std::string &path,
-                       const std::string &body, const std::map<std::string, std::string> &headers,
-                       int timeoutMs = 4'000);
+    Answer callAddress(const std::string &address, const std::string &method,
+                       const std::string &path, const std::string &body,
+                       const std::map<std::string, std::string> &headers, int timeoutMs = 4'000);
     std::string logAddress() const { return m_platform->logAddress(); }
     // Submits a job and repeats it with the same id, as clients do, until it is accepted.
     bool submit(const std::string &path, const std::string &body);
--- a/review/lab-3/scenarios.cc
+++ b/review/lab-3/scenarios.cc
@@ -78,9 +78,9 @@
     return until - lastEndMs;
 }
 
-// The rule LOST for a task that lasts: nothing of it runs for 3 s, from 6 s after its last run on, and
-// these 3 s and the 4 s before them are calm. `calmFromMs` is when the last disruption has ended,
-// with the time after which all machines are in touch again.
+// The rule LOST for a task that lasts: nothing of it runs for 3 s, from 6 s after its last run on,
+// and these 3 s and the 4 s before them are calm. `calmFromMs` is when the last disruption has
+// ended, with the time after which all machines are in touch again.
 Verdict judgeLastingTask(Lab &lab, const std::string &task, int64_t sinceMs, int64_t calmFromMs)
 {
     constexpr int64_t AfterLastRunMs = 6'000;
@@ -97,8 +97,8 @@
 
 } // namespace
 
-// A worker crashed and came back under its id 20 s ago. Now all processes lose power, and that worker
-// is lost for good.
+// A worker crashed and came back under its id 20 s ago. Now all processes lose power, and that
+// worker is lost for good.
 Verdict lostLongAfterRestart()
 {
     constexpr int DownMs = 3'000;
@@ -185,8 +185,8 @@
 
 namespace {
 
-// Writes the registry entries of the workers, with kinds and capacities of the scenario's choice: at
-// the start of a life and every 1.5 s (HeartbeatIntervalMs).
+// Writes the registry entries of the workers, with kinds and capacities of the scenario's choice:
+// at the start of a life and every 1.5 s (HeartbeatIntervalMs).
 class Registry
 {
 public:
@@ -196,8 +196,9 @@
         for (const std::string &id : workers)
             m_lab.onLoop([&] { m_lab.platform().registerWorker(id); });
         const auto page = cp::decodeNewest(
-            m_lab.callAddress(m_lab.logAddress(), "GET",
-                              "/cardamompaddle/log-newest?Topic=keyed.servers&part=0", "", {})
+            m_lab
+                .callAddress(m_lab.logAddress(), "GET",
+                             "/cardamompaddle/log-newest?Topic=keyed.servers&part=0", "", {})
                 .body);
         for (const cp::KeyedRecord &it : page->records) {
             const auto entry = boost::json::parse(it.value).as_object();
@@ -267,11 +268,19 @@
             Worker &it = m_workers[id];
             if (!it.up)
                 return;
-            entry = boost::json::serialize(boost::json::object{
-                {"Service", "s"}, {"Address", it.address}, {"Zone", "z1"}, {"Version", "1"},
-                {"Slots", 8}, {"State", "ready"}, {"ColdRemainingMs", 0}, {"Sequence", ++it.sequence},
-                {"Capacity", boost::json::object{{"Cpu", it.cpuMilli}, {"MemoryRequestMb", 32'768}}},
-                {"Labels", boost::json::array{"kind-" + it.kind, "rack-0"}}, {"born", it.born}});
+            entry = boost::json::serialize(
+                boost::json::object{{"Service", "s"},
+                                    {"Address", it.address},
+                                    {"Zone", "z1"},
+                                    {"Version", "1"},
+                                    {"Slots", 8},
+                                    {"State", "ready"},
+                                    {"ColdRemainingMs", 0},
+                                    {"Sequence", ++it.sequence},
+                                    {"Capacity", boost::json::object{{"Cpu", it.cpuMilli},
+                                                                     {"MemoryRequestMb", 32'768}}},
+                                    {"Labels", boost::json::array{"kind-" + it.kind, "rack-0"}},
+                                    {"born", it.born}});
         }
         m_lab.onLoop([&] { m_lab.platform().put("keyed.servers", id, entry); });
     }
@@ -289,7 +298,8 @@
 Verdict otherKind()
 {
     const std::string id = "00000000000000c7";
-    const std::vector<std::string> workers = {"w-1", "w-2", "w-3", "w-4", "w-5", "w-6", "w-7", "w-8"};
+    const std::vector<std::string> workers = {"w-1", "w-2", "w-3", "w-4",
+                                              "w-5", "w-6", "w-7", "w-8"};
     const std::string victim = "w-1";
     LabOptions options = smallDeployment();
     options.platform.workerIds = workers;
@@ -303,9 +313,10 @@
     if (!lab.start())
         return Verdict::CannotRun;
     // More work for kind a than its only worker has room for, so that some of it waits.
-    if (!lab.submit("/batch/" + id, R"({"Specification": "work", "Steps": [{"Count": 40, "Cpu": 2000,)"
-                                    R"( "MemoryRequestMb": 512, "EstimatedMs": 2000,)"
-                                    R"( "Requirements": "kind-a"}]})"))
+    if (!lab.submit("/batch/" + id,
+                    R"({"Specification": "work", "Steps": [{"Count": 40, "Cpu": 2000,)"
+                    R"( "MemoryRequestMb": 512, "EstimatedMs": 2000,)"
+                    R"( "Requirements": "kind-a"}]})"))
         return Verdict::CannotRun;
     lab.sleep(1'000);
     int64_t bornMs = INT64_MAX;
@@ -329,7 +340,8 @@
                        + std::to_string(it.startedMs - bornMs)
                        + " ms after the start of that life, which is not of kind-a");
     }
-    lab.record("verdict: " + std::to_string(wrong) + " starts on a worker without the label in Requirements");
+    lab.record("verdict: " + std::to_string(wrong)
+               + " starts on a worker without the label in Requirements");
     return lab.runs(id).empty() ? Verdict::CannotRun : wrong > 0 ? Verdict::Broken : Verdict::Held;
 }
 
@@ -344,7 +356,8 @@
     std::vector<std::string> out;
     const auto describe = [](const Run &it) {
         return "run " + std::to_string(it.run) + " on " + it.worker + " from "
-               + std::to_string(it.startedMs) + " to " + std::to_string(it.endedMs) + " ms " + it.how;
+               + std::to_string(it.startedMs) + " to " + std::to_string(it.endedMs) + " ms "
+               + it.how;
     };
     for (const auto &[task, all] : byTask) {
         for (const Run &a : all) {
@@ -352,9 +365,11 @@
                 if (&a == &b || b.startedMs < a.startedMs)
                     continue;
                 const bool together = a.endedMs < 0 || b.startedMs < a.endedMs;
-                const bool afterDone = a.how == "done" && a.acknowledgedMs >= 0 && b.startedMs > a.endedMs;
+                const bool afterDone =
+                    a.how == "done" && a.acknowledgedMs >= 0 && b.startedMs > a.endedMs;
                 if (together && (a.startedMs < b.startedMs || &a < &b))
-                    out.push_back(task + ": two runs at the same time: " + describe(a) + "; " + describe(b));
+                    out.push_back(task + ": two runs at the same time: " + describe(a) + "; "
+                                  + describe(b));
                 else if (afterDone)
                     out.push_back(task + ": a start after an end that was taken note of at "
                                   + std::to_string(a.acknowledgedMs) + " ms: " + describe(a) + "; "
@@ -367,8 +382,8 @@
 
 } // namespace
 
-// Some tries of starts get no answer, and later ones do. After the ends the worker crashes, and is back
-// under its id while the unanswered tries are carried out.
+// Some tries of starts get no answer, and later ones do. After the ends the worker crashes, and is
+// back under its id while the unanswered tries are carried out.
 Verdict lateStartAfterSuccess()
 {
     constexpr int LateMs = 4'000; // of 2 to 12 s
--- a/review/lab-3/slow_proxy.cc
+++ b/review/lab-3/slow_proxy.cc
@@ -29,16 +29,16 @@
 
     void read()
     {
-        m_from->async_read_some(asio::buffer(m_buffer), [self = shared_from_this()](error_code ec,
-                                                                                  size_t bytes) {
-            if (ec)
-                return self->close();
-            const auto delay = std::chrono::milliseconds(self->nextDelayMs());
-            self->m_chunks.push_back(
-                {std::chrono::steady_clock::now() + delay, std::string(self->m_buffer.data(), bytes)});
-            self->write();
-            self->read();
-        });
+        m_from->async_read_some(
+            asio::buffer(m_buffer), [self = shared_from_this()](error_code ec, size_t bytes) {
+                if (ec)
+                    return self->close();
+                const auto delay = std::chrono::milliseconds(self->nextDelayMs());
+                self->m_chunks.push_back({std::chrono::steady_clock::now() + delay,
+                                          std::string(self->m_buffer.data(), bytes)});
+                self->write();
+                self->read();
+            });
     }
 
 private:
--- a/review/lab-3/slow_proxy.h
+++ b/review/lab-3/slow_proxy.h
@@ -1,4 +1,5 @@
-// A TCP proxy on loopback whose answers take longer: what the server sends is passed on with a delay.
+// A TCP proxy on loopback whose answers take longer: what the server sends is passed on with a
+// delay.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
