Event for ends of runs that belong to no task of the scheduler

Cause: the end of a run of an unknown job is acknowledged without a trace, so the logs cannot tell it from an end that a worker never listed.

Change: run_end_ignored names task, run, worker and outcome. Behaviour is the same.

--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -216,8 +216,14 @@
 {
     Step *step = nullptr;
     Task *found = findTask(end.task, step);
-    if (found == nullptr)
+    if (found == nullptr) {
+        // The job has ended, or the job table does not hold it. The end will be acknowledged.
+        emitEvent("run_end_ignored", end.task.step.job,
+                  "task=" + end.task.toString() + " run=" + std::to_string(end.run)
+                      + " worker=" + worker.entry.id
+                      + " outcome=" + std::string(runOutcomeName(end.outcome)));
         return;
+    }
     Task &task = *found;
     if (Attempt *attempt = findAttempt(worker.entry.id, end.task, end.run))
         return finishRun(*attempt, end.outcome, end.checkpoint, now);
