Reports that name unknown jobs wait for a read of the jobs after the fence

Cause: the successor reads the jobs back before the workers have seen its fencing token. Runs of jobs that are stored between that read and the token are in the workers' first reports, but not in its job table, so they were stopped as orphaned or their ends acknowledged as unknown. The guard for jobs that arrive by the log ended once all workers had reported, or after 1 s.

Change: DeferredReports holds back a report that names an unknown job until the jobs topic has been read to its end by a read that began after the incarnation's first report. Meanwhile nothing in it is stopped or acknowledged, and the worker gets no starts and counts as not reconciled. Jobs that arrive before all workers are reconciled may be running for as long as that takes. This suffices because a worker that has seen the token starts nothing of a former scheduler, so each job with a run there was stored before.

Virtual time gets owners of timers, so that a test can suspend one process.

--- a/src/control/instance_tenure.cc
+++ b/src/control/instance_tenure.cc
@@ -188,6 +188,7 @@
     updateClaimWait();
     m_scheduler = std::make_unique<Scheduler>(
         m_context.scheduler, options, FirstSequenceAfterClaim,
+        [this](std::function<void(bool)> done) { m_jobs->refresh(std::move(done)); },
         [this](const std::string &reason) { onTenureLost(reason); },
         [this, epoch = claim.tenure.epoch](const std::vector<KeyedRecord> &records, int64_t end) {
             onProgressStored(epoch, records, end);
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -32,8 +32,6 @@
 // Added to the retention of ended jobs. The time of an end is taken before it is stored, and
 // callers see it once it is stored.
 constexpr Duration EndTimeTolerance{10'000};
-// A scheduler that was replaced is fenced or learns of its successor within this time.
-constexpr Duration FormerSchedulerFencingTime{1'000};
 
 RemoteWorkerGatewayOptions gatewayOptions(const work::Tenure &tenure)
 {
@@ -59,10 +57,11 @@
 } // namespace
 
 Scheduler::Scheduler(SchedulerContext context, SchedulerOptions options, int64_t nextSequence,
-                     std::function<void(const std::string &)> onTenureLost,
+                     JobsRefresh refreshJobs, std::function<void(const std::string &)> onTenureLost,
                      RecordsStoredCallback recordsStored)
     : m_context(std::move(context)), m_options(std::move(options)),
-      m_onTenureLost(std::move(onTenureLost)), m_recordsStored(std::move(recordsStored)),
+      m_refreshJobs(std::move(refreshJobs)), m_onTenureLost(std::move(onTenureLost)),
+      m_recordsStored(std::move(recordsStored)),
       m_dispatcher({m_options.tenure.epoch, m_options.offRackFactor,
                     [this](const std::string &id) {
                         const JobEntry *entry = m_context.jobTable.find(id);
@@ -78,6 +77,10 @@
                    }),
       m_workers(m_context.io, m_context.clock, m_context.workers, m_context.peers,
                 gatewayOptions(m_options.tenure)),
+      m_deferredReports([this](const std::string &job) {
+          const JobEntry *entry = m_context.jobTable.find(job);
+          return entry != nullptr && entry->submission;
+      }),
       m_passTimer(m_context.io), m_passDelay(MinPassDelay), m_eventTimer(m_context.io),
       m_flushTimer(m_context.io), m_tickTimer(m_context.io),
       m_writer(m_context.io, m_context.clock, m_context.log, m_context.workTopic,
@@ -126,17 +129,21 @@
         updateReachable(id);
     };
     links.lost = [this](const WorkerId &id, const std::set<RunRef> &unanswered) {
+        m_deferredReports.drop(id);
         m_dispatcher.workerLost(id, unanswered);
         updateReconciliation();
         schedulePass();
     };
     links.replaced = [this](const WorkerId &id) {
+        m_deferredReports.drop(id);
         m_dispatcher.workerReplaced(id, m_context.clock.now());
         updateReconciliation();
         schedulePass();
     };
     links.fenced = [this] { reportTenureLost("a worker has seen a higher epoch"); };
-    links.busy = [this](const WorkerId &id) { return m_dispatcher.isBusy(id); };
+    links.busy = [this](const WorkerId &id) {
+        return m_dispatcher.isBusy(id) || m_deferredReports.contains(id);
+    };
     links.storedPosition = [this](const WorkerId &id, int64_t startedAtMs) {
         const auto it = m_storedPositions.find(id);
         const bool known = it != m_storedPositions.end() && it->second.startedAtMs == startedAtMs;
@@ -226,13 +233,12 @@
 void Scheduler::jobTableChanged(JobTable::Change change, const std::string &id)
 {
     const JobEntry *entry = m_context.jobTable.find(id);
-    const Instant now = m_context.clock.now();
     if (entry == nullptr)
         return;
     if (change == JobTable::Change::Submitted && entry->endedAtHeldMs() == 0) {
-        // The former scheduler may have read the job and started its tasks before it was fenced.
-        const bool mayBeRunning = !m_allReconciled && !m_options.tenure.startsRecorded
-                                  && now - m_startedAt < FormerSchedulerFencingTime;
+        // The former scheduler may have read the job and started its tasks on a worker that it
+        // could still call. A reconciled worker has reported all of them.
+        const bool mayBeRunning = !m_allReconciled && !m_options.tenure.startsRecorded;
         m_dispatcher.addJob(entry->submission, entry->progressParts(), mayBeRunning);
         // The cancellation may have been read first.
         if (entry->isCancelled())
@@ -303,6 +309,51 @@
 }
 
 void Scheduler::onReport(const WorkerId &id, const RunReport &report)
+{
+    const bool wasDeferred = m_deferredReports.contains(id);
+    if (m_deferredReports.admit(id, report, m_jobTableAsOf, m_context.clock.now())) {
+        processReport(id, report);
+        if (wasDeferred)
+            updateReachable(id);
+        return;
+    }
+    if (!wasDeferred)
+        logInfo("report_deferred",
+                "worker=" + id + " started_at_ms=" + std::to_string(report.startedAtMs)
+                    + " runs=" + std::to_string(report.running.size())
+                    + " ended=" + std::to_string(report.ended.size())
+                    + " unknown_job=" + m_deferredReports.firstUnknownJob(report).value_or("none"));
+    updateReachable(id);
+    refreshJobTable();
+}
+
+// Reads the jobs that were stored until now, so that deferred reports can be processed.
+void Scheduler::refreshJobTable()
+{
+    if (std::exchange(m_refreshingJobs, true))
+        return;
+    m_refreshJobs([this, alive = m_alive, requestedAt = m_context.clock.now()](bool current) {
+        if (*alive)
+            onJobTableRefreshed(requestedAt, current);
+    });
+}
+
+void Scheduler::onJobTableRefreshed(Instant requestedAt, bool current)
+{
+    m_refreshingJobs = false;
+    if (!current)
+        return; // repeated by the next tick
+    m_jobTableAsOf = std::max(m_jobTableAsOf, requestedAt);
+    for (const auto &[id, report] : m_deferredReports.takeJudgeable(m_jobTableAsOf)) {
+        processReport(id, report);
+        updateReachable(id);
+    }
+    // Some may have arrived since the refresh was requested.
+    if (!m_deferredReports.empty())
+        refreshJobTable();
+}
+
+void Scheduler::processReport(const WorkerId &id, const RunReport &report)
 {
     const LoadMeter::Scope measured(m_load, LoadPart::Report);
     m_dispatcher.workerReported(id, report, m_context.clock.now());
@@ -319,7 +370,7 @@
     const bool usable = m_reachable.contains(id)
                         && leasesPermitted(id, m_links->incarnationStart(id))
                         && m_storedUsedWorkers.at(id) == m_links->incarnationStart(id)
-                        && !m_closedWorkers.contains(id);
+                        && !m_closedWorkers.contains(id) && !m_deferredReports.contains(id);
     m_dispatcher.setReachable(id, usable);
 }
 
@@ -363,7 +414,9 @@
     if (m_allReconciled || !m_registryLoaded)
         return;
     if (std::erase_if(m_unreconciled,
-                      [this](const WorkerId &id) { return m_links->reconciled(id); })
+                      [this](const WorkerId &id) {
+                          return m_links->reconciled(id) && !m_deferredReports.contains(id);
+                      })
         > 0) {
         m_dispatcher.setUnreconciledWorkers(m_unreconciled);
         schedulePass();
@@ -397,6 +450,7 @@
     }
     logInfo("workers_awaited", "epoch=" + std::to_string(m_options.tenure.epoch)
                                    + " count=" + std::to_string(m_unreconciled.size())
+                                   + " reports_deferred=" + std::to_string(m_deferredReports.size())
                                    + " longest_lease_ms=" + std::to_string(longest.count())
                                    + " workers_and_lease_ms=" + names);
 }
@@ -470,11 +524,15 @@
     m_links->tick();
     const Duration retention = m_options.terminalRetention + EndTimeTolerance;
     m_jobGarbageCollector.collect(now, m_tenureClock.heldMs(), retention);
+    if (!m_deferredReports.empty())
+        refreshJobTable();
     if (!m_allReconciled)
         updateReconciliation();
     for (const auto &[id, startedAtMs] : m_storedUsedWorkers) {
-        if (m_registryLoaded && !m_links->contains(id))
+        if (m_registryLoaded && !m_links->contains(id)) {
             m_usedWorkersToRemove.insert(id);
+            m_deferredReports.drop(id);
+        }
     }
     if (now - m_lastStoredAt >= HeartbeatInterval || !m_usedWorkersToRemove.empty())
         scheduleFlush(Duration::zero());
--- a/src/control/scheduler.h
+++ b/src/control/scheduler.h
@@ -8,6 +8,7 @@
 
 #include "admission/backlog_feed.h"
 #include "control/approval_requester.h"
+#include "control/deferred_reports.h"
 #include "control/fenced_writer.h"
 #include "control/gateways.h"
 #include "control/job_garbage_collector.h"
@@ -81,10 +82,13 @@
     // that appends have become slow; lastStoredAt() tells which.
     using RecordsStoredCallback =
         std::function<void(const std::vector<KeyedRecord> &, int64_t end)>;
+    // Reads the jobs topic up to its end. Calls `done` with true once the job table holds all that
+    // was stored there before the call, or with false if the log does not answer.
+    using JobsRefresh = std::function<void(std::function<void(bool)> done)>;
     // `nextSequence` is the sequence number of the first append under this epoch. `onTenureLost` is
     // posted to the event loop when another holder has taken over; it may destroy the scheduler.
     Scheduler(SchedulerContext context, SchedulerOptions options, int64_t nextSequence,
-              std::function<void(const std::string &reason)> onTenureLost,
+              JobsRefresh refreshJobs, std::function<void(const std::string &reason)> onTenureLost,
               RecordsStoredCallback recordsStored);
     ~Scheduler();
     Scheduler(const Scheduler &) = delete;
@@ -131,6 +135,9 @@
     void onWorkerRecord(const KeyedRecord &record);
     void onRegistryLoaded(const std::set<std::string> &ids);
     void onReport(const WorkerId &id, const RunReport &report);
+    void processReport(const WorkerId &id, const RunReport &report);
+    void refreshJobTable();
+    void onJobTableRefreshed(Instant requestedAt, bool current);
     void updateReachable(const WorkerId &id);
     // The record of a worker in use; see work::UsedWorker for the values.
     KeyedRecord usedWorkerRecord(const WorkerId &id, Duration leasesExpireWithin,
@@ -168,6 +175,7 @@
 
     SchedulerContext m_context;
     SchedulerOptions m_options;
+    JobsRefresh m_refreshJobs;
     std::function<void(const std::string &)> m_onTenureLost;
     RecordsStoredCallback m_recordsStored;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
@@ -182,6 +190,10 @@
     // Workers of an earlier scheduler whose runs are not reconciled yet.
     std::set<WorkerId> m_unreconciled;
     bool m_allReconciled = false; // the registry is loaded and m_unreconciled has become empty
+    DeferredReports m_deferredReports;
+    bool m_refreshingJobs = false; // a refresh of the job table is in progress
+    // The job table holds all jobs that were stored before; Instant::min() until it is refreshed.
+    Instant m_jobTableAsOf = Instant::min();
     // Workers on which earlier schedulers have started nothing that the progress of jobs does not
     // tell.
     std::set<WorkerId> m_recordedWorkers;
--- a/src/control/testing_platform.h
+++ b/src/control/testing_platform.h
@@ -5,6 +5,7 @@
 
 #include "control/instance.h"
 #include "control/timer.h"
+#include "control/virtual_time_testing.h"
 #include "control/worker_lease.h"
 
 #include <boost/asio/io_context.hpp>
@@ -141,6 +142,8 @@
             later(*lateAppendDelay, [this, request] { m_model.append(request); });
             return later(timeout, [done] { done({AppendOutcome::Unknown, "no answer"}); });
         }
+        if (virtualTime != nullptr)
+            return appendDetached(request, done);
         later(appendTime, [this, request, timeout, done, connection = m_connections] {
             if (isSilent(connection))
                 return timeOut(timeout, [done] { done({AppendOutcome::Unknown, "no answer"}); });
@@ -175,6 +178,9 @@
         deliver(m_connections, Duration(1), timeout, std::move(done), std::move(page));
     }
 
+    // If set, an append is stored halfway through its time even if its caller is suspended by then.
+    // Connections are never silent then.
+    VirtualTime *virtualTime = nullptr;
     Duration appendTime{1};
     Duration readTime{1};
     bool unresponsive = false; // calls get no answer
@@ -194,6 +200,14 @@
     int claimCalls = 0; // appends that claim the tenure
 
 private:
+    void appendDetached(const AppendRequest &request, const AppendDone &done)
+    {
+        auto result = std::make_shared<AppendResult>();
+        virtualTime->runAs(VirtualTime::Platform, [&] {
+            later(appendTime / 2, [this, request, result] { *result = m_model.append(request); });
+        });
+        later(appendTime, [result, done] { done(*result); });
+    }
     bool isSilent(int connection) const { return connection <= m_silentUpTo; }
     void timeOut(Duration timeout, std::function<void()> action)
     {
--- a/testing/emulator/restarted_worker_simulation_test.cc
+++ b/testing/emulator/restarted_worker_simulation_test.cc
@@ -1,22 +1,10 @@
 // Instances in virtual time over modelled workers that crash silently, start again under their ids
 // and are cut off soon after, in an order that a seed draws. No task may run twice.
-#include "control/instance_testing.h"
-#include "control/virtual_time_testing.h"
-#include "modelled_workers.h"
-#include "runs_once_checker.h"
-
-#include <cstdlib>
-#include <random>
+#include "simulated_fleet_testing.h"
 
 namespace cardamompaddle::emulator {
 namespace {
 
-// Lets virtual time begin before the timers of InstanceTest are created.
-struct VirtualTimeBegins
-{
-    testing::VirtualTime time;
-};
-
 // How a scenario disturbs workers and scheduler.
 struct Scenario
 {
@@ -27,38 +15,16 @@
     bool longCuts = false;
 };
 
-class RestartedWorkerSimulation : private VirtualTimeBegins, public InstanceTest
+class RestartedWorkerSimulation : public SimulatedFleet
 {
 protected:
     static constexpr int Workers = 6;
-    static constexpr Duration Heartbeat{1'500};
     static constexpr Duration SimulatedTime{45'000};
 
     void begin(uint64_t seed, const Scenario &scenario)
     {
         m_scenario = scenario;
-        m_random.seed(seed);
-        m_maxLease = Duration(10'000);
-        m_cpuMilli = 100;
-        WorkerModelOptions options;
-        options.maxLease = m_maxLease;
-        options.stopTime = Duration(400);
-        options.clockRate = 0.98;
-        options.runTime = [](const std::string &task) -> std::optional<Duration> {
-            constexpr size_t Shortest = 100;
-            constexpr size_t Span = 9'400;
-            return Duration(static_cast<int64_t>(Shortest + std::hash<std::string>()(task) % Span));
-        };
-        m_models.emplace(
-            m_io, m_clock, options, [this](const RunEvent &event) { m_checker.ran(event); },
-            seed + 1);
-        m_workerGateway = &*m_models;
-        m_model.put(RegistryTopic, "w1", "");
-        m_model.put(RegistryTopic, "w2", "");
-        for (int i = 0; i < Workers; ++i) {
-            m_models->add(workerName(i));
-            heartbeat(workerName(i));
-        }
+        addWorkers(seed, Workers, Duration(100), Duration(9'500));
         addNode("a");
         addNode("b");
         ASSERT_TRUE(runUntil([this] { return schedulers() == 1; }, Duration(10'000)));
@@ -76,35 +42,12 @@
         runFor(SimulatedTime);
     }
 
-    static std::string workerName(int number) { return "w" + std::to_string(number + 1); }
-    int64_t draw(int64_t least, int64_t most)
-    {
-        return least + static_cast<int64_t>(m_random() % static_cast<uint64_t>(most - least + 1));
-    }
-    bool percent(int64_t share) { return draw(1, 100) <= share; }
-    void at(Duration wait, std::function<void()> action)
-    {
-        auto timer = std::make_shared<Timer>(m_io, wait);
-        timer->asyncWait([timer, action = std::move(action)](const auto &) { action(); });
-    }
     void submitSome()
     {
         at(Duration(draw(50, 350)), [this] { submitSome(); });
         if (schedulers() == 0)
             return;
-        startSubmission(scheduler(), "j" + std::to_string(++m_jobs),
-                        static_cast<int32_t>(draw(1, 6)));
-    }
-    // Writes the worker's entry, and again after each interval.
-    void heartbeat(const std::string &id)
-    {
-        writeEntry(id);
-        at(Heartbeat, [this, id] { heartbeat(id); });
-    }
-    void writeEntry(const std::string &id)
-    {
-        if (m_models->isUp(id))
-            m_model.put(RegistryTopic, id, "ready/" + std::to_string(m_models->startedAtMs(id)));
+        startSubmission(scheduler(), nextJob(), static_cast<int32_t>(draw(1, 6)));
     }
     // Two workers crash, start again and are cut off.
     void disturb()
@@ -161,19 +104,9 @@
     }
 
     Scenario m_scenario;
-    std::mt19937_64 m_random;
-    RunsOnceChecker m_checker;
-    std::optional<ModelledWorkers> m_models;
-    int m_jobs = 0;
 };
 
-// The number of seeds of each test: more by hand.
-uint64_t seedCount()
-{
-    constexpr uint64_t Default = 20;
-    const char *given = std::getenv("RESTART_SIMULATION_SEEDS");
-    return given == nullptr ? Default : std::strtoull(given, nullptr, 10);
-}
+constexpr uint64_t Seeds = 20; // of each test
 
 class RestartedWorkerSimulationTest : public RestartedWorkerSimulation,
                                       public ::testing::WithParamInterface<uint64_t>
@@ -247,12 +180,12 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Drawn, RestartedWorkerSimulationTest,
-                         ::testing::Range<uint64_t>(1, seedCount() + 1));
+                         ::testing::Range<uint64_t>(1, simulationSeeds(Seeds) + 1));
 INSTANTIATE_TEST_SUITE_P(Drawn, LateOrderSimulationTest,
-                         ::testing::Range<uint64_t>(1, seedCount() + 1));
+                         ::testing::Range<uint64_t>(1, simulationSeeds(Seeds) + 1));
 INSTANTIATE_TEST_SUITE_P(Drawn, LateOrderAcknowledgementTest,
-                         ::testing::Range<uint64_t>(1, seedCount() + 1));
+                         ::testing::Range<uint64_t>(1, simulationSeeds(Seeds) + 1));
 INSTANTIATE_TEST_SUITE_P(Drawn, LateOrderTakeoverTest,
-                         ::testing::Range<uint64_t>(1, seedCount() + 1));
+                         ::testing::Range<uint64_t>(1, simulationSeeds(Seeds) + 1));
 
 } // namespace cardamompaddle::emulator
