--- a/src/dispatch/dispatcher_runs.cc
+++ b/src/dispatch/dispatcher_runs.cc
@@ -219,9 +219,8 @@
     if (found == nullptr) {
         // The job has ended, or the job table does not hold it. The end will be acknowledged.
         emitEvent("run_end_ignored", end.task.step.job,
-                  "task=" + end.task.toString() + " run=" + std::to_string(end.run)
-                      + " worker=" + worker.entry.id
-                      + " outcome=" + std::string(runOutcomeName(end.outcome)));
+                  "task=" + end.task.toString() + " run=" + std::to_string(end.run) + " worker="
+                      + worker.entry.id + " outcome=" + std::string(runOutcomeName(end.outcome)));
         return;
     }
     Task &task = *found;
