Ends of leases that outlast a process are told in held time

What callers saw: a worker crashes and is back under its id; 20 s later all processes are killed and started again, and the worker is lost.

Cause: the record of a worker tells what is left of its leases as spans. Each process counts them from its own reading of the record, also long after the leases have ended.

Change: the record also names the held time of the tenure at which each span has passed, and a new scheduler takes the earlier of the two ends. Held time is stored with the tenure record anyway, so this costs no append. It never runs ahead of real time, so no span ends too early. Records of earlier versions have no held times and are counted as before.

--- a/src/control/instance.cc
+++ b/src/control/instance.cc
@@ -1,6 +1,7 @@
 #include "control/instance.h"
 
 #include "control/backlog_codec.h"
+#include "control/former_leases.h"
 #include "logging/event_log.h"
 #include "work/codec.h"
 
@@ -217,16 +218,16 @@
         m_formerLeases.erase(id);
         return;
     }
-    // 0 stands for leases that do not exist or may be extended at any time.
-    const auto expiry = [now](int64_t withinMs) {
-        return withinMs > 0 ? now + Duration(withinMs) : Instant::min();
-    };
-    FormerLeases &former = m_formerLeases[id];
-    former.used = true;
-    former.startedAtMs = it->second.startedAtMs;
-    former.expiry = expiry(it->second.leasesExpireWithinMs);
-    former.staleExpiry = expiry(it->second.staleLeasesExpireWithinMs);
-    former.unansweredExpiry = expiry(it->second.unansweredStartsExpireWithinMs);
+    m_formerLeases[id] = formerLeases(it->second, now);
+}
+
+// Brings the bounds that follow from held time up to date. Read spans alone would be counted from
+// the start of this process, also for leases that ended long before.
+void Instance::boundFormerLeases(Instant now, int64_t heldMs)
+{
+    const auto &workers = m_jobTable.usedWorkers();
+    for (auto &[id, former] : m_formerLeases)
+        boundByHeldTime(former, workers.at(id), heldMs, now);
 }
 
 void Instance::onOperatorRecord(const KeyedRecord &record)
--- a/src/control/instance.h
+++ b/src/control/instance.h
@@ -154,6 +154,7 @@
     std::unique_ptr<LogFollower> createOperatorFollower();
     void onWorkRecord(const KeyedRecord &record);
     void updateFormerLeases(const WorkerId &id, Instant now);
+    void boundFormerLeases(Instant now, int64_t heldMs);
     void onOperatorRecord(const KeyedRecord &record);
     void applyZones();
     void announce();
--- a/src/control/instance_tenure.cc
+++ b/src/control/instance_tenure.cc
@@ -181,6 +181,7 @@
     options.maxLease = m_options.maxLease;
     options.offRackFactor = m_options.offRackFactor;
     options.terminalRetention = m_options.terminalRetention;
+    boundFormerLeases(now(), claim.tenure.heldMs);
     options.formerLeases = m_formerLeases;
     options.policies = m_options.policies;
     m_jobs->setPollInterval(SchedulerPollInterval);
--- a/src/control/scheduler_records.cc
+++ b/src/control/scheduler_records.cc
@@ -2,6 +2,7 @@
 // use and the tenure.
 #include "control/scheduler.h"
 
+#include "control/former_leases.h"
 #include "logging/event_log.h"
 #include "work/codec.h"
 
@@ -32,9 +33,9 @@
 constexpr Duration UsageRecordInterval{5'000};
 
 // Returns 0 if the time has passed.
-int64_t millisecondsUntil(Instant time, Instant now)
+Duration timeUntil(Instant time, Instant now)
 {
-    return time <= now ? 0 : (time - now).count();
+    return time <= now ? Duration::zero() : time - now;
 }
 
 } // namespace
@@ -191,11 +192,17 @@
     used.leasesExpireWithinMs = leasesExpireWithin.count();
     used.runsRecordedEpoch = runsRecordedEpoch;
     used.startedAtMs = incarnationToStore(id);
+    const Instant now = m_context.clock.now();
+    const int64_t heldMs = m_tenureClock.heldMsAt(now);
+    used.leasesExpireAtHeldMs = heldTimeAfter(heldMs, leasesExpireWithin);
     if (m_links->contains(id)) {
-        const Instant now = m_context.clock.now();
         const WorkerLease &lease = m_links->lease(id);
-        used.staleLeasesExpireWithinMs = millisecondsUntil(lease.staleExpiry(), now);
-        used.unansweredStartsExpireWithinMs = millisecondsUntil(lease.unansweredExpiry(), now);
+        const Duration stale = timeUntil(lease.staleExpiry(), now);
+        const Duration unanswered = timeUntil(lease.unansweredExpiry(), now);
+        used.staleLeasesExpireWithinMs = stale.count();
+        used.staleLeasesExpireAtHeldMs = heldTimeAfter(heldMs, stale);
+        used.unansweredStartsExpireWithinMs = unanswered.count();
+        used.unansweredStartsExpireAtHeldMs = heldTimeAfter(heldMs, unanswered);
     }
     return {work_key::usedWorker(id), encodeRecord(used), false, 0};
 }
@@ -211,8 +218,8 @@
 }
 
 // Promises not to extend the leases of unresponsive workers, so that a later scheduler waits only
-// for what is left of them. The promise is kept from now on, before it is stored. It gives a time
-// span, which each instance counts from its own reading of the record, since clocks differ.
+// for what is left of them. The promise is kept from now on, before it is stored. former_leases.h
+// tells how long a later scheduler waits.
 void Scheduler::suspendLeases(std::vector<KeyedRecord> &records)
 {
     const Instant now = m_context.clock.now();
--- a/src/control/tenure_clock.h
+++ b/src/control/tenure_clock.h
@@ -25,11 +25,17 @@
     // Must be called when an append of the tenure has been stored.
     void recordStored(Instant now)
     {
-        m_heldMs += std::clamp(now - m_countedTo, Duration::zero(), MaxStep).count();
+        m_heldMs = heldMsAt(now);
         m_countedTo = now;
     }
     // Returns the held time up to the last stored append, at least 1.
     int64_t heldMs() const { return m_heldMs; }
+    // Returns the held time that an append stored at `now` would bring. From then on, held time
+    // advances by no more than real time does.
+    int64_t heldMsAt(Instant now) const
+    {
+        return m_heldMs + std::clamp(now - m_countedTo, Duration::zero(), MaxStep).count();
+    }
 
 private:
     // The holder stores something several times in this time while the log answers.
--- a/src/control/tenure_clock_test.cc
+++ b/src/control/tenure_clock_test.cc
@@ -37,6 +37,17 @@
     EXPECT_EQ(clock.heldMs(), 7'100);
 }
 
+// Guards against a time that an append is still to bring and that runs ahead of what it brings.
+TEST(TenureClockTest, ForetellsWhatAnAppendBrings)
+{
+    TenureClock clock(7'000, Start);
+    EXPECT_EQ(clock.heldMsAt(Start + Duration(300)), 7'300);
+    EXPECT_EQ(clock.heldMsAt(Start + Duration(5'000)), 8'000);
+    EXPECT_EQ(clock.heldMs(), 7'000);
+    clock.recordStored(Start + Duration(300));
+    EXPECT_EQ(clock.heldMs(), 7'300);
+}
+
 // Guards against an end at 0, which means that the job has not ended.
 TEST(TenureClockTest, BeginsAtOne)
 {
--- a/src/work/gen/work_types.cpp
+++ b/src/work/gen/work_types.cpp
@@ -2520,6 +2520,18 @@
 void UsedWorker::__set_unansweredStartsExpireWithinMs(const int64_t val) {
   this->unansweredStartsExpireWithinMs = val;
 }
+
+void UsedWorker::__set_leasesExpireAtHeldMs(const int64_t val) {
+  this->leasesExpireAtHeldMs = val;
+}
+
+void UsedWorker::__set_staleLeasesExpireAtHeldMs(const int64_t val) {
+  this->staleLeasesExpireAtHeldMs = val;
+}
+
+void UsedWorker::__set_unansweredStartsExpireAtHeldMs(const int64_t val) {
+  this->unansweredStartsExpireAtHeldMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const UsedWorker& obj)
 {
   obj.printTo(out);
@@ -2604,6 +2616,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leasesExpireAtHeldMs);
+          this->__isset.leasesExpireAtHeldMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->staleLeasesExpireAtHeldMs);
+          this->__isset.staleLeasesExpireAtHeldMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->unansweredStartsExpireAtHeldMs);
+          this->__isset.unansweredStartsExpireAtHeldMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2649,6 +2685,18 @@
   xfer += oprot->writeI64(this->unansweredStartsExpireWithinMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leasesExpireAtHeldMs", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->leasesExpireAtHeldMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("staleLeasesExpireAtHeldMs", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->staleLeasesExpireAtHeldMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unansweredStartsExpireAtHeldMs", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->unansweredStartsExpireAtHeldMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2663,6 +2711,9 @@
   swap(a.startedAtMs, b.startedAtMs);
   swap(a.staleLeasesExpireWithinMs, b.staleLeasesExpireWithinMs);
   swap(a.unansweredStartsExpireWithinMs, b.unansweredStartsExpireWithinMs);
+  swap(a.leasesExpireAtHeldMs, b.leasesExpireAtHeldMs);
+  swap(a.staleLeasesExpireAtHeldMs, b.staleLeasesExpireAtHeldMs);
+  swap(a.unansweredStartsExpireAtHeldMs, b.unansweredStartsExpireAtHeldMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -2674,6 +2725,9 @@
   startedAtMs = other123.startedAtMs;
   staleLeasesExpireWithinMs = other123.staleLeasesExpireWithinMs;
   unansweredStartsExpireWithinMs = other123.unansweredStartsExpireWithinMs;
+  leasesExpireAtHeldMs = other123.leasesExpireAtHeldMs;
+  staleLeasesExpireAtHeldMs = other123.staleLeasesExpireAtHeldMs;
+  unansweredStartsExpireAtHeldMs = other123.unansweredStartsExpireAtHeldMs;
   __isset = other123.__isset;
 }
 UsedWorker::UsedWorker(UsedWorker&& other124) noexcept {
@@ -2684,6 +2738,9 @@
   startedAtMs = other124.startedAtMs;
   staleLeasesExpireWithinMs = other124.staleLeasesExpireWithinMs;
   unansweredStartsExpireWithinMs = other124.unansweredStartsExpireWithinMs;
+  leasesExpireAtHeldMs = other124.leasesExpireAtHeldMs;
+  staleLeasesExpireAtHeldMs = other124.staleLeasesExpireAtHeldMs;
+  unansweredStartsExpireAtHeldMs = other124.unansweredStartsExpireAtHeldMs;
   __isset = other124.__isset;
 }
 UsedWorker& UsedWorker::operator=(const UsedWorker& other125) {
@@ -2694,6 +2751,9 @@
   startedAtMs = other125.startedAtMs;
   staleLeasesExpireWithinMs = other125.staleLeasesExpireWithinMs;
   unansweredStartsExpireWithinMs = other125.unansweredStartsExpireWithinMs;
+  leasesExpireAtHeldMs = other125.leasesExpireAtHeldMs;
+  staleLeasesExpireAtHeldMs = other125.staleLeasesExpireAtHeldMs;
+  unansweredStartsExpireAtHeldMs = other125.unansweredStartsExpireAtHeldMs;
   __isset = other125.__isset;
   return *this;
 }
@@ -2705,6 +2765,9 @@
   startedAtMs = other126.startedAtMs;
   staleLeasesExpireWithinMs = other126.staleLeasesExpireWithinMs;
   unansweredStartsExpireWithinMs = other126.unansweredStartsExpireWithinMs;
+  leasesExpireAtHeldMs = other126.leasesExpireAtHeldMs;
+  staleLeasesExpireAtHeldMs = other126.staleLeasesExpireAtHeldMs;
+  unansweredStartsExpireAtHeldMs = other126.unansweredStartsExpireAtHeldMs;
   __isset = other126.__isset;
   return *this;
 }
@@ -2718,6 +2781,9 @@
   out << ", " << "startedAtMs=" << to_string(startedAtMs);
   out << ", " << "staleLeasesExpireWithinMs=" << to_string(staleLeasesExpireWithinMs);
   out << ", " << "unansweredStartsExpireWithinMs=" << to_string(unansweredStartsExpireWithinMs);
+  out << ", " << "leasesExpireAtHeldMs=" << to_string(leasesExpireAtHeldMs);
+  out << ", " << "staleLeasesExpireAtHeldMs=" << to_string(staleLeasesExpireAtHeldMs);
+  out << ", " << "unansweredStartsExpireAtHeldMs=" << to_string(unansweredStartsExpireAtHeldMs);
   out << ")";
 }
 
--- a/src/work/gen/work_types.h
+++ b/src/work/gen/work_types.h
@@ -905,7 +905,7 @@
 std::ostream& operator<<(std::ostream& out, const ApprovalAnswer& obj);
 
 typedef struct _UsedWorker__isset {
-  _UsedWorker__isset() : id(false), address(false), leasesExpireWithinMs(false), runsRecordedEpoch(false), startedAtMs(false), staleLeasesExpireWithinMs(false), unansweredStartsExpireWithinMs(false) {}
+  _UsedWorker__isset() : id(false), address(false), leasesExpireWithinMs(false), runsRecordedEpoch(false), startedAtMs(false), staleLeasesExpireWithinMs(false), unansweredStartsExpireWithinMs(false), leasesExpireAtHeldMs(false), staleLeasesExpireAtHeldMs(false), unansweredStartsExpireAtHeldMs(false) {}
   bool id :1;
   bool address :1;
   bool leasesExpireWithinMs :1;
@@ -913,6 +913,9 @@
   bool startedAtMs :1;
   bool staleLeasesExpireWithinMs :1;
   bool unansweredStartsExpireWithinMs :1;
+  bool leasesExpireAtHeldMs :1;
+  bool staleLeasesExpireAtHeldMs :1;
+  bool unansweredStartsExpireAtHeldMs :1;
 } _UsedWorker__isset;
 
 class UsedWorker : public virtual ::apache::thrift::TBase {
@@ -929,7 +932,10 @@
                runsRecordedEpoch(0),
                startedAtMs(0),
                staleLeasesExpireWithinMs(0),
-               unansweredStartsExpireWithinMs(0) {
+               unansweredStartsExpireWithinMs(0),
+               leasesExpireAtHeldMs(0),
+               staleLeasesExpireAtHeldMs(0),
+               unansweredStartsExpireAtHeldMs(0) {
   }
 
   virtual ~UsedWorker() noexcept;
@@ -940,6 +946,9 @@
   int64_t startedAtMs;
   int64_t staleLeasesExpireWithinMs;
   int64_t unansweredStartsExpireWithinMs;
+  int64_t leasesExpireAtHeldMs;
+  int64_t staleLeasesExpireAtHeldMs;
+  int64_t unansweredStartsExpireAtHeldMs;
 
   _UsedWorker__isset __isset;
 
@@ -957,6 +966,12 @@
 
   void __set_unansweredStartsExpireWithinMs(const int64_t val);
 
+  void __set_leasesExpireAtHeldMs(const int64_t val);
+
+  void __set_staleLeasesExpireAtHeldMs(const int64_t val);
+
+  void __set_unansweredStartsExpireAtHeldMs(const int64_t val);
+
   bool operator == (const UsedWorker & rhs) const
   {
     if (!(id == rhs.id))
@@ -973,6 +988,12 @@
       return false;
     if (!(unansweredStartsExpireWithinMs == rhs.unansweredStartsExpireWithinMs))
       return false;
+    if (!(leasesExpireAtHeldMs == rhs.leasesExpireAtHeldMs))
+      return false;
+    if (!(staleLeasesExpireAtHeldMs == rhs.staleLeasesExpireAtHeldMs))
+      return false;
+    if (!(unansweredStartsExpireAtHeldMs == rhs.unansweredStartsExpireAtHeldMs))
+      return false;
     return true;
   }
   bool operator != (const UsedWorker &rhs) const {
--- a/src/work/work.thrift
+++ b/src/work/work.thrift
@@ -133,6 +133,11 @@
   // Starts without an answer may still be carried out in an incarnation that nobody has heard of. Their
   // leases expire within this time after the record was stored; 0: there are no such starts.
   7: i64 unansweredStartsExpireWithinMs;
+  // The held times (Tenure.heldMs) at which the three spans above have passed at the latest, so that a
+  // reader of an old record does not count them anew; 0: not told, as in records of earlier versions.
+  8: i64 leasesExpireAtHeldMs;
+  9: i64 staleLeasesExpireAtHeldMs;
+  10: i64 unansweredStartsExpireAtHeldMs;
 }
 
 // The open work of client accounts with waiting work, as in AccountBacklog (admission/backlog_summary.h).
--- a/testing/emulator/simulated_fleet_testing.h
+++ b/testing/emulator/simulated_fleet_testing.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -40,7 +41,10 @@
         options.stopTime = Duration(400);
         options.clockRate = 0.98;
         const auto span = static_cast<size_t>((longestRun - shortestRun).count());
-        options.runTime = [shortestRun, span](const std::string &task) -> std::optional<Duration> {
+        options.runTime = [this, shortestRun,
+                           span](const std::string &task) -> std::optional<Duration> {
+            if (m_lastingJobs.contains(task.substr(0, task.find('.'))))
+                return std::nullopt;
             const size_t extra = std::hash<std::string>()(task) % span;
             return shortestRun + Duration(static_cast<int64_t>(extra));
         };
@@ -79,6 +83,7 @@
     }
     std::string nextJob() { return "j" + std::to_string(++m_jobs); }
 
+    std::set<std::string> m_lastingJobs; // their tasks run until they are stopped
     std::mt19937_64 m_random;
     RunsOnceChecker m_checker;
     std::optional<ModelledWorkers> m_models;
