--- a/testing/soak/fault_driver.cc
+++ b/testing/soak/fault_driver.cc
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr const char *SchedulerTopic = "keyed.scheduler";
+
 Instant now()
 {
     return SteadyClock().now();
@@ -21,10 +23,19 @@
 
 FaultDriver::FaultDriver(asio::io_context &io, Fleet &fleet, emulator::PlatformEmulator &platform,
                          Disturbances &disturbances,
-                         std::function<void(bool withdrawKey)> changeConfiguration, uint64_t seed)
+                         std::function<void(bool withdrawKey)> changeConfiguration,
+                         const std::string &onlyFault, uint64_t seed)
     : m_io(io), m_fleet(fleet), m_platform(platform), m_disturbances(disturbances),
-      m_changeConfiguration(std::move(changeConfiguration)), m_random(seed)
-{ }
+      m_changeConfiguration(std::move(changeConfiguration)), m_faults(faults()), m_random(seed)
+{
+    if (!onlyFault.empty())
+        std::erase_if(m_faults, [&](const NamedFault &it) { return it.name != onlyFault; });
+}
+
+bool FaultDriver::isFault(const std::string &name)
+{
+    return std::ranges::any_of(faults(), [&](const NamedFault &it) { return it.name == name; });
+}
 
 const std::vector<FaultDriver::NamedFault> &FaultDriver::faults()
 {
@@ -36,6 +47,7 @@
         {"kill_scheduler", 3, &FaultDriver::killScheduler},
         {"kill_all", 1, &FaultDriver::killAll},
         {"pause", 3, &FaultDriver::pauseInstance},
+        {"awaken_beside_successor", 4, &FaultDriver::awakenBesideSuccessor},
         {"reload", 3, &FaultDriver::reloadInstance},
         {"cut_link", 2, &FaultDriver::cutLink},
         {"silence_link", 2, &FaultDriver::silenceLink},
@@ -77,11 +89,11 @@
 asio::awaitable<void> FaultDriver::run(Instant until)
 {
     int total = 0;
-    for (const NamedFault &it : faults())
+    for (const NamedFault &it : m_faults)
         total += it.weight;
     while (now() < until) {
         int choice = std::uniform_int_distribution<int>(0, total - 1)(m_random);
-        const NamedFault *fault = faults().data();
+        const NamedFault *fault = m_faults.data();
         while (choice >= fault->weight) {
             choice -= fault->weight;
             ++fault;
@@ -159,6 +171,30 @@
     m_fleet.setPaused(i, false);
 }
 
+asio::awaitable<void> FaultDriver::awakenBesideSuccessor()
+{
+    constexpr Duration SettlingTime{300}; // what was on its way is stored by then
+    constexpr Duration LongestPause{2'900};
+    constexpr Duration CheckInterval{5};
+    m_disturbances.begin(LogPart, now());
+    m_platform.logFaults().delay = between(110, 230);
+    co_await pause(between(2'000, 3'500)); // until starts are no longer recorded first
+    const auto i = m_fleet.scheduler();
+    if (i && !m_fleet.isPaused(*i) && m_fleet.isRunning(*i)) {
+        m_fleet.setPaused(*i, true);
+        const Instant pausedAt = now();
+        co_await pause(SettlingTime);
+        const size_t records = m_platform.recordCount(SchedulerTopic);
+        while (m_platform.recordCount(SchedulerTopic) == records && now() - pausedAt < LongestPause)
+            co_await pause(CheckInterval);
+        co_await pause(between(150, 550));
+        m_fleet.setPaused(*i, false);
+        co_await pause(between(300, 1'500));
+    }
+    m_platform.logFaults().delay = Duration::zero();
+    m_disturbances.end(LogPart, now());
+}
+
 asio::awaitable<void> FaultDriver::reloadInstance()
 {
     const size_t i = randomInstance();
--- a/testing/soak/fault_driver.h
+++ b/testing/soak/fault_driver.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace cardamompaddle::soak {
 
@@ -23,9 +24,12 @@
 {
 public:
     // `changeConfiguration` publishes a new configuration; with `withdrawKey` one key fewer.
+    // `onlyFault` names the only fault to play; all are played if it is empty.
     FaultDriver(boost::asio::io_context &io, Fleet &fleet, emulator::PlatformEmulator &platform,
                 Disturbances &disturbances,
-                std::function<void(bool withdrawKey)> changeConfiguration, uint64_t seed);
+                std::function<void(bool withdrawKey)> changeConfiguration,
+                const std::string &onlyFault, uint64_t seed);
+    static bool isFault(const std::string &name);
 
     // Plays faults one after the other until `until`, and undoes each. Several may run at once.
     boost::asio::awaitable<void> run(Instant until);
@@ -51,6 +55,9 @@
     boost::asio::awaitable<void> killScheduler();
     boost::asio::awaitable<void> killAll();
     boost::asio::awaitable<void> pauseInstance();
+    // With a slow log, the scheduler stands still until another instance has claimed the tenure,
+    // and goes on beside it.
+    boost::asio::awaitable<void> awakenBesideSuccessor();
     boost::asio::awaitable<void> reloadInstance();
     boost::asio::awaitable<void> cutLink();
     boost::asio::awaitable<void> silenceLink();
@@ -105,6 +112,7 @@
     emulator::PlatformEmulator &m_platform;
     Disturbances &m_disturbances;
     std::function<void(bool withdrawKey)> m_changeConfiguration;
+    std::vector<NamedFault> m_faults; // that are played
     std::mt19937_64 m_random;
     std::map<std::string, int> m_played;
     std::string m_current;
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -246,10 +246,13 @@
 asio::awaitable<void> Soak::playFaults()
 {
     const Instant until = now() + m_options.length;
-    for (int i = 0; i < FaultStreams; ++i)
+    // Two streams of one fault would undo each other's.
+    const int streams = m_options.onlyFault.empty() ? FaultStreams : 1;
+    for (int i = 0; i < streams; ++i)
         m_drivers.emplace_back(
             m_io, *m_fleet, *m_platform, m_disturbances,
-            [this](bool withdrawKey) { m_operators->change(withdrawKey, now()); }, m_random());
+            [this](bool withdrawKey) { m_operators->change(withdrawKey, now()); },
+            m_options.onlyFault, m_random());
     while (now() < until) {
         co_await playFaultsUntil(std::min(now() + FaultyTime, until));
         co_await pause(CalmTime);
--- a/testing/soak/soak.h
+++ b/testing/soak/soak.h
@@ -22,6 +22,7 @@
     int limitTasks = 0; // limit of the client account; 0: none
     Duration keepEnded{20'000}; // setting of the instances
     Duration clockSkew{200'000}; // largest difference of the instances' time of day; 0: none
+    std::string onlyFault; // name of the only fault to play; empty: all
     std::string program; // path of cardamompaddle-entry
     std::string folder; // for settings and logs of the instances
 };
--- a/testing/soak/soak_main.cc
+++ b/testing/soak/soak_main.cc
@@ -1,5 +1,6 @@
 // cardamompaddle-soak: plays faults on real entry instances and checks the promises to callers.
 
+#include "fault_driver.h"
 #include "soak.h"
 
 #include <gflags/gflags.h>
@@ -19,6 +20,7 @@
 DEFINE_int32(limit_tasks, 0, "Limit of the client account in tasks; 0: none");
 DEFINE_int32(keep_final_s, 20, "Setting of the instances: how long ended jobs are kept");
 DEFINE_int32(clock_skew_s, 200, "Largest error of the instances' time of day; 0: none");
+DEFINE_string(fault, "", "Name of the only fault to play; all if empty");
 DEFINE_string(entry, "", "Path of cardamompaddle-entry");
 DEFINE_string(folder, "", "Folder for settings and logs; a new temporary one by default");
 
@@ -38,6 +40,8 @@
         problem = "--profile must be default, fitting or fitting_grown";
     else if (FLAGS_limit_tasks < 0)
         problem = "--limit_tasks must not be negative";
+    else if (!FLAGS_fault.empty() && !cardamompaddle::soak::FaultDriver::isFault(FLAGS_fault))
+        problem = "--fault must name a fault";
     if (problem != nullptr)
         std::fprintf(stderr, "cardamompaddle-soak: %s\n", problem);
     return problem == nullptr;
@@ -65,6 +69,7 @@
     options.limitTasks = FLAGS_limit_tasks;
     options.keepEnded = std::chrono::seconds(FLAGS_keep_final_s);
     options.clockSkew = std::chrono::seconds(FLAGS_clock_skew_s);
+    options.onlyFault = FLAGS_fault;
     options.program = FLAGS_entry;
     std::string folder = FLAGS_folder;
     if (folder.empty()) {
